--- /dev/null
+++ b/src/programs/support/event_log.hpp
@@ -0,0 +1,52 @@
+// The event log of a process: one line of key=value pairs for each event.
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace rhubarbweir {
+
+struct EventField
+{
+    std::string key;
+    std::string value;
+
+    EventField(std::string_view name, std::string_view text)
+        : key(name)
+        , value(text)
+    {
+    }
+    EventField(std::string_view name, std::int64_t number)
+        : key(name)
+        , value(std::to_string(number))
+    {
+    }
+};
+
+enum class LogLevel {
+    Debug,
+    Info,
+    Warning,
+    Error,
+};
+
+struct EventLogSettings
+{
+    // Empty writes to standard error.
+    std::string file;
+    LogLevel level = LogLevel::Info;
+    std::string instance;
+};
+
+// Errors: InvalidArgument when the file cannot be opened.
+absl::Status openEventLog(const EventLogSettings &settings);
+
+// Writes "time=… clock=… instance=… level=… event=… key=value …". Values with spaces are quoted.
+// `clock` is a hybrid logical clock, which orders events across processes.
+void logEvent(LogLevel level, std::string_view event, const std::vector<EventField> &fields);
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -0,0 +1,122 @@
+// See codec.hpp.
+#include "rhubarbweir/protocol/codec.hpp"
+
+#include "rhubarbweir/protocol/internal/json_messages.hpp"
+
+#include <absl/status/status.h>
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+using nlohmann::json;
+
+// Wire names, in the order of Message's alternatives.
+constexpr std::string_view TypeNames[] = {
+    "open_session",
+    "session_opened",
+    "move_session",
+    "caller_request",
+    "caller_answer",
+    "peer_hello",
+    "forward_request",
+    "forward_answer",
+    "end_transaction",
+    "open_connection",
+    "connection_opened",
+    "connection_refused",
+    "statement",
+    "statement_reply",
+    "status_probe",
+    "target_status",
+    "announcement",
+    "fence_target",
+    "target_fenced",
+    "promote_target",
+    "target_promoted",
+    "follow_primary",
+    "renew_lease",
+    "lease_granted",
+    "lease_refused",
+    "view_changed",
+    "table_edit",
+    "table_edit_result",
+    "table_query",
+    "table_rows",
+    "in_force_query",
+    "in_force_report",
+    "status_query",
+    "status_report",
+    "planned_change",
+    "planned_change_result",
+};
+static_assert(std::size(TypeNames) == std::variant_size_v<Message>);
+
+template<std::size_t Index = 0>
+Message bodyOf(std::size_t index, const json &body)
+{
+    if constexpr (Index < std::variant_size_v<Message>) {
+        if (index == Index)
+            return body.get<std::variant_alternative_t<Index, Message>>();
+        return bodyOf<Index + 1>(index, body);
+    } else {
+        throw std::out_of_range("message type index");
+    }
+}
+
+absl::StatusOr<std::size_t> typeIndex(const std::string &name)
+{
+    for (std::size_t index = 0; index < std::size(TypeNames); ++index) {
+        if (TypeNames[index] == name)
+            return index;
+    }
+    return absl::UnimplementedError(absl::StrCat("unknown message type ", name));
+}
+
+json parse(std::string_view bytes, Encoding encoding)
+{
+    return encoding == Encoding::Cbor ? json::from_cbor(bytes) : json::parse(bytes);
+}
+
+} // namespace
+
+std::string encode(const Message &message, Encoding encoding)
+{
+    json envelope;
+    envelope["v"] = WireVersion;
+    envelope["t"] = std::string(typeName(message));
+    std::visit([&envelope](const auto &body) { envelope["b"] = body; }, message);
+    if (encoding == Encoding::Json)
+        return envelope.dump(-1, ' ', false, json::error_handler_t::replace);
+    std::string bytes;
+    json::to_cbor(envelope, bytes);
+    return bytes;
+}
+
+absl::StatusOr<Message> decode(std::string_view bytes, Encoding encoding)
+{
+    if (bytes.size() > MaxMessageBytes)
+        return absl::ResourceExhaustedError(absl::StrCat("message of ", bytes.size(), " bytes"));
+    try {
+        const json envelope = parse(bytes, encoding);
+        const auto version = envelope.at("v").get<unsigned>();
+        if (version != WireVersion)
+            return absl::UnimplementedError(absl::StrCat("wire version ", version));
+        const auto index = typeIndex(envelope.at("t").get<std::string>());
+        if (!index.ok())
+            return index.status();
+        return bodyOf(*index, envelope.at("b"));
+    } catch (const std::exception &error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+std::string_view typeName(const Message &message)
+{
+    return TypeNames[message.index()];
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/protocol/internal/json_basics.hpp
@@ -0,0 +1,54 @@
+// JSON conversions of basic types: identifiers, durations, named enumerations.
+#pragma once
+
+#include "rhubarbweir/state/enum_names.hpp"
+#include "rhubarbweir/state/ids.hpp"
+#include "rhubarbweir/state/time.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+#include <string>
+#include <type_traits>
+
+namespace nlohmann {
+
+template<typename Tag>
+struct adl_serializer<rhubarbweir::StrongId<Tag>>
+{
+    static void to_json(json &to, const rhubarbweir::StrongId<Tag> &id) { to = id.value; }
+    static void from_json(const json &from, rhubarbweir::StrongId<Tag> &id)
+    {
+        id.value = from.get<std::string>();
+    }
+};
+
+// Microseconds on the wire.
+template<>
+struct adl_serializer<rhubarbweir::Duration>
+{
+    static void to_json(json &to, const rhubarbweir::Duration &duration) { to = duration.count(); }
+    static void from_json(const json &from, rhubarbweir::Duration &duration)
+    {
+        duration = rhubarbweir::Duration(from.get<std::int64_t>());
+    }
+};
+
+// Enumerations travel by name; an unknown name is an error.
+template<typename Enum>
+struct adl_serializer<Enum, std::void_t<decltype(rhubarbweir::EnumNames<Enum>::names)>>
+{
+    static void to_json(json &to, const Enum &value)
+    {
+        to = std::string(rhubarbweir::nameOf(value));
+    }
+    static void from_json(const json &from, Enum &value)
+    {
+        const auto found = rhubarbweir::enumFromName<Enum>(from.get<std::string>());
+        if (!found)
+            throw std::invalid_argument("unknown enumerator " + from.dump());
+        value = *found;
+    }
+};
+
+} // namespace nlohmann
--- /dev/null
+++ b/src/rhubarbweir/protocol/message.hpp
@@ -0,0 +1,23 @@
+// Every message of the system as one variant. Its alternatives are the wire format's types.
+#pragma once
+
+#include "rhubarbweir/coordination/caller_messages.hpp"
+#include "rhubarbweir/coordination/control_messages.hpp"
+#include "rhubarbweir/coordination/operator_messages.hpp"
+#include "rhubarbweir/coordination/peer_messages.hpp"
+#include "rhubarbweir/coordination/target_messages.hpp"
+
+#include <variant>
+
+namespace rhubarbweir {
+
+using Message
+    = std::variant<OpenSession, SessionOpened, MoveSession, CallerRequest, CallerAnswer, PeerHello,
+                   ForwardRequest, ForwardAnswer, EndTransaction, OpenConnection, ConnectionOpened,
+                   ConnectionRefused, Statement, StatementReply, StatusProbe, TargetStatus,
+                   Announcement, FenceTarget, TargetFenced, PromoteTarget, TargetPromoted,
+                   FollowPrimary, RenewLease, LeaseGranted, LeaseRefused, ViewChanged, TableEdit,
+                   TableEditResult, TableQuery, TableRows, InForceQuery, InForceReport, StatusQuery,
+                   StatusReport, PlannedChange, PlannedChangeResult>;
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/state/enum_names.hpp
@@ -0,0 +1,33 @@
+// Names of enumerators, used on the wire, in logs and in tables.
+#pragma once
+
+#include <cstddef>
+#include <iterator>
+#include <optional>
+#include <string_view>
+
+namespace rhubarbweir {
+
+// Specialised beside each named enumeration: `static constexpr std::string_view names[]`,
+// one name for each enumerator in order from 0.
+template<typename Enum>
+struct EnumNames;
+
+template<typename Enum>
+constexpr std::string_view nameOf(Enum value)
+{
+    const auto index = static_cast<std::size_t>(value);
+    return index < std::size(EnumNames<Enum>::names) ? EnumNames<Enum>::names[index] : "?";
+}
+
+template<typename Enum>
+constexpr std::optional<Enum> enumFromName(std::string_view name)
+{
+    for (std::size_t index = 0; index < std::size(EnumNames<Enum>::names); ++index) {
+        if (EnumNames<Enum>::names[index] == name)
+            return static_cast<Enum>(index);
+    }
+    return std::nullopt;
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/state/table_row.hpp
@@ -0,0 +1,101 @@
+// Rows of the operators' table and changes to them.
+#pragma once
+
+#include "rhubarbweir/state/enum_names.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+namespace rhubarbweir {
+
+enum class RowScope {
+    Group,
+    Target,
+};
+
+template<>
+struct EnumNames<RowScope>
+{
+    static constexpr std::string_view names[] = {"group", "target"};
+};
+
+struct RowKey
+{
+    RowScope scope = RowScope::Group;
+    // Name of the group or target.
+    std::string name;
+    std::string field;
+
+    friend bool operator==(const RowKey &a, const RowKey &b)
+    {
+        return a.scope == b.scope && a.name == b.name && a.field == b.field;
+    }
+    friend bool operator<(const RowKey &a, const RowKey &b)
+    {
+        return std::tie(a.scope, a.name, a.field) < std::tie(b.scope, b.name, b.field);
+    }
+};
+
+struct TableRow
+{
+    RowKey key;
+    std::string value;
+    // Raised by one with each change of the row; 0 stands for an absent row.
+    std::uint64_t version = 0;
+};
+
+struct RowChange
+{
+    RowKey key;
+    // Version that the editor saw; 0 for a new row.
+    std::uint64_t expectedVersion = 0;
+    std::string value;
+    bool remove = false;
+};
+
+enum class EditOutcome {
+    Accepted,
+    // A row had another version; nothing was changed.
+    VersionConflict,
+    // The edit breaks a rule of the table; nothing was changed.
+    Invalid,
+    // Sent to an instance that does not lead; nothing was changed.
+    NotLeader,
+    // The leader could not commit in time; resend with the same request id.
+    Unknown,
+};
+
+template<>
+struct EnumNames<EditOutcome>
+{
+    static constexpr std::string_view names[]
+        = {"accepted", "version_conflict", "invalid", "not_leader", "unknown"};
+};
+
+enum class RowFault {
+    UnknownField,
+    UnknownName,
+    NotANumber,
+    OutOfRange,
+    SumTooLarge,
+    DuplicateChange,
+};
+
+template<>
+struct EnumNames<RowFault>
+{
+    static constexpr std::string_view names[] = {"unknown_field", "unknown_name", "not_a_number",
+                                                 "out_of_range",  "sum_too_large", "duplicate_change"};
+};
+
+struct RowProblem
+{
+    RowKey key;
+    RowFault fault = RowFault::UnknownField;
+    // What the field accepts, for people.
+    std::string expected;
+};
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/tests/unit/codec.tests.cpp
@@ -0,0 +1,43 @@
+// Tests of the wire format.
+#include "rhubarbweir/protocol/codec.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace rhubarbweir;
+
+Test(codec, round_trip, .description = "a request keeps its fields through CBOR and JSON")
+{
+    CallerRequest request;
+    request.session = SessionId("s1");
+    request.requestId = 7;
+    request.kind = RequestKind::Write;
+    request.group = GroupId("windlog-1");
+    request.timeLeft = std::chrono::milliseconds(250);
+    request.token.observe(request.group, {3, 41});
+    for (const Encoding encoding : {Encoding::Cbor, Encoding::Json}) {
+        const auto decoded = decode(encode(request, encoding), encoding);
+        cr_assert(decoded.ok());
+        const auto &copy = std::get<CallerRequest>(*decoded);
+        cr_assert(keyOf(copy) == keyOf(request));
+        cr_assert(copy.kind == RequestKind::Write);
+        cr_assert(copy.timeLeft == request.timeLeft);
+        cr_assert(copy.token.required(request.group) == (LogPosition{3, 41}));
+    }
+}
+
+Test(codec, typed_errors, .description = "bad bytes end in a typed error")
+{
+    cr_assert(absl::IsInvalidArgument(decode("no CBOR here").status()));
+    cr_assert(absl::IsInvalidArgument(decode("{}", Encoding::Json).status()));
+    cr_assert(absl::IsUnimplemented(decode(R"({"v":9,"t":"read","b":{}})", Encoding::Json).status()));
+    cr_assert(absl::IsUnimplemented(decode(R"({"v":1,"t":"zzz","b":{}})", Encoding::Json).status()));
+    const std::string large(MaxMessageBytes + 1, 'x');
+    cr_assert(absl::IsResourceExhausted(decode(large).status()));
+}
+
+Test(codec, unknown_enumerator, .description = "an unknown enumerator is malformed, not a default")
+{
+    std::string text = encode(MoveSession{}, Encoding::Json);
+    text.replace(text.find("draining"), 8, "dreaming");
+    cr_assert(absl::IsInvalidArgument(decode(text, Encoding::Json).status()));
+}
