--- a/src/programs/support/event_log.cpp
+++ b/src/programs/support/event_log.cpp
@@ -62,9 +62,8 @@
 {
     instanceName = settings.instance;
     try {
-        auto logger = settings.file.empty()
-            ? spdlog::stderr_logger_mt("events")
-            : spdlog::basic_logger_mt("events", settings.file);
+        auto logger = settings.file.empty() ? spdlog::stderr_logger_mt("events")
+                                            : spdlog::basic_logger_mt("events", settings.file);
         logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%f%z %v");
         logger->set_level(spdlogLevel(settings.level));
         logger->flush_on(spdlog::level::info);
--- a/src/rhubarbweir/coordination/caller_messages.hpp
+++ b/src/rhubarbweir/coordination/caller_messages.hpp
@@ -77,49 +77,48 @@
 template<>
 struct EnumNames<RequestKind>
 {
-    static constexpr std::string_view names[] = {"read", "write", "begin", "commit", "rollback",
-                                                 "ask_outcome"};
+    static constexpr std::string_view Names[] = {"read",   "write",    "begin",
+                                                 "commit", "rollback", "ask_outcome"};
 };
 template<>
 struct EnumNames<Consistency>
 {
-    static constexpr std::string_view names[] = {"bounded", "session", "latest"};
+    static constexpr std::string_view Names[] = {"bounded", "session", "latest"};
 };
 template<>
 struct EnumNames<WriteOperation>
 {
-    static constexpr std::string_view names[] = {"set", "add"};
+    static constexpr std::string_view Names[] = {"set", "add"};
 };
 template<>
 struct EnumNames<Outcome>
 {
-    static constexpr std::string_view names[] = {"Ok", "NotRun", "Failed", "OutcomeUnknown"};
+    static constexpr std::string_view Names[] = {"Ok", "NotRun", "Failed", "OutcomeUnknown"};
 };
 template<>
 struct EnumNames<Reason>
 {
-    static constexpr std::string_view names[]
-        = {"none",
-           "malformed",
-           "unsupported_version",
-           "draining",
-           "no_current_view",
-           "unknown_group",
-           "overloaded",
-           "deadline_passed",
-           "no_primary",
-           "no_holder",
-           "holder_unreachable",
-           "replicas_behind",
-           "transaction_elsewhere",
-           "transaction_ended",
-           "connection_lost",
-           "primary_changed",
-           "not_confirmed",
-           "sealed",
-           "refused_by_target",
-           "replication_slow",
-           "duplicate_request_id"};
+    static constexpr std::string_view Names[] = {"none",
+                                                 "malformed",
+                                                 "unsupported_version",
+                                                 "draining",
+                                                 "no_current_view",
+                                                 "unknown_group",
+                                                 "overloaded",
+                                                 "deadline_passed",
+                                                 "no_primary",
+                                                 "no_holder",
+                                                 "holder_unreachable",
+                                                 "replicas_behind",
+                                                 "transaction_elsewhere",
+                                                 "transaction_ended",
+                                                 "connection_lost",
+                                                 "primary_changed",
+                                                 "not_confirmed",
+                                                 "sealed",
+                                                 "refused_by_target",
+                                                 "replication_slow",
+                                                 "duplicate_request_id"};
 };
 
 // Opens a session, or resumes one when `session` is not empty.
--- a/src/rhubarbweir/coordination/control_messages.hpp
+++ b/src/rhubarbweir/coordination/control_messages.hpp
@@ -78,7 +78,7 @@
 template<>
 struct EnumNames<ObservedState>
 {
-    static constexpr std::string_view names[] = {"alive", "silent", "broken"};
+    static constexpr std::string_view Names[] = {"alive", "silent", "broken"};
 };
 
 // What a proxy or control instance saw of a target.
--- a/src/rhubarbweir/coordination/target_messages.hpp
+++ b/src/rhubarbweir/coordination/target_messages.hpp
@@ -43,20 +43,19 @@
 template<>
 struct EnumNames<TargetRole>
 {
-    static constexpr std::string_view names[] = {"replica", "primary"};
+    static constexpr std::string_view Names[] = {"replica", "primary"};
 };
 template<>
 struct EnumNames<StatementKind>
 {
-    static constexpr std::string_view names[]
-        = {"read", "write", "begin", "commit", "rollback", "ask_outcome"};
+    static constexpr std::string_view Names[] = {"read",   "write",    "begin",
+                                                 "commit", "rollback", "ask_outcome"};
 };
 template<>
 struct EnumNames<StatementResult>
 {
-    static constexpr std::string_view names[] = {"ok",      "behind",          "not_primary",
-                                                 "sealed",  "refused",         "deadline_passed",
-                                                 "transaction_ended"};
+    static constexpr std::string_view Names[] = {
+        "ok", "behind", "not_primary", "sealed", "refused", "deadline_passed", "transaction_ended"};
 };
 
 // A database's state at one moment.
--- a/src/rhubarbweir/protocol/internal/json_basics.hpp
+++ b/src/rhubarbweir/protocol/internal/json_basics.hpp
@@ -36,7 +36,7 @@
 
 // Enumerations travel by name; an unknown name is an error.
 template<typename Enum>
-struct adl_serializer<Enum, std::void_t<decltype(rhubarbweir::EnumNames<Enum>::names)>>
+struct adl_serializer<Enum, std::void_t<decltype(rhubarbweir::EnumNames<Enum>::Names)>>
 {
     static void to_json(json &to, const Enum &value)
     {
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -27,8 +27,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OpenSession, caller, session, token)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SessionOpened, session, proxy)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MoveSession, reason)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CallerRequest, caller, session, requestId, kind, group, transaction, key, value, operation, consistency, maxAge, repeatable, timeLeft, askedRequestId, token)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CallerAnswer, session, requestId, outcome, reason, retryAfter, key, value, group, servedBy, servedByReplica, position, token)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CallerRequest, caller, session, requestId, kind, group,
+                                   transaction, key, value, operation, consistency, maxAge,
+                                   repeatable, timeLeft, askedRequestId, token)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(CallerAnswer, session, requestId, outcome, reason, retryAfter,
+                                   key, value, group, servedBy, servedByReplica, position, token)
 
 // peer_messages.hpp
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PeerHello, instance)
@@ -37,12 +40,15 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EndTransaction, group, session, transaction)
 
 // target_messages.hpp
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetStatus, probeId, target, group, role, adoptedTerm, received, applied)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetStatus, probeId, target, group, role, adoptedTerm,
+                                   received, applied)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OpenConnection, holder, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConnectionOpened, generation, status)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConnectionRefused, generation, reason)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Statement, generation, request, kind, term, minimum, key, value, operation, transaction, asked, timeLeft)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StatementReply, generation, request, result, position, key, value, status)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Statement, generation, request, kind, term, minimum, key, value,
+                                   operation, transaction, asked, timeLeft)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StatementReply, generation, request, result, position, key,
+                                   value, status)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StatusProbe, probeId)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HolderUse, holder, connections, slots)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Announcement, status, address, failureDomain, uses)
@@ -57,26 +63,33 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetView, target, address, failureDomain, weight, leaving)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetGrant, target, slots, connections)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HolderView, proxy, address, failureDomain, epoch, grants)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GroupView, group, revision, size, term, primary, writesHeld, queueLimit, targets, holders)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GroupView, group, revision, size, term, primary, writesHeld,
+                                   queueLimit, targets, holders)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewDelta, fromRevision, toRevision, groups, removed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetObservation, target, group, state)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RenewLease, proxy, address, failureDomain, incarnation, sequence, revision, draining, groups, observations)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RenewLease, proxy, address, failureDomain, incarnation, sequence,
+                                   revision, draining, groups, observations)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseGranted, sequence, leaseFor, delta)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseRefused, sequence, leaderAddress)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewChanged, delta)
 
 // operator_messages.hpp
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TableEdit, requestId, editor, changes)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TableEditResult, requestId, outcome, revision, conflicts, problems, leaderAddress)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TableEditResult, requestId, outcome, revision, conflicts,
+                                   problems, leaderAddress)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TableQuery, namePrefix)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TableRows, revision, rows, leaderAddress)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(InForceQuery, revision)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ProxyStatus, proxy, address, failureDomain, revision, leaseValid, draining)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(InForceReport, revision, currentRevision, behind, inForce, leaderAddress)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ProxyStatus, proxy, address, failureDomain, revision, leaseValid,
+                                   draining)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(InForceReport, revision, currentRevision, behind, inForce,
+                                   leaderAddress)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StatusQuery, group)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(VoterStatus, instance, address, failureDomain, voter, reachable, matchedIndex)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(VoterStatus, instance, address, failureDomain, voter, reachable,
+                                   matchedIndex)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ActionRecord, revision, subject, action, cause)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StatusReport, leader, leaderAddress, quorumTerm, revision, voters, proxies, groups, recentActions)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StatusReport, leader, leaderAddress, quorumTerm, revision,
+                                   voters, proxies, groups, recentActions)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlannedChange, requestId, group, target)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlannedChangeResult, requestId, accepted, leaderAddress, reason)
 
--- a/src/rhubarbweir/protocol/message.hpp
+++ b/src/rhubarbweir/protocol/message.hpp
@@ -11,13 +11,13 @@
 
 namespace rhubarbweir {
 
-using Message
-    = std::variant<OpenSession, SessionOpened, MoveSession, CallerRequest, CallerAnswer, PeerHello,
-                   ForwardRequest, ForwardAnswer, EndTransaction, OpenConnection, ConnectionOpened,
-                   ConnectionRefused, Statement, StatementReply, StatusProbe, TargetStatus,
-                   Announcement, FenceTarget, TargetFenced, PromoteTarget, TargetPromoted,
-                   FollowPrimary, RenewLease, LeaseGranted, LeaseRefused, ViewChanged, TableEdit,
-                   TableEditResult, TableQuery, TableRows, InForceQuery, InForceReport, StatusQuery,
-                   StatusReport, PlannedChange, PlannedChangeResult>;
+using Message =
+    std::variant<OpenSession, SessionOpened, MoveSession, CallerRequest, CallerAnswer, PeerHello,
+                 ForwardRequest, ForwardAnswer, EndTransaction, OpenConnection, ConnectionOpened,
+                 ConnectionRefused, Statement, StatementReply, StatusProbe, TargetStatus,
+                 Announcement, FenceTarget, TargetFenced, PromoteTarget, TargetPromoted,
+                 FollowPrimary, RenewLease, LeaseGranted, LeaseRefused, ViewChanged, TableEdit,
+                 TableEditResult, TableQuery, TableRows, InForceQuery, InForceReport, StatusQuery,
+                 StatusReport, PlannedChange, PlannedChangeResult>;
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/state/enum_names.hpp
+++ b/src/rhubarbweir/state/enum_names.hpp
@@ -8,7 +8,7 @@
 
 namespace rhubarbweir {
 
-// Specialised beside each named enumeration: `static constexpr std::string_view names[]`,
+// Specialised beside each named enumeration: `static constexpr std::string_view Names[]`,
 // one name for each enumerator in order from 0.
 template<typename Enum>
 struct EnumNames;
@@ -17,14 +17,14 @@
 constexpr std::string_view nameOf(Enum value)
 {
     const auto index = static_cast<std::size_t>(value);
-    return index < std::size(EnumNames<Enum>::names) ? EnumNames<Enum>::names[index] : "?";
+    return index < std::size(EnumNames<Enum>::Names) ? EnumNames<Enum>::Names[index] : "?";
 }
 
 template<typename Enum>
 constexpr std::optional<Enum> enumFromName(std::string_view name)
 {
-    for (std::size_t index = 0; index < std::size(EnumNames<Enum>::names); ++index) {
-        if (EnumNames<Enum>::names[index] == name)
+    for (std::size_t index = 0; index < std::size(EnumNames<Enum>::Names); ++index) {
+        if (EnumNames<Enum>::Names[index] == name)
             return static_cast<Enum>(index);
     }
     return std::nullopt;
--- a/src/rhubarbweir/state/table_row.hpp
+++ b/src/rhubarbweir/state/table_row.hpp
@@ -18,7 +18,7 @@
 template<>
 struct EnumNames<RowScope>
 {
-    static constexpr std::string_view names[] = {"group", "target"};
+    static constexpr std::string_view Names[] = {"group", "target"};
 };
 
 struct RowKey
@@ -70,8 +70,8 @@
 template<>
 struct EnumNames<EditOutcome>
 {
-    static constexpr std::string_view names[]
-        = {"accepted", "version_conflict", "invalid", "not_leader", "unknown"};
+    static constexpr std::string_view Names[] = {"accepted", "version_conflict", "invalid",
+                                                 "not_leader", "unknown"};
 };
 
 enum class RowFault {
@@ -86,8 +86,9 @@
 template<>
 struct EnumNames<RowFault>
 {
-    static constexpr std::string_view names[] = {"unknown_field", "unknown_name", "not_a_number",
-                                                 "out_of_range",  "sum_too_large", "duplicate_change"};
+    static constexpr std::string_view Names[] = {"unknown_field", "unknown_name",
+                                                 "not_a_number",  "out_of_range",
+                                                 "sum_too_large", "duplicate_change"};
 };
 
 struct RowProblem
--- a/src/rhubarbweir/transport/connection.hpp
+++ b/src/rhubarbweir/transport/connection.hpp
@@ -21,9 +21,8 @@
 template<>
 struct EnumNames<Subprotocol>
 {
-    static constexpr std::string_view names[]
-        = {"rhubarbweir.v1", "rhubarbweir.peer.v1", "rhubarbweir.control.v1",
-           "rhubarbweir.target.v1"};
+    static constexpr std::string_view Names[] = {"rhubarbweir.v1", "rhubarbweir.peer.v1",
+                                                 "rhubarbweir.control.v1", "rhubarbweir.target.v1"};
 };
 
 // Why a connection was closed by this side.
@@ -41,9 +40,14 @@
 template<>
 struct EnumNames<CloseReason>
 {
-    static constexpr std::string_view names[]
-        = {"normal",      "malformed_message", "message_too_large", "unsupported_version",
-           "unexpected_message", "slow_reader", "overloaded",        "going_away"};
+    static constexpr std::string_view Names[] = {"normal",
+                                                 "malformed_message",
+                                                 "message_too_large",
+                                                 "unsupported_version",
+                                                 "unexpected_message",
+                                                 "slow_reader",
+                                                 "overloaded",
+                                                 "going_away"};
 };
 
 // Keeps itself alive until closed.
--- a/src/rhubarbweir/transport/web_socket.cpp
+++ b/src/rhubarbweir/transport/web_socket.cpp
@@ -238,14 +238,16 @@
             raw, subprotocol.value_or(Subprotocol::Caller), this->hooks.fault);
         connection->attach();
         ++this->openConnections;
-        connection->released = [this] { --this->openConnections; };
+        connection->released = [this] {
+            --this->openConnections;
+        };
         this->hooks.accepted(connection, subprotocol.value_or(Subprotocol::Caller));
     }
 
     void answerGet(const ServerEndpoint::connection_ptr &connection)
     {
-        const HttpReply reply = this->hooks.get ? this->hooks.get(connection->get_resource())
-                                                : HttpReply{};
+        const HttpReply reply =
+            this->hooks.get ? this->hooks.get(connection->get_resource()) : HttpReply{};
         connection->set_status(static_cast<websocketpp::http::status_code::value>(reply.status));
         connection->replace_header("Content-Type", reply.contentType);
         connection->set_body(reply.body);
@@ -294,8 +296,8 @@
         [&p](const auto &handle) { p.answerGet(p.endpoint.get_con_from_hdl(handle)); });
     p.endpoint.listen(hostPort->host, std::to_string(hostPort->port), error);
     if (error)
-        return absl::UnavailableError(absl::StrCat("cannot listen on ", p.address, ": ",
-                                                   error.message()));
+        return absl::UnavailableError(
+            absl::StrCat("cannot listen on ", p.address, ": ", error.message()));
     p.endpoint.start_accept(error);
     return error ? absl::UnavailableError(error.message()) : absl::OkStatus();
 }
@@ -314,9 +316,8 @@
     {
         quiet(this->endpoint);
         this->endpoint.init_asio(&eventLoop.context());
-        this->endpoint.set_tcp_post_init_handler([this](const auto &handle) {
-            disableNagle(this->endpoint.get_con_from_hdl(handle));
-        });
+        this->endpoint.set_tcp_post_init_handler(
+            [this](const auto &handle) { disableNagle(this->endpoint.get_con_from_hdl(handle)); });
     }
 
     EventLoop &loop;
@@ -340,13 +341,13 @@
         return;
     }
     raw->add_subprotocol(std::string(nameOf(subprotocol)));
-    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(deadline
-                                                                            - EventLoop::now());
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(deadline - EventLoop::now());
     raw->set_open_handshake_timeout(std::max<long>(1, left.count()));
     auto shared = std::make_shared<Connected>(std::move(connected));
     raw->set_open_handler([raw, subprotocol, shared](const auto &) {
-        auto connection = std::make_shared<WebSocketConnection<ClientEndpoint>>(raw, subprotocol,
-                                                                                Fault{});
+        auto connection =
+            std::make_shared<WebSocketConnection<ClientEndpoint>>(raw, subprotocol, Fault{});
         connection->attach();
         (*shared)(ConnectionPtr(connection));
     });
--- a/tests/unit/codec.tests.cpp
+++ b/tests/unit/codec.tests.cpp
@@ -29,8 +29,10 @@
 {
     cr_assert(absl::IsInvalidArgument(decode("no CBOR here").status()));
     cr_assert(absl::IsInvalidArgument(decode("{}", Encoding::Json).status()));
-    cr_assert(absl::IsUnimplemented(decode(R"({"v":9,"t":"read","b":{}})", Encoding::Json).status()));
-    cr_assert(absl::IsUnimplemented(decode(R"({"v":1,"t":"zzz","b":{}})", Encoding::Json).status()));
+    cr_assert(
+        absl::IsUnimplemented(decode(R"({"v":9,"t":"read","b":{}})", Encoding::Json).status()));
+    cr_assert(
+        absl::IsUnimplemented(decode(R"({"v":1,"t":"zzz","b":{}})", Encoding::Json).status()));
     const std::string large(MaxMessageBytes + 1, 'x');
     cr_assert(absl::IsResourceExhausted(decode(large).status()));
 }
