--- /dev/null
+++ b/tests/scenarios/scenario_runner.hpp
@@ -0,0 +1,22 @@
+// Runs a scenario's steps against a fixture, which maps verbs to actions and expectations.
+#pragma once
+
+#include "scenarios/scenario.hpp"
+#include "scenarios/virtual_clock.hpp"
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace rhubarbweir::testing {
+
+// What a verb does; an error fails the scenario at the step's line.
+using Verb = std::function<absl::Status(const Step &)>;
+using Verbs = std::map<std::string, Verb>;
+
+// Reads and runs `file`. Errors: the first failing step, with file and line.
+absl::Status runScenarioFile(const std::string &file, VirtualClock &clock, const Verbs &verbs);
+
+} // namespace rhubarbweir::testing
