Name program settings apart from the decisions' own settings

The coordination layer has ProxySettings and ControlSettings of its own in the same namespace; the programs' structures are now ...ProgramSettings.

--- a/src/programs/support/control_settings.cpp
+++ b/src/programs/support/control_program_settings.cpp
@@ -1,5 +1,5 @@
-// See control_settings.hpp.
-#include "programs/support/control_settings.hpp"
+// See control_program_settings.hpp.
+#include "programs/support/control_program_settings.hpp"
 
 #include "programs/support/settings_values.hpp"
 
@@ -122,30 +122,27 @@
                              "Instances with a disk that replace lost voters, in the same form.")
                    .otherwise(""));
     schema.add(Setting::choice("quorum", "bootstrap", {"yes", "no"},
-                               "Whether an empty data folder may start a new quorum. Set it for "
-                               "the first start only.")
+                               "Whether an empty data folder may take part in the first start of a "
+                               "quorum. It has no effect once any voter holds state.")
                    .otherwise("no"));
     schema.add(Setting::duration("quorum", "heartbeat", milliseconds(10), seconds(5),
                                  "Interval of the leader's heartbeats.")
-                   .otherwise("100ms"));
+                   .otherwise("50ms"));
     schema.add(Setting::duration("quorum", "election_timeout_min", milliseconds(20), seconds(30),
                                  "Least silence of the leader before an election.")
-                   .otherwise("400ms"));
+                   .otherwise("250ms"));
     schema.add(Setting::duration("quorum", "election_timeout_max", milliseconds(40), seconds(60),
                                  "Greatest silence of the leader before an election.")
-                   .otherwise("800ms"));
+                   .otherwise("500ms"));
     schema.add(Setting::duration("quorum", "replace_after", seconds(1), hours(24),
                                  "A voter out of reach for this long is replaced by a spare.")
                    .otherwise("30s"));
     schema.add(Setting::duration("leases", "lease_for", milliseconds(200), seconds(30),
                                  "Length of a proxy's lease.")
-                   .otherwise("1500ms"));
-    schema.add(Setting::duration("leases", "drift_allowance", milliseconds(1), seconds(5),
-                                 "Added to a lease before control counts it as over.")
-                   .otherwise("100ms"));
-    schema.add(Setting::duration("leases", "announcement_for", milliseconds(500), seconds(60),
-                                 "A target without announcements for this long is gone.")
-                   .otherwise("3s"));
+                   .otherwise("2s"));
+    schema.add(Setting::duration("targets", "silent_after", milliseconds(100), seconds(60),
+                                 "A target without announcements for this long is silent.")
+                   .otherwise("600ms"));
     schema.addCheck(checkMembers);
     schema.addCheck(checkVoterCount);
     schema.addCheck(checkOwnEntry);
@@ -153,9 +150,9 @@
     return schema;
 }
 
-ControlSettings controlSettingsFrom(const Settings &settings)
+ControlProgramSettings controlSettingsFrom(const Settings &settings)
 {
-    ControlSettings control;
+    ControlProgramSettings control;
     control.id = InstanceId(settings.text("instance", "id"));
     control.failureDomain = FailureDomainId(settings.text("instance", "failure_domain"));
     control.knownFailureDomains = knownFailureDomains(settings);
@@ -169,8 +166,7 @@
     control.electionTimeoutMax = settings.duration("quorum", "election_timeout_max");
     control.replaceAfter = settings.duration("quorum", "replace_after");
     control.leaseFor = settings.duration("leases", "lease_for");
-    control.driftAllowance = settings.duration("leases", "drift_allowance");
-    control.announcementFor = settings.duration("leases", "announcement_for");
+    control.silentAfter = settings.duration("targets", "silent_after");
     control.maxConnections =
         static_cast<std::size_t>(settings.integer("limits", "max_connections"));
     control.log = logSettingsFrom(settings, control.id.value);
--- a/src/programs/support/control_settings.hpp
+++ b/src/programs/support/control_program_settings.hpp
@@ -18,7 +18,7 @@
 // Parses "id@address@failure-domain".
 std::optional<ControlMember> parseControlMember(const std::string &text);
 
-struct ControlSettings
+struct ControlProgramSettings
 {
     InstanceId id;
     FailureDomainId failureDomain;
@@ -29,23 +29,22 @@
     // Voters at the first start of the quorum; later the quorum's own record counts.
     std::vector<ControlMember> voters;
     std::vector<ControlMember> spares;
-    // Whether an empty data folder may start a new quorum.
+    // Lets an instance with an empty folder take part in the first start of a quorum.
     bool bootstrap = false;
     Duration heartbeatEvery{0};
     Duration electionTimeoutMin{0};
     Duration electionTimeoutMax{0};
     // A voter out of reach for this long is replaced by a spare.
     Duration replaceAfter{0};
+    // Length of a proxy's lease.
     Duration leaseFor{0};
-    // Added to a lease before control counts it as over.
-    Duration driftAllowance{0};
-    // A target without announcements for this long is gone.
-    Duration announcementFor{0};
+    // A target without announcements for this long is silent.
+    Duration silentAfter{0};
     std::size_t maxConnections = 0;
     EventLogSettings log;
 };
 
 SettingsSchema controlSettingsSchema();
-ControlSettings controlSettingsFrom(const Settings &settings);
+ControlProgramSettings controlSettingsFrom(const Settings &settings);
 
 } // namespace rhubarbweir
--- a/src/programs/support/proxy_settings.cpp
+++ b/src/programs/support/proxy_program_settings.cpp
@@ -1,5 +1,5 @@
-// See proxy_settings.hpp.
-#include "programs/support/proxy_settings.hpp"
+// See proxy_program_settings.hpp.
+#include "programs/support/proxy_program_settings.hpp"
 
 namespace rhubarbweir {
 
@@ -15,21 +15,24 @@
                                 "Where other proxies reach this one; none: the listen address.")
                    .otherwise(""));
     schema.add(Setting::addressList("control", "addresses", "All control instances."));
-    schema.add(Setting::duration("control", "renew_every", milliseconds(50), seconds(5),
+    schema.add(Setting::duration("control", "renew_interval", milliseconds(50), seconds(5),
                                  "Interval between renewals of the lease.")
                    .otherwise("300ms"));
     schema.add(Setting::integer("limits", "max_callers", 1, 1'000'000,
                                 "Connections accepted at the listen address.")
                    .otherwise("4000"));
-    schema.add(Setting::integer("limits", "queue_limit", 1, 100'000,
-                                "Requests that may wait for one group, unless the table sets less.")
-                   .otherwise("256"));
-    schema.add(Setting::duration("targets", "probe_every", milliseconds(20), seconds(10),
+    schema.add(Setting::integer("limits", "in_flight_limit", 1, 1'000'000,
+                                "Requests in flight for callers; more are refused as overloaded.")
+                   .otherwise("8192"));
+    schema.add(Setting::duration("limits", "transaction_limit", milliseconds(100), seconds(600),
+                                 "Longest life of a transaction.")
+                   .otherwise("10s"));
+    schema.add(Setting::duration("targets", "probe_interval", milliseconds(20), seconds(10),
                                  "Interval between probes of a target.")
-                   .otherwise("200ms"));
+                   .otherwise("100ms"));
     schema.add(Setting::duration("targets", "silent_after", milliseconds(50), seconds(30),
-                                 "Time without an answer after which a target counts as silent.")
-                   .otherwise("800ms"));
+                                 "A target without an answer for this long is reported as silent.")
+                   .otherwise("500ms"));
     schema.add(Setting::duration("stop", "drain_at_most", milliseconds(100), seconds(120),
                                  "Longest time that a planned stop waits for running requests.")
                    .otherwise("10s"));
@@ -37,9 +40,9 @@
     return schema;
 }
 
-ProxySettings proxySettingsFrom(const Settings &settings)
+ProxyProgramSettings proxySettingsFrom(const Settings &settings)
 {
-    ProxySettings proxy;
+    ProxyProgramSettings proxy;
     proxy.id = InstanceId(settings.text("instance", "id"));
     proxy.failureDomain = FailureDomainId(settings.text("instance", "failure_domain"));
     proxy.knownFailureDomains = knownFailureDomains(settings);
@@ -48,10 +51,11 @@
     if (proxy.advertisedAddress.empty())
         proxy.advertisedAddress = proxy.listenAddress;
     proxy.controlAddresses = settings.list("control", "addresses");
-    proxy.renewEvery = settings.duration("control", "renew_every");
+    proxy.renewInterval = settings.duration("control", "renew_interval");
     proxy.maxCallers = static_cast<std::size_t>(settings.integer("limits", "max_callers"));
-    proxy.queueLimit = static_cast<std::size_t>(settings.integer("limits", "queue_limit"));
-    proxy.probeEvery = settings.duration("targets", "probe_every");
+    proxy.inFlightLimit = static_cast<std::size_t>(settings.integer("limits", "in_flight_limit"));
+    proxy.transactionLimit = settings.duration("limits", "transaction_limit");
+    proxy.probeInterval = settings.duration("targets", "probe_interval");
     proxy.silentAfter = settings.duration("targets", "silent_after");
     proxy.drainAtMost = settings.duration("stop", "drain_at_most");
     proxy.log = logSettingsFrom(settings, proxy.id.value);
--- a/src/programs/support/proxy_settings.hpp
+++ b/src/programs/support/proxy_program_settings.hpp
@@ -5,7 +5,7 @@
 
 namespace rhubarbweir {
 
-struct ProxySettings
+struct ProxyProgramSettings
 {
     InstanceId id;
     FailureDomainId failureDomain;
@@ -17,15 +17,19 @@
     // Control instances; any one of them names the leader.
     std::vector<std::string> controlAddresses;
     std::size_t maxCallers = 0;
-    std::size_t queueLimit = 0;
-    Duration renewEvery{0};
-    Duration probeEvery{0};
+    // Requests in flight for callers; more are refused as overloaded.
+    std::size_t inFlightLimit = 0;
+    Duration renewInterval{0};
+    Duration probeInterval{0};
+    // A target without an answer for this long is reported as silent.
     Duration silentAfter{0};
+    // Longest life of a transaction.
+    Duration transactionLimit{0};
     Duration drainAtMost{0};
     EventLogSettings log;
 };
 
 SettingsSchema proxySettingsSchema();
-ProxySettings proxySettingsFrom(const Settings &settings);
+ProxyProgramSettings proxySettingsFrom(const Settings &settings);
 
 } // namespace rhubarbweir
--- a/tests/unit/settings.tests.cpp
+++ b/tests/unit/settings.tests.cpp
@@ -1,9 +1,9 @@
 // Tests of settings files, their checks and the command line.
 #include "programs/support/command_line.hpp"
-#include "programs/support/control_settings.hpp"
-#include "programs/support/proxy_settings.hpp"
+#include "programs/support/control_program_settings.hpp"
+#include "programs/support/proxy_program_settings.hpp"
 #include "programs/support/settings_values.hpp"
-#include "programs/support/standin_settings.hpp"
+#include "programs/support/standin_program_settings.hpp"
 
 #include <criterion/criterion.h>
 
@@ -23,7 +23,7 @@
 address = 127.0.0.1:7201
 [control]
 addresses = 127.0.0.1:7101, 127.0.0.1:7102
-renew_every = 250ms
+renew_interval = 250ms
 )";
 
 const std::string GoodControl = R"([instance]
@@ -84,11 +84,11 @@
 {
     const LoadedSettings loaded = proxySettingsSchema().loadText(GoodProxy, "x.ini");
     cr_assert(loaded.faults.empty(), "%s", faultsOf(proxySettingsSchema(), GoodProxy).c_str());
-    const ProxySettings proxy = proxySettingsFrom(loaded.settings);
+    const ProxyProgramSettings proxy = proxySettingsFrom(loaded.settings);
     cr_assert(proxy.id == InstanceId("proxy-1"));
     cr_assert(proxy.knownFailureDomains.size() == 2);
     cr_assert(proxy.controlAddresses.size() == 2);
-    cr_assert(proxy.renewEvery == 250ms);
+    cr_assert(proxy.renewInterval == 250ms);
     cr_assert(proxy.maxCallers == 4000);
     cr_assert(proxy.advertisedAddress == "127.0.0.1:7201");
 }
@@ -106,7 +106,7 @@
 address = localhost:7201
 [control]
 addresses = 127.0.0.1:99999
-renew_every = 250
+renew_interval = 250
 [limits]
 max_callers = many
 [surprise]
@@ -119,7 +119,7 @@
           "x.ini:4: [instance] colour: found an unknown key", "x.ini:7: found this is no setting",
           "x.ini:9: [listen] address: found \"localhost:7201\"",
           "x.ini:11: [control] addresses: found \"127.0.0.1:99999\"",
-          "x.ini:12: [control] renew_every: found \"250\", expected a duration from 50ms to 5s",
+          "x.ini:12: [control] renew_interval: found \"250\", expected a duration from 50ms to 5s",
           "x.ini:14: [limits] max_callers: found \"many\", expected a whole number from 1",
           "x.ini:15: [surprise] found an unknown section"})
         cr_assert(faults.find(expected) != std::string::npos, "missing: %s in %s", expected,
@@ -166,8 +166,8 @@
     assertFault(controlSettingsSchema(),
                 replaced(GoodControl, "    control-3@127.0.0.1:7103@huron-bay\n", ""),
                 "found 2 voters, expected an odd number");
-    assertFault(controlSettingsSchema(), GoodControl + "heartbeat = 300ms\n",
-                "election_timeout_min: found 400ms, expected at least twice the heartbeat");
+    assertFault(controlSettingsSchema(), GoodControl + "heartbeat = 200ms\n",
+                "election_timeout_min: found 250ms, expected at least twice the heartbeat");
     assertFault(controlSettingsSchema(), replaced(GoodControl, "id = control-1", "id = control-9"),
                 "expected an id among the voters or spares");
 }
