--- a/src/programs/support/settings.cpp
+++ b/src/programs/support/settings.cpp
@@ -118,9 +118,9 @@
     case SettingType::Choice:
         return absl::StrCat("one of ", absl::StrJoin(this->choices, ", "));
     case SettingType::Folder:
-        return "a writable folder, or a new one in a writable folder";
+        return "a writable folder, or one that can be made";
     case SettingType::OutputFile:
-        return "a writable file in an existing folder";
+        return "a writable file, or one that can be made";
     }
     return "";
 }
--- a/src/programs/support/settings_check.cpp
+++ b/src/programs/support/settings_check.cpp
@@ -17,27 +17,36 @@
     return ::access(path.c_str(), W_OK) == 0;
 }
 
-std::filesystem::path parentOf(const std::filesystem::path &path)
+// The closest folder above `path` that exists; missing ones below it are made at the start.
+std::filesystem::path existingAncestor(const std::filesystem::path &path)
 {
-    return path.has_parent_path() ? path.parent_path() : std::filesystem::path(".");
+    std::error_code error;
+    std::filesystem::path ancestor = std::filesystem::absolute(path, error).parent_path();
+    while (!std::filesystem::exists(ancestor, error) && ancestor.has_relative_path())
+        ancestor = ancestor.parent_path();
+    return ancestor;
+}
+
+bool isWritableFolder(const std::filesystem::path &path)
+{
+    std::error_code error;
+    return std::filesystem::is_directory(path, error) && isWritable(path);
 }
 
 bool isUsableFolder(const std::filesystem::path &path)
 {
     std::error_code error;
-    if (std::filesystem::exists(path, error))
-        return std::filesystem::is_directory(path, error) && isWritable(path);
-    const std::filesystem::path parent = parentOf(path);
-    return std::filesystem::is_directory(parent, error) && isWritable(parent);
+    return isWritableFolder(std::filesystem::exists(path, error) ? path : existingAncestor(path));
 }
 
 bool isUsableFile(const std::filesystem::path &path)
 {
     std::error_code error;
+    if (!path.has_filename())
+        return false;
     if (std::filesystem::exists(path, error))
         return !std::filesystem::is_directory(path, error) && isWritable(path);
-    const std::filesystem::path parent = parentOf(path);
-    return std::filesystem::is_directory(parent, error) && isWritable(parent);
+    return isWritableFolder(existingAncestor(path));
 }
 
 bool isWithin(const Setting &setting, std::int64_t number)
