--- a/src/rhubarbweir/coordination/operator_messages.hpp
+++ b/src/rhubarbweir/coordination/operator_messages.hpp
@@ -125,4 +125,18 @@
     Reason reason = Reason::None;
 };
 
+// Sent to a proxy's own address: it stops as on SIGTERM.
+struct DrainInstance
+{
+    // Has to be the id of the proxy that receives it.
+    InstanceId instance;
+};
+
+struct DrainStarted
+{
+    InstanceId instance;
+    // Connections of callers that are told to move.
+    std::uint32_t callers = 0;
+};
+
 } // namespace rhubarbweir
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -92,5 +92,7 @@
                                    voters, proxies, groups, recentActions)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlannedChange, requestId, group, target)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlannedChangeResult, requestId, accepted, leaderAddress, reason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DrainInstance, instance)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(DrainStarted, instance, callers)
 
 } // namespace rhubarbweir
