--- /dev/null
+++ b/src/rhubarbweir/coordination/proxy_view.hpp
@@ -0,0 +1,20 @@
+// What a proxy has in force: the groups as the control log of one revision describes them.
+#pragma once
+
+#include "rhubarbweir/coordination/control_messages.hpp"
+
+#include <map>
+#include <memory>
+
+namespace rhubarbweir {
+
+// Immutable once shared between threads.
+struct ProxyView
+{
+    std::uint64_t revision = 0;
+    std::map<GroupId, GroupView> groups;
+};
+
+using ProxyViewPtr = std::shared_ptr<const ProxyView>;
+
+} // namespace rhubarbweir
