--- /dev/null
+++ b/src/rhubarbweir/coordination/view_subscriber.cpp
@@ -0,0 +1,184 @@
+// See view_subscriber.hpp.
+#include "rhubarbweir/coordination/view_subscriber.hpp"
+
+#include <algorithm>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Pause before another control instance is tried when one refused or broke the connection.
+constexpr Duration SwitchDelay = std::chrono::milliseconds(50);
+constexpr std::size_t MaxUnanswered = 16;
+
+bool sameStates(const std::vector<TargetObservation> &a, const std::vector<TargetObservation> &b)
+{
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [](const TargetObservation &left, const TargetObservation &right) {
+                          return left.target == right.target && left.state == right.state;
+                      });
+}
+
+} // namespace
+
+ViewSubscriber::ViewSubscriber(ViewSubscriberSettings givenSettings, ViewSubscriberHooks givenHooks)
+    : settings(std::move(givenSettings))
+    , hooks(std::move(givenHooks))
+{
+}
+
+void ViewSubscriber::start(TimePoint now)
+{
+    this->useNextControl(now);
+}
+
+void ViewSubscriber::setObservations(std::vector<TargetObservation> newObservations, TimePoint now)
+{
+    const bool changed = !sameStates(this->observations, newObservations);
+    this->observations = std::move(newObservations);
+    if (changed && this->isConnected)
+        this->renew(now);
+}
+
+void ViewSubscriber::setDraining(bool isDraining, TimePoint now)
+{
+    this->draining = isDraining;
+    if (this->isConnected)
+        this->renew(now);
+}
+
+void ViewSubscriber::connected(TimePoint now)
+{
+    this->isConnected = true;
+    this->renew(now);
+}
+
+void ViewSubscriber::disconnected(TimePoint now)
+{
+    this->isConnected = false;
+    this->overdueAt = std::min(this->overdueAt, now + SwitchDelay);
+}
+
+void ViewSubscriber::receive(const LeaseGranted &message, TimePoint now)
+{
+    const auto sent =
+        std::find_if(this->unanswered.begin(), this->unanswered.end(),
+                     [&](const SentRenewal &each) { return each.sequence == message.sequence; });
+    if (sent == this->unanswered.end())
+        return;
+    const TimePoint sentAt = sent->sentAt;
+    this->unanswered.erase(this->unanswered.begin(), sent + 1);
+    if (!this->apply(message.delta)) {
+        // An instance that knows less than this proxy must not keep it at work.
+        this->useNextControl(now);
+        return;
+    }
+    if (this->unanswered.empty())
+        this->overdueAt = TimePoint::max();
+    const Duration drift = message.leaseFor / this->settings.driftDivisor;
+    const TimePoint deadline = sentAt + message.leaseFor - drift;
+    if (deadline <= this->leaseEnd)
+        return;
+    this->leaseEnd = deadline;
+    this->hooks.leaseChanged(deadline);
+}
+
+void ViewSubscriber::receive(const LeaseRefused &message, TimePoint now)
+{
+    const bool isAwaited =
+        std::any_of(this->unanswered.begin(), this->unanswered.end(),
+                    [&](const SentRenewal &each) { return each.sequence == message.sequence; });
+    if (!isAwaited)
+        return;
+    if (!message.leaderAddress.empty() && message.leaderAddress != this->controlAddress) {
+        this->useAddress(message.leaderAddress, now);
+        return;
+    }
+    this->unanswered.clear();
+    this->overdueAt = now + SwitchDelay;
+}
+
+void ViewSubscriber::receive(const ViewChanged &message, TimePoint)
+{
+    this->apply(message.delta);
+}
+
+void ViewSubscriber::advance(TimePoint now)
+{
+    if (now >= this->overdueAt)
+        this->useNextControl(now);
+    else if (this->isConnected && now >= this->renewAt)
+        this->renew(now);
+}
+
+TimePoint ViewSubscriber::nextDeadline() const
+{
+    return this->isConnected ? std::min(this->renewAt, this->overdueAt) : this->overdueAt;
+}
+
+void ViewSubscriber::renew(TimePoint now)
+{
+    RenewLease message;
+    message.proxy = this->settings.instance;
+    message.address = this->settings.address;
+    message.failureDomain = this->settings.failureDomain;
+    message.incarnation = this->settings.incarnation;
+    message.sequence = ++this->lastSequence;
+    message.revision = this->view->revision;
+    message.draining = this->draining;
+    message.groups = this->settings.groups;
+    message.observations = this->observations;
+    if (this->unanswered.size() == MaxUnanswered)
+        this->unanswered.erase(this->unanswered.begin());
+    this->unanswered.push_back({message.sequence, now});
+    this->renewAt = now + this->settings.renewInterval;
+    this->overdueAt = std::min(this->overdueAt, now + this->settings.answerTimeout);
+    this->hooks.send(message);
+}
+
+void ViewSubscriber::useNextControl(TimePoint now)
+{
+    const auto &addresses = this->settings.controlAddresses;
+    if (addresses.empty())
+        return;
+    const std::string address = addresses[this->nextControl % addresses.size()];
+    ++this->nextControl;
+    this->useAddress(address, now);
+}
+
+void ViewSubscriber::useAddress(const std::string &address, TimePoint now)
+{
+    this->controlAddress = address;
+    this->isConnected = false;
+    // Answers of the former instance come too late to count.
+    this->unanswered.clear();
+    this->overdueAt = now + this->settings.answerTimeout;
+    this->hooks.useControl(address);
+}
+
+bool ViewSubscriber::apply(const ViewDelta &delta)
+{
+    const std::uint64_t revision = this->view->revision;
+    if (delta.toRevision < revision || delta.fromRevision > revision)
+        return false;
+    if (delta.toRevision == revision && revision != 0)
+        return true;
+    auto next = std::make_shared<ProxyView>();
+    next->revision = delta.toRevision;
+    // A delta from 0 holds every group, so what it does not name is gone.
+    if (delta.fromRevision != 0)
+        next->groups = this->view->groups;
+    for (const GroupId &group : delta.removed)
+        next->groups.erase(group);
+    for (const GroupView &group : delta.groups) {
+        const auto held = this->view->groups.find(group.group);
+        const bool isOlder =
+            held != this->view->groups.end() && group.revision < held->second.revision;
+        next->groups[group.group] = isOlder ? held->second : group;
+    }
+    this->view = std::move(next);
+    this->hooks.viewChanged(this->view);
+    return true;
+}
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/view_subscriber.hpp
+++ b/src/rhubarbweir/coordination/view_subscriber.hpp
@@ -46,8 +46,8 @@
 
     // Connects to the first control instance and sends the first renewal.
     void start(TimePoint now);
-    // Carried by the following renewals.
-    void setObservations(std::vector<TargetObservation> observations);
+    // Carried by the following renewals; a changed state is reported at once.
+    void setObservations(std::vector<TargetObservation> observations, TimePoint now);
     void setDraining(bool draining, TimePoint now);
 
     // The connection to the current control instance opened: renews at once.
@@ -75,6 +75,7 @@
     void renew(TimePoint now);
     void useNextControl(TimePoint now);
     void useAddress(const std::string &address, TimePoint now);
+    // False when the delta is older than the view or does not connect to it.
     bool apply(const ViewDelta &delta);
 
     ViewSubscriberSettings settings;
@@ -86,12 +87,13 @@
     std::vector<TargetObservation> observations;
     bool draining = false;
     std::string controlAddress;
+    bool isConnected = false;
     std::size_t nextControl = 0;
     std::uint64_t lastSequence = 0;
     // Renewals whose answer may still come, oldest first; bounded.
     std::vector<SentRenewal> unanswered;
     TimePoint renewAt;
-    // When the answer to the newest renewal is overdue; max() while none is awaited.
+    // When the connection or the answer to a renewal is overdue; max() while none is awaited.
     TimePoint overdueAt = TimePoint::max();
 };
 
