--- /dev/null
+++ b/src/rhubarbweir/coordination/target_pool.cpp
@@ -0,0 +1,247 @@
+// See target_pool.hpp.
+#include "rhubarbweir/coordination/target_pool.hpp"
+
+#include <algorithm>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Connections beyond one a slot, so that probes and replacements do not wait.
+constexpr std::uint32_t SpareConnections = 2;
+
+} // namespace
+
+TargetPool::TargetPool(const ProxySettings &givenSettings, TargetPoolHooks givenHooks,
+                       std::mt19937_64 &random)
+    : settings(givenSettings)
+    , hooks(std::move(givenHooks))
+    , connections(
+          {this->hooks.nextGeneration,
+           [this](Generation generation, const std::string &address) {
+               this->hooks.openTarget(generation, address, {this->settings.instance, generation});
+           },
+           this->hooks.closeTarget},
+          random)
+    , targetHealth(givenSettings.silentAfter)
+{
+}
+
+void TargetPool::setGroup(const GroupView &view, const std::vector<TargetGrant> &grants,
+                          TimePoint now)
+{
+    this->group = view.group;
+    this->ledger.setGrants(grants);
+    std::vector<TargetDemand> demands;
+    std::vector<TargetId> watched;
+    for (const TargetGrant &grant : grants) {
+        const auto target =
+            std::find_if(view.targets.begin(), view.targets.end(),
+                         [&](const TargetView &each) { return each.target == grant.target; });
+        if (target == view.targets.end())
+            continue;
+        const std::uint32_t desired = std::min(grant.connections, grant.slots + SpareConnections);
+        demands.push_back({grant.target, target->address, grant.connections, desired});
+        watched.push_back(grant.target);
+    }
+    this->connections.setDemand(demands);
+    this->targetHealth.setTargets(watched, now);
+}
+
+void TargetPool::setLease(TimePoint deadline, TimePoint now)
+{
+    if (!this->leaseHolds(now))
+        this->targetHealth.forgive(now);
+    this->workUntil = deadline - this->settings.closeAllowance;
+    this->ledger.setLease(this->workUntil);
+}
+
+bool TargetPool::leaseHolds(TimePoint now) const
+{
+    return this->ledger.leaseHolds(now);
+}
+
+void TargetPool::maintain(TimePoint now)
+{
+    const bool stoodStill = now - this->lastMaintained > this->settings.probeInterval * 2;
+    this->lastMaintained = now;
+    if (!this->leaseHolds(now)) {
+        this->closeAll(now);
+        return;
+    }
+    if (stoodStill)
+        this->targetHealth.forgive(now);
+    for (const TargetId &target : this->targetHealth.takeSilenced(now))
+        this->silence(target);
+    this->connections.maintain(now);
+}
+
+TimePoint TargetPool::nextDeadline(TimePoint now) const
+{
+    if (!this->leaseHolds(now))
+        return TimePoint::max();
+    return std::min(
+        {this->workUntil, this->connections.nextDeadline(now), this->targetHealth.nextDeadline()});
+}
+
+void TargetPool::opened(Generation generation, const TargetStatus &status, TimePoint now)
+{
+    if (!this->connections.opened(generation))
+        return;
+    this->report(ProxyEventKind::ConnectionOpened, status.target, generation);
+    this->heard(status, now);
+}
+
+void TargetPool::refused(Generation generation, OpenFailure failure, TimePoint now)
+{
+    const TargetId *target = this->targetOf(generation);
+    if (target == nullptr)
+        return;
+    const TargetId name = *target;
+    this->connections.failed(generation, now);
+    this->report(ProxyEventKind::ConnectionFailed, name, generation);
+    if (failure == OpenFailure::RefusedByTarget)
+        this->targetHealth.heard(name, now);
+    else
+        this->targetHealth.failed(name, this->connections.openOf(name).size());
+}
+
+void TargetPool::closed(Generation generation, TimePoint now)
+{
+    const auto entry = this->connections.gone(generation, now);
+    const auto slot = this->slotHolders.find(generation);
+    if (slot != this->slotHolders.end()) {
+        this->ledger.release(slot->second);
+        this->slotHolders.erase(slot);
+    }
+    if (!entry || entry->state == TargetConnections::State::Closing)
+        return;
+    if (entry->state == TargetConnections::State::Busy)
+        this->lost.push_back(generation);
+    this->report(ProxyEventKind::ConnectionClosed, entry->target, generation);
+    this->targetHealth.failed(entry->target, this->connections.openOf(entry->target).size());
+}
+
+void TargetPool::heard(const TargetStatus &status, TimePoint now)
+{
+    this->statuses[status.target] = status;
+    this->targetHealth.heard(status.target, now);
+}
+
+bool TargetPool::canAcquire(const TargetId &target, TimePoint now) const
+{
+    return this->ledger.hasFree(target, now) && this->connections.hasIdle(target);
+}
+
+std::optional<Generation> TargetPool::acquire(const TargetId &target, TimePoint now)
+{
+    if (!this->canAcquire(target, now))
+        return std::nullopt;
+    const auto generation = this->connections.takeIdle(target);
+    this->ledger.tryTake(target, now);
+    this->slotHolders[*generation] = target;
+    return generation;
+}
+
+bool TargetPool::send(Generation generation, const Statement &statement, TimePoint now)
+{
+    const TargetConnections::Entry *entry = this->connections.find(generation);
+    if (!this->leaseHolds(now) || entry == nullptr
+        || entry->state != TargetConnections::State::Busy)
+        return false;
+    this->hooks.sendTarget(generation, statement);
+    return true;
+}
+
+void TargetPool::probeAll(std::uint64_t probeId)
+{
+    for (const TargetId &target : this->targetHealth.targets()) {
+        const auto open = this->connections.openOf(target);
+        if (!open.empty())
+            this->hooks.sendTarget(open.front(), StatusProbe{probeId});
+    }
+}
+
+void TargetPool::release(Generation generation)
+{
+    const auto slot = this->slotHolders.find(generation);
+    if (slot == this->slotHolders.end())
+        return;
+    this->ledger.release(slot->second);
+    this->slotHolders.erase(slot);
+    this->connections.giveBack(generation);
+}
+
+void TargetPool::discard(Generation generation)
+{
+    this->connections.discard(generation);
+}
+
+std::vector<Generation> TargetPool::takeLost()
+{
+    return std::exchange(this->lost, {});
+}
+
+const TargetStatus *TargetPool::status(const TargetId &target) const
+{
+    const auto found = this->statuses.find(target);
+    return found == this->statuses.end() ? nullptr : &found->second;
+}
+
+const TargetId *TargetPool::targetOf(Generation generation) const
+{
+    const TargetConnections::Entry *entry = this->connections.find(generation);
+    return entry == nullptr ? nullptr : &entry->target;
+}
+
+bool TargetPool::isConnected(const TargetId &target) const
+{
+    return !this->connections.openOf(target).empty();
+}
+
+std::vector<TargetObservation> TargetPool::observations(TimePoint now) const
+{
+    std::vector<TargetObservation> seen;
+    if (!this->leaseHolds(now))
+        return seen;
+    for (const TargetId &target : this->targetHealth.targets())
+        seen.push_back({target, this->group, this->targetHealth.state(target)});
+    return seen;
+}
+
+void TargetPool::closeAll(TimePoint now)
+{
+    const auto open = this->connections.all();
+    if (open.empty())
+        return;
+    for (const Generation generation : open) {
+        if (this->slotHolders.count(generation) > 0)
+            this->lost.push_back(generation);
+        this->connections.discard(generation);
+    }
+    this->report(ProxyEventKind::LeaseEnded, TargetId(), 0);
+    this->targetHealth.forgive(now);
+}
+
+void TargetPool::silence(const TargetId &target)
+{
+    this->report(ProxyEventKind::TargetStateChanged, target, 0);
+    for (const Generation generation : this->connections.openOf(target)) {
+        if (this->slotHolders.count(generation) > 0)
+            this->lost.push_back(generation);
+        this->connections.discard(generation);
+    }
+}
+
+void TargetPool::report(ProxyEventKind kind, const TargetId &target, Generation generation)
+{
+    ProxyEvent event;
+    event.kind = kind;
+    event.group = this->group;
+    event.target = target;
+    event.generation = generation;
+    event.state = this->targetHealth.state(target);
+    this->hooks.event(event);
+}
+
+} // namespace rhubarbweir
