--- a/src/rhubarbweir/coordination/freshness_tracker.cpp
+++ b/src/rhubarbweir/coordination/freshness_tracker.cpp
@@ -8,15 +8,12 @@
 namespace {
 
 constexpr std::size_t MaxSamples = 1024;
-// Samples closer together than this add little.
-constexpr Duration SampleSpacing = std::chrono::milliseconds(20);
 
 } // namespace
 
 void FreshnessTracker::record(TimePoint asOf, const LogPosition &position)
 {
-    if (!this->samples.empty() && asOf < this->samples.back().asOf + SampleSpacing)
-        return;
+
     this->samples.push_back({asOf, position});
     if (this->samples.size() > MaxSamples)
         this->samples.pop_front();
--- a/src/rhubarbweir/coordination/freshness_tracker.hpp
+++ b/src/rhubarbweir/coordination/freshness_tracker.hpp
@@ -12,7 +12,8 @@
 class FreshnessTracker
 {
 public:
-    // Data that covers `position` shows every write confirmed before `asOf`.
+    // Data that covers `position` shows every write confirmed before `asOf`. Called in the order
+    // of `asOf`.
     void record(TimePoint asOf, const LogPosition &position);
     // Empty when nothing recorded is young enough.
     std::optional<LogPosition> minimumFor(Duration maxAge, TimePoint now) const;
--- /dev/null
+++ b/src/rhubarbweir/coordination/internal/request_router_admission.cpp
@@ -0,0 +1,192 @@
+// The part of RequestRouter that talks to callers: connections, sessions, taking requests.
+#include "rhubarbweir/coordination/request_router.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace rhubarbweir {
+
+namespace {
+
+std::string hexadecimal(std::uint64_t value)
+{
+    static constexpr char Digits[] = "0123456789abcdef";
+    std::string text;
+    for (int shift = 60; shift >= 0; shift -= 4)
+        text.push_back(Digits[(value >> shift) & 0xf]);
+    return text;
+}
+
+bool isSameRequest(const CallerRequest &a, const CallerRequest &b)
+{
+    return std::tie(a.kind, a.group, a.transaction, a.key, a.value, a.operation, a.consistency,
+                    a.askedRequestId)
+           == std::tie(b.kind, b.group, b.transaction, b.key, b.value, b.operation, b.consistency,
+                       b.askedRequestId);
+}
+
+} // namespace
+
+void RequestRouter::callerOpened(CallerConnectionId connection)
+{
+    this->sessions[connection] = {};
+}
+
+void RequestRouter::callerMessage(CallerConnectionId connection, const CallerMessage &message,
+                                  TimePoint now)
+{
+    if (const auto *open = std::get_if<OpenSession>(&message))
+        this->openSession(connection, *open);
+    else
+        this->request(connection, std::get<CallerRequest>(message), now);
+}
+
+void RequestRouter::callerClosed(CallerConnectionId connection, TimePoint)
+{
+    this->sessions.erase(connection);
+    for (auto &[key, transaction] : this->transactions) {
+        if (transaction.connection == connection)
+            this->endTransaction(key);
+    }
+}
+
+void RequestRouter::noteLoad(const GroupId &group, const InstanceId &holder, const HolderLoad &load)
+{
+    this->choice.noteLoad(group, holder, load);
+}
+
+void RequestRouter::drain(TimePoint)
+{
+    this->draining = true;
+    for (const auto &[connection, session] : this->sessions)
+        this->hooks.answerCaller(connection, MoveSession{});
+}
+
+void RequestRouter::openSession(CallerConnectionId connection, const OpenSession &message)
+{
+    if (this->draining) {
+        this->hooks.answerCaller(connection, MoveSession{});
+        return;
+    }
+    CallerSession &session = this->sessions[connection];
+    session.caller = message.caller;
+    session.session = message.session;
+    if (session.session.empty()) {
+        session.session = SessionId(
+            this->settings.instance.value + "-" + hexadecimal(this->settings.incarnation) + "-"
+            + std::to_string(++this->lastSession) + "-" + hexadecimal(this->random()));
+    }
+    this->hooks.answerCaller(connection, SessionOpened{session.session, this->settings.instance});
+}
+
+void RequestRouter::request(CallerConnectionId connection, const CallerRequest &message,
+                            TimePoint now)
+{
+    ++this->totals.requests;
+    if (this->joinDuplicate(connection, message))
+        return;
+    const Reason refusal = this->refusalOf(connection, message, now);
+    if (refusal != Reason::None) {
+        if (refusal == Reason::Draining)
+            this->hooks.answerCaller(connection, MoveSession{});
+        const CallerAnswer answer = makeAnswer(message, Outcome::NotRun, refusal);
+        this->count(answer);
+        this->hooks.answerCaller(connection, answer);
+        return;
+    }
+    const RequestKey key = keyOf(message);
+    Routed &routed = this->requests[key];
+    routed.connection = connection;
+    routed.request = message;
+    // The queue is fair between callers, so a caller cannot name another one in a request.
+    routed.request.caller = this->sessions.at(connection).caller;
+    routed.deadline = now + std::min(message.timeLeft, this->settings.longestDeadline);
+    this->deadlines.emplace(routed.deadline, key);
+    this->send(key, now);
+}
+
+bool RequestRouter::joinDuplicate(CallerConnectionId connection, const CallerRequest &message)
+{
+    const auto found = this->requests.find(keyOf(message));
+    if (found == this->requests.end())
+        return false;
+    const auto session = this->sessions.find(connection);
+    const bool isOwner =
+        session != this->sessions.end() && session->second.session == message.session;
+    if (isOwner && isSameRequest(found->second.request, message)) {
+        // The caller came back on another connection: the one answer goes there.
+        found->second.connection = connection;
+        return true;
+    }
+    const CallerAnswer answer = makeAnswer(message, Outcome::NotRun, Reason::DuplicateRequestId);
+    this->count(answer);
+    this->hooks.answerCaller(connection, answer);
+    return true;
+}
+
+Reason RequestRouter::refusalOf(CallerConnectionId connection, const CallerRequest &message,
+                                TimePoint now)
+{
+    const auto session = this->sessions.find(connection);
+    const bool isOwner = session != this->sessions.end() && !message.session.empty()
+                         && session->second.session == message.session;
+    if (!isOwner || message.requestId == 0)
+        return Reason::Malformed;
+    if (message.timeLeft <= Duration{0})
+        return Reason::DeadlinePassed;
+    if (now >= this->leaseEnd)
+        return Reason::NoCurrentView;
+    if (this->groupOf(message) == nullptr)
+        return Reason::UnknownGroup;
+    const bool joins = message.transaction != 0 && message.kind != RequestKind::Begin
+                       && message.kind != RequestKind::AskOutcome;
+    if (joins)
+        return this->transactionRefusal(connection, message);
+    if (message.kind == RequestKind::Commit || message.kind == RequestKind::Rollback)
+        return Reason::Malformed;
+    if (this->draining)
+        return Reason::Draining;
+    if (this->requests.size() >= this->settings.inFlightLimit)
+        return Reason::Overloaded;
+    return Reason::None;
+}
+
+Reason RequestRouter::transactionRefusal(CallerConnectionId connection,
+                                         const CallerRequest &message)
+{
+    const RequestKey key{message.session, message.transaction};
+    const auto open = this->transactions.find(key);
+    if (open != this->transactions.end() && open->second.connection == connection)
+        return open->second.hasEnded ? Reason::TransactionEnded : Reason::None;
+    // The caller moved away from where it began: the transaction cannot go on.
+    if (open != this->transactions.end()) {
+        this->endTransaction(key);
+        return Reason::TransactionElsewhere;
+    }
+    const EndTransaction end{message.group, message.session, message.transaction};
+    for (const HolderView &holder : this->groupOf(message)->holders)
+        this->hooks.sendHolder(holder.proxy, holder.address, end);
+    return Reason::TransactionElsewhere;
+}
+
+void RequestRouter::count(const CallerAnswer &answer)
+{
+    switch (answer.outcome) {
+    case Outcome::Ok:
+        ++this->totals.answersOk;
+        break;
+    case Outcome::NotRun:
+        ++this->totals.answersNotRun;
+        break;
+    case Outcome::Failed:
+        ++this->totals.answersFailed;
+        break;
+    case Outcome::OutcomeUnknown:
+        ++this->totals.answersUnknown;
+        break;
+    }
+    if (answer.reason == Reason::Overloaded)
+        ++this->totals.refusedOverloaded;
+}
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/read_index.cpp
+++ b/src/rhubarbweir/coordination/read_index.cpp
@@ -25,7 +25,7 @@
     if (!termMoved)
         return;
     // Answers of another term prove nothing about this one; reads still wait for a round.
-    this->wanted = this->wanted || this->isOpen;
+    this->wanted = true;
     this->isOpen = false;
     this->graceEnd = TimePoint::max();
 }
--- a/src/rhubarbweir/coordination/target_pool.cpp
+++ b/src/rhubarbweir/coordination/target_pool.cpp
@@ -199,6 +199,18 @@
     return !this->connections.openOf(target).empty();
 }
 
+bool TargetPool::hasServingPrimary(const GroupView &view) const
+{
+    const TargetStatus *seen = this->status(view.primary);
+    if (view.primary.empty() || seen == nullptr)
+        return false;
+    const auto target =
+        std::find_if(view.targets.begin(), view.targets.end(),
+                     [&](const TargetView &each) { return each.target == view.primary; });
+    return target != view.targets.end() && !target->leaving && seen->role == TargetRole::Primary
+           && seen->adoptedTerm == view.term;
+}
+
 std::vector<TargetObservation> TargetPool::observations(TimePoint now) const
 {
     std::vector<TargetObservation> seen;
--- a/src/rhubarbweir/coordination/target_pool.hpp
+++ b/src/rhubarbweir/coordination/target_pool.hpp
@@ -52,6 +52,8 @@
     const TargetId *targetOf(Generation generation) const;
     ObservedState health(const TargetId &target) const { return this->targetHealth.state(target); }
     bool isConnected(const TargetId &target) const;
+    // The view's primary says of itself that it is the primary of the view's term.
+    bool hasServingPrimary(const GroupView &view) const;
     const SlotLedger &slots() const { return this->ledger; }
     std::size_t connectionCount() const { return this->connections.size(); }
     std::vector<TargetObservation> observations(TimePoint now) const;
--- /dev/null
+++ b/src/rhubarbweir/coordination/transaction_table.cpp
@@ -0,0 +1,58 @@
+// See transaction_table.hpp.
+#include "rhubarbweir/coordination/transaction_table.hpp"
+
+#include <algorithm>
+
+namespace rhubarbweir {
+
+void TransactionTable::open(const RequestKey &key, OpenTransaction transaction)
+{
+    this->transactions[key] = std::move(transaction);
+}
+
+OpenTransaction *TransactionTable::find(const RequestKey &key)
+{
+    const auto found = this->transactions.find(key);
+    return found == this->transactions.end() ? nullptr : &found->second;
+}
+
+std::vector<RequestKey> TransactionTable::expired(TimePoint now) const
+{
+    return this->select([&](const OpenTransaction &each) { return each.deadline <= now; });
+}
+
+std::vector<RequestKey> TransactionTable::begunThrough(const InstanceId &entry) const
+{
+    return this->select([&](const OpenTransaction &each) { return each.entry == entry; });
+}
+
+std::vector<RequestKey> TransactionTable::beforeTerm(std::uint64_t term) const
+{
+    return this->select([&](const OpenTransaction &each) { return each.term < term; });
+}
+
+std::vector<RequestKey> TransactionTable::on(Generation generation) const
+{
+    return this->select([&](const OpenTransaction &each) { return each.generation == generation; });
+}
+
+TimePoint TransactionTable::nextDeadline() const
+{
+    TimePoint next = TimePoint::max();
+    for (const auto &[key, transaction] : this->transactions)
+        next = std::min(next, transaction.deadline);
+    return next;
+}
+
+std::vector<RequestKey>
+TransactionTable::select(const std::function<bool(const OpenTransaction &)> &matches) const
+{
+    std::vector<RequestKey> keys;
+    for (const auto &[key, transaction] : this->transactions) {
+        if (matches(transaction))
+            keys.push_back(key);
+    }
+    return keys;
+}
+
+} // namespace rhubarbweir
