Add the stand-in database: statements, terms, replication, sockets

Cause: the thin path needs a database with terms, a replicated log, slots and connections. Ruled out: keeping only the newest values (a diverged tail could not be dropped) and refusing above the limit (the stand-in counts instead, so that the count is evidence). Not yet tested.

--- /dev/null
+++ b/src/programs/load/main.cpp
@@ -0,0 +1,5 @@
+// placeholder
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/src/programs/standin/standin_server.cpp
@@ -0,0 +1,286 @@
+// See standin_server.hpp.
+#include "programs/standin/standin_server.hpp"
+
+#include "programs/standin/database_report.hpp"
+#include "programs/support/atomic_file.hpp"
+#include "rhubarbweir/protocol/internal/json_messages.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+constexpr std::chrono::milliseconds DialTimeout{1000};
+constexpr std::chrono::milliseconds RedialInterval{250};
+constexpr std::size_t MaxSockets = 2000;
+
+bool isSame(const TargetStatus &a, const TargetStatus &b)
+{
+    return a.role == b.role && a.adoptedTerm == b.adoptedTerm && a.received == b.received
+           && a.applied == b.applied;
+}
+
+} // namespace
+
+StandinServer::StandinServer(EventLoop &eventLoop, ServerSettings serverSettings)
+    : loop(eventLoop)
+    , settings(std::move(serverSettings))
+    , database(this->settings.database,
+               DatabaseHooks{[this](std::uint64_t number, const Message &message) {
+                                 const auto found = this->connections.find(number);
+                                 if (found != this->connections.end())
+                                     found->second->send(message);
+                             },
+                             [this](const TargetId &member, const Message &message) {
+                                 this->sendToMember(member, message);
+                             },
+                             [this](const JournalRecord &record) {
+                                 this->journal.append(record);
+                             }})
+    , server(
+          eventLoop, this->settings.address, {Subprotocol::Target}, MaxSockets,
+          ServerHooks{
+              [this](const ConnectionPtr &connection, Subprotocol) { this->accepted(connection); },
+              [this](const std::string &path) { return this->answerGet(path); },
+              [](CloseReason reason, const std::string &peer, const std::string &detail) {
+                  logEvent(LogLevel::Warning, "protocol_fault",
+                           {{"reason", nameOf(reason)}, {"peer", peer}, {"detail", detail}});
+              }})
+    , client(eventLoop)
+{
+}
+
+absl::Status StandinServer::start()
+{
+    const absl::Status opened =
+        this->journal.open(this->settings.journalFile,
+                           [this](const JournalRecord &record) { this->database.restore(record); });
+    if (!opened.ok())
+        return opened;
+    const absl::Status listening = this->server.listen();
+    if (!listening.ok())
+        return listening;
+    for (const std::string &address : this->settings.controlAddresses) {
+        this->controls.push_back(Link{address, nullptr, false});
+        this->dialControl(this->controls.size() - 1);
+    }
+    this->loop.every(this->settings.announceInterval, [this] { this->announce(); });
+    if (!this->settings.reportFile.empty())
+        this->loop.every(this->settings.reportInterval, [this] { this->writeReport(); });
+    logEvent(LogLevel::Info, "started",
+             {{"address", this->settings.address},
+              {"term", static_cast<std::int64_t>(this->database.adoptedTerm())}});
+    return absl::OkStatus();
+}
+
+void StandinServer::stop()
+{
+    this->writeReport();
+    logEvent(LogLevel::Info, "stopped", {});
+}
+
+void StandinServer::accepted(const ConnectionPtr &connection)
+{
+    const std::uint64_t number = ++this->lastConnection;
+    this->connections[number] = connection;
+    Connection *raw = connection.get();
+    connection->onMessage = [this, number, raw](const Message &message) {
+        this->receiveOnTargetPort(number, raw->shared_from_this(), message);
+    };
+    connection->onClosed = [this, number] {
+        this->connections.erase(number);
+        this->database.connectionClosed(number);
+        this->settle();
+    };
+}
+
+void StandinServer::receiveOnTargetPort(std::uint64_t number, const ConnectionPtr &connection,
+                                        const Message &message)
+{
+    const TimePoint now = EventLoop::now();
+    if (const auto *open = std::get_if<OpenConnection>(&message)) {
+        this->database.receive(number, *open, now);
+    } else if (const auto *statement = std::get_if<Statement>(&message)) {
+        this->database.receive(number, *statement, now);
+    } else if (const auto *probe = std::get_if<StatusProbe>(&message)) {
+        connection->send(this->database.status(probe->probeId));
+    } else if (const auto *entries = std::get_if<ReplicateEntries>(&message)) {
+        this->members[entries->primary].connection = connection;
+        this->database.receive(*entries, now);
+    } else if (const auto *answer = std::get_if<ReplicateAnswer>(&message)) {
+        this->members[answer->target].connection = connection;
+        this->database.receive(*answer, now);
+    } else {
+        connection->close(CloseReason::UnexpectedMessage);
+    }
+    this->settle();
+}
+
+HttpReply StandinServer::answerGet(const std::string &path) const
+{
+    if (path == "/health")
+        return HttpReply{200, "text/plain", "ready\n"};
+    if (path == "/report")
+        return HttpReply{200, "application/json", reportOf(this->database).dump() + "\n"};
+    return HttpReply{};
+}
+
+void StandinServer::dialControl(std::size_t index)
+{
+    Link &link = this->controls[index];
+    link.isDialling = true;
+    this->client.connect(link.address, Subprotocol::Control, EventLoop::now() + DialTimeout,
+                         [this, index](absl::StatusOr<ConnectionPtr> dialled) {
+                             Link &control = this->controls[index];
+                             control.isDialling = false;
+                             if (!dialled.ok())
+                                 return;
+                             control.connection = *dialled;
+                             Connection *raw = control.connection.get();
+                             raw->onMessage = [this, raw](const Message &message) {
+                                 this->receiveFromControl(raw->shared_from_this(), message);
+                             };
+                             raw->onClosed = [this, index] {
+                                 this->controls[index].connection = nullptr;
+                             };
+                             this->announce();
+                         });
+}
+
+void StandinServer::receiveFromControl(const ConnectionPtr &connection, const Message &message)
+{
+    const TimePoint now = EventLoop::now();
+    if (const auto *fence = std::get_if<FenceTarget>(&message)) {
+        connection->send(this->database.receive(*fence, now));
+        logEvent(LogLevel::Info, "fenced", {{"term", static_cast<std::int64_t>(fence->term)}});
+    } else if (const auto *promote = std::get_if<PromoteTarget>(&message)) {
+        connection->send(this->database.receive(*promote, now));
+        logEvent(LogLevel::Info, "promoted", {{"term", static_cast<std::int64_t>(promote->term)}});
+        for (const PeerAddress &member : promote->members) {
+            if (member.target != this->settings.database.target)
+                this->dialMember(member.target, member.address);
+        }
+    } else if (const auto *primary = std::get_if<FollowPrimary>(&message)) {
+        this->follow(*primary);
+    } else if (const auto *probe = std::get_if<StatusProbe>(&message)) {
+        connection->send(this->database.status(probe->probeId));
+    }
+    this->settle();
+}
+
+void StandinServer::announce()
+{
+    Announcement announcement;
+    announcement.status = this->database.status();
+    announcement.address = this->settings.address;
+    announcement.failureDomain = this->settings.failureDomain;
+    announcement.uses = this->database.usage().byHolder();
+    for (std::size_t index = 0; index < this->controls.size(); ++index) {
+        const Link &link = this->controls[index];
+        if (link.connection)
+            link.connection->send(announcement);
+        else if (!link.isDialling)
+            this->dialControl(index);
+    }
+}
+
+void StandinServer::dialMember(const TargetId &member, const std::string &address)
+{
+    Link &link = this->members[member];
+    link.address = address;
+    if (link.isDialling || (link.connection && link.connection->isOpen()))
+        return;
+    link.isDialling = true;
+    this->client.connect(address, Subprotocol::Target, EventLoop::now() + DialTimeout,
+                         [this, member](absl::StatusOr<ConnectionPtr> dialled) {
+                             Link &peer = this->members[member];
+                             peer.isDialling = false;
+                             if (!dialled.ok())
+                                 return;
+                             peer.connection = *dialled;
+                             peer.connection->onMessage = [this](const Message &message) {
+                                 this->receiveFromMember(message);
+                             };
+                             this->settle();
+                         });
+}
+
+void StandinServer::receiveFromMember(const Message &message)
+{
+    const TimePoint now = EventLoop::now();
+    if (const auto *entries = std::get_if<ReplicateEntries>(&message))
+        this->database.receive(*entries, now);
+    else if (const auto *answer = std::get_if<ReplicateAnswer>(&message))
+        this->database.receive(*answer, now);
+    this->settle();
+}
+
+// A lost connection is dialled again by the next message, which replication repeats until then.
+void StandinServer::sendToMember(const TargetId &member, const Message &message)
+{
+    Link &link = this->members[member];
+    if (link.connection && link.connection->isOpen())
+        link.connection->send(message);
+    else if (!link.address.empty())
+        this->dialMember(member, link.address);
+}
+
+// Makes itself known to the primary, which may not have been told of this database.
+void StandinServer::follow(const FollowPrimary &message)
+{
+    this->database.receive(message, EventLoop::now());
+    if (message.term != this->database.adoptedTerm() || this->database.isPrimary())
+        return;
+    ReplicateAnswer hello;
+    hello.group = this->settings.database.group;
+    hello.target = this->settings.database.target;
+    hello.term = message.term;
+    this->members[message.primary.target].address = message.primary.address;
+    this->sendToMember(message.primary.target, hello);
+}
+
+void StandinServer::settle()
+{
+    const TimePoint now = EventLoop::now();
+    this->database.advance(now);
+    if (!isSame(this->published, this->database.status()) && !this->isPushPlanned) {
+        this->isPushPlanned = true;
+        this->loop.schedule(this->nextPushAt, [this] { this->pushStatus(); });
+    }
+    const TimePoint due = this->database.nextDeadline();
+    if (due >= this->wakeAt)
+        return;
+    this->wakeAt = due;
+    this->loop.schedule(due, [this, due] {
+        if (this->wakeAt == due)
+            this->wakeAt = TimePoint::max();
+        this->settle();
+    });
+}
+
+void StandinServer::pushStatus()
+{
+    this->isPushPlanned = false;
+    this->nextPushAt = EventLoop::now() + this->settings.statusInterval;
+    this->published = this->database.status();
+    for (const std::uint64_t number : this->database.openConnections()) {
+        const auto found = this->connections.find(number);
+        if (found != this->connections.end())
+            found->second->send(this->published);
+    }
+}
+
+void StandinServer::writeReport() const
+{
+    if (this->settings.reportFile.empty())
+        return;
+    const absl::Status written =
+        replaceFile(this->settings.reportFile, reportOf(this->database).dump() + "\n");
+    if (!written.ok())
+        logEvent(LogLevel::Error, "report_not_written",
+                 {EventField("cause", std::string(written.message()))});
+}
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/target_messages.hpp
+++ b/src/rhubarbweir/coordination/target_messages.hpp
@@ -187,4 +187,63 @@
     PeerAddress primary;
 };
 
+enum class LogEntryKind {
+    // First entry of a primary in its term.
+    NoOp,
+    Write,
+    Transaction,
+    // Forbids the entry's request.
+    Sealed,
+};
+
+template<>
+struct EnumNames<LogEntryKind>
+{
+    static constexpr std::string_view Names[] = {"no_op", "write", "transaction", "sealed"};
+};
+
+// A value as it is after a log entry.
+struct KeyChange
+{
+    std::string key;
+    std::string value;
+};
+
+// One entry of a stand-in database's replicated log.
+struct LogEntry
+{
+    LogPosition at;
+    LogEntryKind kind = LogEntryKind::NoOp;
+    // Requests that the entry answers; a transaction holds its commit first, then its begin and
+    // its writes.
+    std::vector<RequestKey> requests;
+    std::vector<KeyChange> changes;
+};
+
+// Between stand-in databases: the primary of `term` extends a replica's log after `previous`.
+// Without entries it only checks `previous`.
+struct ReplicateEntries
+{
+    GroupId group;
+    TargetId primary;
+    std::uint64_t term = 0;
+    std::uint64_t sequence = 0;
+    LogPosition previous;
+    std::vector<LogEntry> entries;
+};
+
+// Answers ReplicateEntries. Sent with sequence 0 by a replica that connects to its primary.
+struct ReplicateAnswer
+{
+    GroupId group;
+    TargetId target;
+    // The replica's adopted term.
+    std::uint64_t term = 0;
+    std::uint64_t sequence = 0;
+    bool accepted = false;
+    // Accepted: last position held that matches the primary's log.
+    // Otherwise: where the primary should try next.
+    LogPosition held;
+};
+
 } // namespace rhubarbweir
--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -16,15 +16,16 @@
 
 // Wire names, in the order of Message's alternatives.
 constexpr std::string_view TypeNames[] = {
-    "open_session",    "session_opened",  "move_session",      "caller_request",
-    "caller_answer",   "peer_hello",      "forward_request",   "forward_answer",
-    "end_transaction", "open_connection", "connection_opened", "connection_refused",
-    "statement",       "statement_reply", "status_probe",      "target_status",
-    "announcement",    "fence_target",    "target_fenced",     "promote_target",
-    "target_promoted", "follow_primary",  "renew_lease",       "lease_granted",
-    "lease_refused",   "view_changed",    "table_edit",        "table_edit_result",
-    "table_query",     "table_rows",      "in_force_query",    "in_force_report",
-    "status_query",    "status_report",   "planned_change",    "planned_change_result",
+    "open_session",      "session_opened",   "move_session",      "caller_request",
+    "caller_answer",     "peer_hello",       "forward_request",   "forward_answer",
+    "end_transaction",   "open_connection",  "connection_opened", "connection_refused",
+    "statement",         "statement_reply",  "status_probe",      "target_status",
+    "announcement",      "fence_target",     "target_fenced",     "promote_target",
+    "target_promoted",   "follow_primary",   "renew_lease",       "lease_granted",
+    "lease_refused",     "view_changed",     "table_edit",        "table_edit_result",
+    "table_query",       "table_rows",       "in_force_query",    "in_force_report",
+    "status_query",      "status_report",    "planned_change",    "planned_change_result",
+    "replicate_entries", "replicate_answer",
 };
 static_assert(std::size(TypeNames) == std::variant_size_v<Message>);
 
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -58,6 +58,11 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PromoteTarget, group, term, members)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetPromoted, status)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FollowPrimary, group, term, primary)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(KeyChange, key, value)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LogEntry, at, kind, requests, changes)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReplicateEntries, group, primary, term, sequence, previous,
+                                   entries)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ReplicateAnswer, group, target, term, sequence, accepted, held)
 
 // control_messages.hpp
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetView, target, address, failureDomain, weight, leaving)
--- a/src/rhubarbweir/protocol/message.hpp
+++ b/src/rhubarbweir/protocol/message.hpp
@@ -18,6 +18,7 @@
                  Announcement, FenceTarget, TargetFenced, PromoteTarget, TargetPromoted,
                  FollowPrimary, RenewLease, LeaseGranted, LeaseRefused, ViewChanged, TableEdit,
                  TableEditResult, TableQuery, TableRows, InForceQuery, InForceReport, StatusQuery,
-                 StatusReport, PlannedChange, PlannedChangeResult>;
+                 StatusReport, PlannedChange, PlannedChangeResult, ReplicateEntries,
+                 ReplicateAnswer>;
 
 } // namespace rhubarbweir
