Add the report of a control instance's own view of targets

A leader that alone misses a target's announcements must not call it lost. Control instances that do not lead therefore report what they see to the leader; only targets that are silent or broken are named, so that the report does not grow with the fleet.

--- a/src/rhubarbweir/coordination/control_messages.hpp
+++ b/src/rhubarbweir/coordination/control_messages.hpp
@@ -89,6 +89,16 @@
     ObservedState state = ObservedState::Alive;
 };
 
+// Sent by a control instance that does not lead to the leader, on a fixed interval and when what
+// it sees changes. A member of a group that is not named is alive in the instance's eyes.
+struct ObserverReport
+{
+    InstanceId instance;
+    FailureDomainId failureDomain;
+    // Targets that are silent or broken.
+    std::vector<TargetObservation> observations;
+};
+
 // Sent by a proxy on a fixed interval; asks for a lease and reports what the proxy sees.
 struct RenewLease
 {
--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -25,6 +25,7 @@
     "lease_refused",   "view_changed",    "table_edit",        "table_edit_result",
     "table_query",     "table_rows",      "in_force_query",    "in_force_report",
     "status_query",    "status_report",   "planned_change",    "planned_change_result",
+    "observer_report",
 };
 static_assert(std::size(TypeNames) == std::variant_size_v<Message>);
 
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -67,6 +67,7 @@
                                    queueLimit, targets, holders)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewDelta, fromRevision, toRevision, groups, removed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetObservation, target, group, state)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ObserverReport, instance, failureDomain, observations)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RenewLease, proxy, address, failureDomain, incarnation, sequence,
                                    revision, draining, groups, observations)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseGranted, sequence, leaseFor, delta)
--- a/src/rhubarbweir/protocol/message.hpp
+++ b/src/rhubarbweir/protocol/message.hpp
@@ -18,6 +18,6 @@
                  Announcement, FenceTarget, TargetFenced, PromoteTarget, TargetPromoted,
                  FollowPrimary, RenewLease, LeaseGranted, LeaseRefused, ViewChanged, TableEdit,
                  TableEditResult, TableQuery, TableRows, InForceQuery, InForceReport, StatusQuery,
-                 StatusReport, PlannedChange, PlannedChangeResult>;
+                 StatusReport, PlannedChange, PlannedChangeResult, ObserverReport>;
 
 } // namespace rhubarbweir
