--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -26,6 +26,7 @@
     "table_query",     "table_rows",      "in_force_query",    "in_force_report",
     "status_query",    "status_report",   "planned_change",    "planned_change_result",
     "drain_instance",  "drain_started",   "replicate_entries", "replicate_answer",
+    "observer_report",
 };
 static_assert(std::size(TypeNames) == std::variant_size_v<Message>);
 
--- a/src/rhubarbweir/protocol/message.hpp
+++ b/src/rhubarbweir/protocol/message.hpp
@@ -19,6 +19,6 @@
                  FollowPrimary, RenewLease, LeaseGranted, LeaseRefused, ViewChanged, TableEdit,
                  TableEditResult, TableQuery, TableRows, InForceQuery, InForceReport, StatusQuery,
                  StatusReport, PlannedChange, PlannedChangeResult, DrainInstance, DrainStarted,
-                 ReplicateEntries, ReplicateAnswer>;
+                 ReplicateEntries, ReplicateAnswer, ObserverReport>;
 
 } // namespace rhubarbweir
