--- a/src/rhubarbweir/protocol/internal/json_basics.hpp
+++ b/src/rhubarbweir/protocol/internal/json_basics.hpp
@@ -3,13 +3,16 @@
 
 #include "rhubarbweir/state/enum_names.hpp"
 #include "rhubarbweir/state/ids.hpp"
+#include "rhubarbweir/state/opaque_bytes.hpp"
 #include "rhubarbweir/state/time.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <stdexcept>
 #include <string>
 #include <type_traits>
+#include <vector>
 
 namespace nlohmann {
 
@@ -23,6 +26,22 @@
     }
 };
 
+// CBOR binary; in JSON text the object that nlohmann::json writes for binary values.
+template<>
+struct adl_serializer<rhubarbweir::OpaqueBytes>
+{
+    static void to_json(json &to, const rhubarbweir::OpaqueBytes &opaque)
+    {
+        to = json::binary({opaque.bytes.begin(), opaque.bytes.end()});
+    }
+    static void from_json(const json &from, rhubarbweir::OpaqueBytes &opaque)
+    {
+        const auto bytes = from.is_object() ? from.at("bytes").get<std::vector<std::uint8_t>>()
+                                            : std::vector<std::uint8_t>(from.get_binary());
+        opaque.bytes.assign(bytes.begin(), bytes.end());
+    }
+};
+
 // Microseconds on the wire.
 template<>
 struct adl_serializer<rhubarbweir::Duration>
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -93,4 +93,30 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlannedChange, requestId, group, target)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PlannedChangeResult, requestId, accepted, leaderAddress, reason)
 
+// quorum_entry.hpp
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumPeer, instance, address, failureDomain)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumMember, peer, incarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumMembership, voters, learners, voterTarget, superseded,
+                                   barred)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumEntry, index, term, kind, payload, membership)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumSnapshot, index, term, membership, state)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumHardState, incarnation, clusterId, bootstrapPromise, term,
+                                   votedFor, votedForIncarnation)
+
+// quorum_messages.hpp
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumHeader, clusterId, fromIncarnation, toIncarnation, term)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumBootstrapQuery, header)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumBootstrapAnswer, header, promised, hasState)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumJoin, header, peer)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumVoteRequest, header, phase, lastIndex, lastTerm, handover)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumVoteAnswer, header, phase, electionTerm, granted)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumAppend, header, sequence, previousIndex, previousTerm,
+                                   commitIndex, entries)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumAppendAnswer, header, sequence, accepted, matchIndex,
+                                   nextIndex)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumSnapshotChunk, header, sequence, index, indexTerm,
+                                   membership, offset, bytes, last)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumSnapshotAnswer, header, sequence, index, nextOffset)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumTimeoutNow, header)
+
 } // namespace rhubarbweir
--- a/src/rhubarbweir/protocol/message.hpp
+++ b/src/rhubarbweir/protocol/message.hpp
@@ -5,19 +5,21 @@
 #include "rhubarbweir/coordination/control_messages.hpp"
 #include "rhubarbweir/coordination/operator_messages.hpp"
 #include "rhubarbweir/coordination/peer_messages.hpp"
+#include "rhubarbweir/coordination/quorum_messages.hpp"
 #include "rhubarbweir/coordination/target_messages.hpp"
 
 #include <variant>
 
 namespace rhubarbweir {
 
-using Message =
-    std::variant<OpenSession, SessionOpened, MoveSession, CallerRequest, CallerAnswer, PeerHello,
-                 ForwardRequest, ForwardAnswer, EndTransaction, OpenConnection, ConnectionOpened,
-                 ConnectionRefused, Statement, StatementReply, StatusProbe, TargetStatus,
-                 Announcement, FenceTarget, TargetFenced, PromoteTarget, TargetPromoted,
-                 FollowPrimary, RenewLease, LeaseGranted, LeaseRefused, ViewChanged, TableEdit,
-                 TableEditResult, TableQuery, TableRows, InForceQuery, InForceReport, StatusQuery,
-                 StatusReport, PlannedChange, PlannedChangeResult>;
+using Message = std::variant<
+    OpenSession, SessionOpened, MoveSession, CallerRequest, CallerAnswer, PeerHello, ForwardRequest,
+    ForwardAnswer, EndTransaction, OpenConnection, ConnectionOpened, ConnectionRefused, Statement,
+    StatementReply, StatusProbe, TargetStatus, Announcement, FenceTarget, TargetFenced,
+    PromoteTarget, TargetPromoted, FollowPrimary, RenewLease, LeaseGranted, LeaseRefused,
+    ViewChanged, TableEdit, TableEditResult, TableQuery, TableRows, InForceQuery, InForceReport,
+    StatusQuery, StatusReport, PlannedChange, PlannedChangeResult, QuorumBootstrapQuery,
+    QuorumBootstrapAnswer, QuorumJoin, QuorumVoteRequest, QuorumVoteAnswer, QuorumAppend,
+    QuorumAppendAnswer, QuorumSnapshotChunk, QuorumSnapshotAnswer, QuorumTimeoutNow>;
 
 } // namespace rhubarbweir
--- a/tests/unit/codec.tests.cpp
+++ b/tests/unit/codec.tests.cpp
@@ -43,3 +43,18 @@
     text.replace(text.find("draining"), 8, "dreaming");
     cr_assert(absl::IsInvalidArgument(decode(text, Encoding::Json).status()));
 }
+
+Test(codec, opaque_payload, .description = "payload bytes that are not UTF-8 survive")
+{
+    QuorumAppend append;
+    append.entries.resize(1);
+    append.entries.front().kind = EntryKind::Payload;
+    for (int byte = 0; byte < 256; ++byte)
+        append.entries.front().payload.bytes.push_back(static_cast<char>(byte));
+    for (const Encoding encoding : {Encoding::Cbor, Encoding::Json}) {
+        const auto decoded = decode(encode(append, encoding), encoding);
+        cr_assert(decoded.ok());
+        const auto &copy = std::get<QuorumAppend>(*decoded);
+        cr_assert(copy.entries.at(0).payload == append.entries.at(0).payload);
+    }
+}
