--- /dev/null
+++ b/src/programs/proxy/control_link.cpp
@@ -0,0 +1,136 @@
+// See control_link.hpp.
+#include "programs/proxy/control_link.hpp"
+
+#include "programs/support/event_log.hpp"
+
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Time for a connection to a control instance to open.
+constexpr std::chrono::milliseconds ConnectTimeout{300};
+
+} // namespace
+
+ControlLink::ControlLink(ViewSubscriberSettings settings, ControlLinkHooks hooks)
+    : client(loop)
+    , subscriber(
+          std::move(settings),
+          ViewSubscriberHooks{[this](const RenewLease &renewal) {
+                                  if (this->connection)
+                                      this->connection->send(renewal);
+                              },
+                              [this](const std::string &address) { this->useControl(address); },
+                              std::move(hooks.viewChanged), std::move(hooks.leaseChanged)})
+{
+}
+
+ControlLink::~ControlLink()
+{
+    this->loop.stop();
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+void ControlLink::start()
+{
+    this->loop.post([this] {
+        this->subscriber.start(EventLoop::now());
+        this->arm();
+    });
+    this->thread = std::thread([this] { this->loop.run(); });
+}
+
+void ControlLink::setObservations(std::vector<TargetObservation> observations)
+{
+    this->loop.post([this, observations = std::move(observations)]() mutable {
+        this->subscriber.setObservations(std::move(observations), EventLoop::now());
+        this->arm();
+    });
+}
+
+void ControlLink::setDraining(bool draining)
+{
+    this->loop.post([this, draining] {
+        this->subscriber.setDraining(draining, EventLoop::now());
+        this->arm();
+    });
+}
+
+void ControlLink::useControl(const std::string &address)
+{
+    const std::uint64_t attempt = ++this->currentAttempt;
+    if (this->connection) {
+        this->connection->onMessage = nullptr;
+        this->connection->onClosed = nullptr;
+        this->connection->close(CloseReason::Normal);
+        this->connection = nullptr;
+    }
+    // Posted: this hook runs inside a call of the subscriber.
+    this->loop.post([this, address, attempt] {
+        this->client.connect(address, Subprotocol::Control, EventLoop::now() + ConnectTimeout,
+                             [this, attempt](absl::StatusOr<ConnectionPtr> result) {
+                                 if (result.ok())
+                                     this->connected(*result, attempt);
+                                 else
+                                     this->lost(attempt);
+                             });
+    });
+}
+
+void ControlLink::connected(const ConnectionPtr &opened, std::uint64_t attempt)
+{
+    if (attempt != this->currentAttempt) {
+        opened->close(CloseReason::Normal);
+        return;
+    }
+    this->connection = opened;
+    opened->onMessage = [this](const Message &message) {
+        this->received(message);
+    };
+    opened->onClosed = [this, attempt] {
+        this->lost(attempt);
+    };
+    this->subscriber.connected(EventLoop::now());
+    this->arm();
+}
+
+void ControlLink::lost(std::uint64_t attempt)
+{
+    if (attempt != this->currentAttempt)
+        return;
+    this->connection = nullptr;
+    logEvent(LogLevel::Warning, "control_connection_lost", {});
+    this->subscriber.disconnected(EventLoop::now());
+    this->arm();
+}
+
+void ControlLink::received(const Message &message)
+{
+    const TimePoint now = EventLoop::now();
+    if (const auto *granted = std::get_if<LeaseGranted>(&message))
+        this->subscriber.receive(*granted, now);
+    else if (const auto *refused = std::get_if<LeaseRefused>(&message))
+        this->subscriber.receive(*refused, now);
+    else if (const auto *changed = std::get_if<ViewChanged>(&message))
+        this->subscriber.receive(*changed, now);
+    this->arm();
+}
+
+void ControlLink::arm()
+{
+    const TimePoint deadline = this->subscriber.nextDeadline();
+    if (deadline >= this->armedFor)
+        return;
+    this->armedFor = deadline;
+    this->loop.schedule(deadline, [this, deadline] {
+        if (this->armedFor == deadline)
+            this->armedFor = TimePoint::max();
+        this->subscriber.advance(EventLoop::now());
+        this->arm();
+    });
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/programs/proxy/proxy_program.cpp
@@ -0,0 +1,298 @@
+// See proxy_program.hpp.
+#include "programs/proxy/proxy_program.hpp"
+
+#include "programs/support/event_log.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <random>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+// How often the node's view of its targets is handed to the control thread.
+constexpr std::chrono::milliseconds ObservationInterval{50};
+// How often a draining proxy looks whether it may stop.
+constexpr std::chrono::milliseconds DrainCheckInterval{20};
+// Time for queued answers to leave before the loops end.
+constexpr std::chrono::milliseconds FlushTime{200};
+
+ViewSubscriberSettings subscriberSettings(const ProxyRunSettings &settings)
+{
+    ViewSubscriberSettings result;
+    result.instance = settings.proxy.instance;
+    result.address = settings.proxy.address;
+    result.failureDomain = settings.proxy.failureDomain;
+    result.incarnation = settings.proxy.incarnation;
+    result.controlAddresses = settings.controlAddresses;
+    result.renewInterval = settings.renewInterval;
+    return result;
+}
+
+void logProxyEvent(const ProxyEvent &event)
+{
+    std::vector<EventField> fields;
+    if (!event.group.empty())
+        fields.emplace_back("group", event.group.value);
+    if (!event.target.empty()) {
+        fields.emplace_back("target", event.target.value);
+        fields.emplace_back("state", nameOf(event.state));
+    }
+    if (event.generation != 0)
+        fields.emplace_back("generation", static_cast<std::int64_t>(event.generation));
+    if (!event.request.session.empty()) {
+        fields.emplace_back("session", event.request.session.value);
+        fields.emplace_back("request", static_cast<std::int64_t>(event.request.request));
+    }
+    if (event.reason != Reason::None)
+        fields.emplace_back("cause", nameOf(event.reason));
+    const bool isFrequent = event.kind == ProxyEventKind::RequestRefused
+                            || event.kind == ProxyEventKind::ConnectionOpened;
+    logEvent(isFrequent ? LogLevel::Debug : LogLevel::Info, nameOf(event.kind), fields);
+}
+
+std::uint64_t seedOf(const ProxyRunSettings &settings)
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) ^ settings.proxy.incarnation;
+}
+
+} // namespace
+
+ProxyProgram::ProxyProgram(ProxyRunSettings programSettings)
+    : settings(std::move(programSettings))
+    , node(settings.proxy, seedOf(settings), this->nodeHooks())
+    , peers(traffic, settings.proxy.instance, this->peerHooks())
+    , targets(traffic, this->targetHooks())
+    , gate(traffic, settings.listenAddress, settings.maxConnections, this->gateHooks())
+    , control(subscriberSettings(settings), this->controlHooks())
+{
+}
+
+absl::Status ProxyProgram::run()
+{
+    const absl::Status listening = this->gate.listen();
+    if (!listening.ok())
+        return listening;
+    this->traffic.onStopSignal([this](int) { this->stopRequested(); });
+    this->traffic.every(ObservationInterval,
+                        [this] { this->control.setObservations(this->node.observations()); });
+    this->control.start();
+    logEvent(LogLevel::Info, "proxy_started",
+             {{"address", this->settings.listenAddress},
+              {"failure_domain", this->settings.proxy.failureDomain.value}});
+    this->arm();
+    this->traffic.run();
+    return absl::OkStatus();
+}
+
+ProxyHooks ProxyProgram::nodeHooks()
+{
+    ProxyHooks hooks;
+    hooks.answerCaller = [this](CallerConnectionId id, const CallerReply &reply) {
+        this->gate.send(id, reply);
+    };
+    hooks.sendPeer = [this](const InstanceId &peer, const std::string &address,
+                            const PeerMessage &message) {
+        this->peers.send(peer, address, message);
+    };
+    hooks.openTarget = [this](Generation generation, const std::string &address,
+                              const OpenConnection &message) {
+        this->targets.open(generation, address, message);
+    };
+    hooks.sendTarget = [this](Generation generation, const TargetRequest &message) {
+        this->targets.send(generation, message);
+    };
+    hooks.closeTarget = [this](Generation generation) {
+        this->targets.close(generation);
+    };
+    hooks.event = logProxyEvent;
+    return hooks;
+}
+
+CallerGateHooks ProxyProgram::gateHooks()
+{
+    CallerGateHooks hooks;
+    hooks.opened = [this](CallerConnectionId id) {
+        this->node.callerOpened(id);
+    };
+    hooks.message = [this](CallerConnectionId id, const CallerMessage &message) {
+        this->node.callerMessage(id, message, EventLoop::now());
+        this->arm();
+    };
+    hooks.closed = [this](CallerConnectionId id) {
+        this->node.callerClosed(id, EventLoop::now());
+        this->arm();
+    };
+    hooks.peerConnected = [this](const ConnectionPtr &connection) {
+        this->peers.accept(connection);
+    };
+    hooks.get = [this](const std::string &path) {
+        return this->get(path);
+    };
+    return hooks;
+}
+
+PeerLinksHooks ProxyProgram::peerHooks()
+{
+    PeerLinksHooks hooks;
+    hooks.message = [this](const InstanceId &peer, const PeerMessage &message) {
+        this->node.peerMessage(peer, message, EventLoop::now());
+        this->arm();
+    };
+    hooks.connected = [this](const InstanceId &peer) {
+        this->node.peerConnected(peer, EventLoop::now());
+        this->arm();
+    };
+    hooks.lost = [this](const InstanceId &peer) {
+        this->node.peerLost(peer, EventLoop::now());
+        this->arm();
+    };
+    return hooks;
+}
+
+TargetLinksHooks ProxyProgram::targetHooks()
+{
+    TargetLinksHooks hooks;
+    hooks.opened = [this](Generation generation, const ConnectionOpened &message) {
+        this->node.targetOpened(generation, message, EventLoop::now());
+        this->arm();
+    };
+    hooks.refused = [this](Generation generation, OpenFailure failure) {
+        this->node.targetRefused(generation, failure, EventLoop::now());
+        this->arm();
+    };
+    hooks.message = [this](Generation generation, const TargetMessage &message) {
+        this->node.targetMessage(generation, message, EventLoop::now());
+        this->arm();
+    };
+    hooks.closed = [this](Generation generation) {
+        this->node.targetClosed(generation, EventLoop::now());
+        this->arm();
+    };
+    return hooks;
+}
+
+ControlLinkHooks ProxyProgram::controlHooks()
+{
+    ControlLinkHooks hooks;
+    hooks.viewChanged = [this](ProxyViewPtr view) {
+        this->traffic.post([this, view = std::move(view)] {
+            logEvent(LogLevel::Info, "view_in_force",
+                     {{"revision", static_cast<std::int64_t>(view->revision)}});
+            this->node.viewChanged(view, EventLoop::now());
+            this->arm();
+        });
+    };
+    hooks.leaseChanged = [this](TimePoint deadline) {
+        this->traffic.post([this, deadline] {
+            this->hasLease = true;
+            this->node.leaseChanged(deadline, EventLoop::now());
+            this->arm();
+        });
+    };
+    return hooks;
+}
+
+HttpReply ProxyProgram::get(const std::string &path) const
+{
+    if (path == "/health") {
+        if (this->draining)
+            return {503, "text/plain", "draining\n"};
+        return this->hasLease ? HttpReply{200, "text/plain", "ready\n"}
+                              : HttpReply{503, "text/plain", "starting\n"};
+    }
+    if (path == "/metrics")
+        return {200, "text/plain; version=0.0.4", this->metrics()};
+    return {};
+}
+
+std::string ProxyProgram::metrics() const
+{
+    const ProxyCounters counters = this->node.counters();
+    std::string text;
+    const auto add = [&text](std::string_view name, std::uint64_t value) {
+        absl::StrAppend(&text, "rhubarb_", std::string(name), " ", value, "\n");
+    };
+    add("requests_total", counters.requests);
+    add("answers_ok_total", counters.answersOk);
+    add("answers_not_run_total", counters.answersNotRun);
+    add("answers_failed_total", counters.answersFailed);
+    add("answers_outcome_unknown_total", counters.answersUnknown);
+    add("replica_reads_total", counters.replicaReads);
+    add("primary_reads_total", counters.primaryReads);
+    add("forwards_total", counters.forwards);
+    add("retries_total", counters.retries);
+    add("refused_overloaded_total", counters.refusedOverloaded);
+    add("in_flight", counters.inFlight);
+    add("queued", counters.queued);
+    add("target_connections", counters.connections);
+    add("open_transactions", counters.openTransactions);
+    add("caller_connections", this->gate.openConnections());
+    return text;
+}
+
+void ProxyProgram::stopRequested()
+{
+    if (this->draining) {
+        logEvent(LogLevel::Warning, "stopped_at_once", {{"cause", "second signal"}});
+        this->traffic.stop();
+        return;
+    }
+    this->startDraining("signal");
+}
+
+DrainStarted ProxyProgram::drainRequested(const DrainInstance &request)
+{
+    if (request.instance != this->settings.proxy.instance)
+        return {};
+    if (!this->draining)
+        this->startDraining("operator");
+    return {request.instance, static_cast<std::uint32_t>(this->gate.openConnections())};
+}
+
+void ProxyProgram::startDraining(std::string_view cause)
+{
+    this->draining = true;
+    logEvent(LogLevel::Info, "drain_requested", {{"cause", cause}});
+    this->node.drain(EventLoop::now());
+    this->control.setDraining(true);
+    this->arm();
+    this->stopWhenDrained(EventLoop::now() + this->settings.drainLimit);
+}
+
+void ProxyProgram::stopWhenDrained(TimePoint deadline)
+{
+    const bool isLate = EventLoop::now() >= deadline;
+    if (this->node.isDrained() || isLate) {
+        logEvent(LogLevel::Info, "proxy_stopped", {{"cause", isLate ? "drain limit" : "drained"}});
+        this->finish();
+        return;
+    }
+    this->traffic.schedule(EventLoop::now() + DrainCheckInterval,
+                           [this, deadline] { this->stopWhenDrained(deadline); });
+}
+
+void ProxyProgram::finish()
+{
+    this->gate.closeAll(CloseReason::GoingAway);
+    this->traffic.schedule(EventLoop::now() + FlushTime, [this] { this->traffic.stop(); });
+}
+
+void ProxyProgram::arm()
+{
+    const TimePoint deadline = this->node.nextDeadline();
+    if (deadline >= this->armedFor)
+        return;
+    this->armedFor = deadline;
+    this->traffic.schedule(deadline, [this, deadline] {
+        if (this->armedFor == deadline)
+            this->armedFor = TimePoint::max();
+        this->node.advance(EventLoop::now());
+        this->arm();
+    });
+}
+
+} // namespace rhubarbweir
--- a/src/programs/support/event_log.cpp
+++ b/src/programs/support/event_log.cpp
@@ -83,4 +83,10 @@
     spdlog::default_logger_raw()->log(spdlogLevel(level), line);
 }
 
+void logConnectionFault(CloseReason reason, const std::string &peer, const std::string &detail)
+{
+    logEvent(LogLevel::Warning, "connection_rejected",
+             {{"reason", nameOf(reason)}, {"peer", peer}, {"detail", detail}});
+}
+
 } // namespace rhubarbweir
--- a/src/programs/support/event_log.hpp
+++ b/src/programs/support/event_log.hpp
@@ -1,6 +1,8 @@
 // The event log of a process: one line of key=value pairs for each event.
 #pragma once
 
+#include "rhubarbweir/transport/connection.hpp"
+
 #include <absl/status/status.h>
 
 #include <cstdint>
@@ -49,4 +51,7 @@
 // `clock` is a hybrid logical clock, which orders events across processes.
 void logEvent(LogLevel level, std::string_view event, const std::vector<EventField> &fields);
 
+// Logs that a peer broke the protocol and was disconnected.
+void logConnectionFault(CloseReason reason, const std::string &peer, const std::string &detail);
+
 } // namespace rhubarbweir
