--- /dev/null
+++ b/src/rhubarbweir/coordination/quorum_bootstrap.cpp
@@ -0,0 +1,151 @@
+// See quorum_log.hpp. This file: incarnations, the first start of a cluster, and joining.
+//
+// An instance with an empty folder draws a random incarnation and makes it durable before it says
+// anything. It becomes a voter only through a membership entry that names this incarnation, so a
+// wiped instance never votes as its old self, whatever its settings say.
+//
+// The first membership is written by the smallest initial voter, and only after all other initial
+// voters answered that they are empty, were told to bootstrap, and from now on follow this
+// incarnation of it alone. A wiped bootstrapper therefore starts no second cluster as long as one
+// initial voter kept its folder. When all initial voters lose their folders at once, nothing is
+// left that could tell, and a new empty cluster starts; so operators drop the flag after the first
+// start. A folder set back to an older copy is not detected either.
+#include "rhubarbweir/coordination/quorum_log.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace rhubarbweir {
+
+namespace {
+
+InstanceId bootstrapInstance(const QuorumSettings &settings)
+{
+    InstanceId smallest;
+    for (const QuorumPeer &peer : settings.initialVoters) {
+        if (smallest.empty() || peer.instance < smallest)
+            smallest = peer.instance;
+    }
+    return smallest;
+}
+
+} // namespace
+
+bool QuorumLog::isBootstrapper() const
+{
+    return this->settings.bootstrap && this->hardState.clusterId == 0 && this->lastIndex() == 0
+           && this->settings.self.instance == bootstrapInstance(this->settings);
+}
+
+void QuorumLog::drawIncarnation()
+{
+    this->hardState = {};
+    while (this->hardState.incarnation == 0)
+        this->hardState.incarnation = this->random();
+    this->saveHardState();
+}
+
+void QuorumLog::advanceJoining()
+{
+    if (this->currentTime < this->joinDeadline)
+        return;
+    this->joinDeadline = this->currentTime + this->settings.electionTimeoutMax;
+    if (this->knownLeader
+        && this->currentTime < this->heardLeaderAt + this->settings.electionTimeoutMax)
+        return;
+    if (this->isBootstrapper()) {
+        for (const QuorumPeer &peer : this->settings.initialVoters) {
+            if (peer.instance != this->settings.self.instance)
+                this->sendAfterSync(peer.instance, QuorumBootstrapQuery{this->header(0)});
+        }
+        this->bootstrapIfPromised();
+    }
+    for (const QuorumPeer &peer : this->knownPeers())
+        this->sendAfterSync(peer.instance, QuorumJoin{this->header(0), this->settings.self});
+}
+
+void QuorumLog::handle(const InstanceId &from, const QuorumBootstrapQuery &query)
+{
+    const std::uint64_t asking = query.header.fromIncarnation;
+    QuorumBootstrapAnswer answer;
+    answer.hasState = this->hardState.clusterId != 0 || this->lastIndex() != 0;
+    answer.promised = !answer.hasState && this->settings.bootstrap
+                      && from == bootstrapInstance(this->settings)
+                      && this->formerPromises.count(asking) == 0;
+    if (answer.promised && this->hardState.bootstrapPromise != asking) {
+        this->formerPromises.insert(this->hardState.bootstrapPromise);
+        this->hardState.bootstrapPromise = asking;
+        this->saveHardState();
+    }
+    answer.header = this->header(asking);
+    this->sendAfterSync(from, answer);
+}
+
+void QuorumLog::handle(const InstanceId &from, const QuorumBootstrapAnswer &answer)
+{
+    if (!this->isBootstrapper())
+        return;
+    if (answer.hasState) {
+        this->bindCluster(answer.header.clusterId);
+        this->emit("quorum_bootstrap_declined",
+                   {{"cause", "peer_holds_state"}, {"peer", from.value}});
+        return;
+    }
+    if (answer.promised)
+        this->promises[from] = answer.header.fromIncarnation;
+    this->bootstrapIfPromised();
+}
+
+void QuorumLog::bootstrapIfPromised()
+{
+    QuorumMembership first;
+    for (const QuorumPeer &peer : this->settings.initialVoters) {
+        const auto promise = this->promises.find(peer.instance);
+        if (peer.instance == this->settings.self.instance)
+            first.voters.push_back({peer, this->hardState.incarnation});
+        else if (promise != this->promises.end())
+            first.voters.push_back({peer, promise->second});
+    }
+    if (first.voters.size() < this->settings.initialVoters.size())
+        return;
+    first.voterTarget = static_cast<std::uint32_t>(first.voters.size());
+    this->bindCluster(this->hardState.incarnation);
+    this->hardState.term = std::max<std::uint64_t>(this->term(), 1);
+    this->saveHardState();
+    this->appendLocally(EntryKind::Membership, {}, first);
+    this->currentRole = QuorumRole::Follower;
+    this->electionDeadline = this->currentTime;
+    this->emit("quorum_bootstrapped", {{"cluster", absl::StrCat(this->hardState.clusterId)},
+                                       {"voters", absl::StrCat(first.voters.size())},
+                                       {"cause", "all_initial_voters_empty"}});
+}
+
+bool QuorumLog::acceptsCluster(const QuorumHeader &received)
+{
+    if (received.clusterId == 0)
+        return true;
+    if (this->hardState.clusterId != 0)
+        return received.clusterId == this->hardState.clusterId;
+    const std::uint64_t promise = this->hardState.bootstrapPromise;
+    if (promise == 0 || received.clusterId == promise)
+        return true;
+    // The instance that got the promise found an older cluster: the promise is void.
+    if (received.fromIncarnation != promise)
+        return false;
+    this->hardState.bootstrapPromise = 0;
+    this->saveHardState();
+    return true;
+}
+
+void QuorumLog::bindCluster(std::uint64_t clusterId)
+{
+    if (this->currentRole == QuorumRole::Unjoined && this->lastIndex() != 0)
+        this->currentRole = QuorumRole::Follower;
+    if (this->hardState.clusterId == clusterId)
+        return;
+    this->hardState.clusterId = clusterId;
+    this->saveHardState();
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/coordination/quorum_election.cpp
@@ -0,0 +1,311 @@
+// See quorum_log.hpp. This file: elections, leases, check-quorum and planned change of the leader.
+//
+// The lease: a voter that heard the leader refuses votes for electionTimeoutMin on its own clock.
+// A majority answered messages sent at or after t, so no other leader is elected before
+// t + electionTimeoutMin, less the clock drift, on the leader's clock. After a restart a voter
+// refuses votes for the same time.
+#include "rhubarbweir/coordination/quorum_log.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+
+namespace rhubarbweir {
+
+Duration QuorumLog::leaseDuration() const
+{
+    const Duration least = this->settings.electionTimeoutMin;
+    return least - least / this->settings.clockDriftDivisor;
+}
+
+TimePoint QuorumLog::leaseEnd(TimePoint time) const
+{
+    if (!this->isLeader() || this->applied < this->firstIndexOfTerm)
+        return time;
+    if (this->handoverLeaseEnd)
+        return *this->handoverLeaseEnd;
+    const auto since = this->majorityTime(&MemberProgress::answeredSince, time);
+    return since ? *since + this->leaseDuration() : time;
+}
+
+void QuorumLog::resetElectionTimer()
+{
+    const Duration least = this->settings.electionTimeoutMin;
+    const auto spread = (this->settings.electionTimeoutMax - least).count();
+    const auto extra =
+        spread > 0 ? this->random() % static_cast<std::uint64_t>(spread) : std::uint64_t{0};
+    this->electionDeadline = this->currentTime + least + Duration(static_cast<std::int64_t>(extra));
+}
+
+void QuorumLog::becomeFollower(std::uint64_t newTerm, const std::string &cause)
+{
+    const bool wasLeader = this->isLeader();
+    if (newTerm > this->term()) {
+        this->hardState.term = newTerm;
+        this->hardState.votedFor = {};
+        this->hardState.votedForIncarnation = 0;
+        this->saveHardState();
+        this->knownLeader.reset();
+    }
+    this->currentRole = this->lastIndex() == 0 ? QuorumRole::Unjoined : QuorumRole::Follower;
+    this->votes.clear();
+    if (!wasLeader)
+        return;
+    this->progresses.clear();
+    this->sentAt.clear();
+    this->handoverLeaseEnd.reset();
+    this->handoverSent = false;
+    this->knownLeader.reset();
+    this->resetElectionTimer();
+    this->emit("quorum_leader_stepped_down",
+               {{"term", absl::StrCat(this->term())}, {"cause", cause}});
+}
+
+void QuorumLog::advanceElection()
+{
+    if (this->currentTime >= this->electionDeadline && this->isVoter())
+        this->startPreVote();
+}
+
+void QuorumLog::startPreVote()
+{
+    this->currentRole = QuorumRole::PreCandidate;
+    this->knownLeader.reset();
+    this->resetElectionTimer();
+    this->votes = {this->selfKey()};
+    this->requestVotes(VotePhase::PreVote, this->term() + 1, false);
+    this->countVotes();
+}
+
+void QuorumLog::startElection(bool handover)
+{
+    this->currentRole = QuorumRole::Candidate;
+    this->knownLeader.reset();
+    this->votes.clear();
+    ++this->hardState.term;
+    this->hardState.votedFor = this->settings.self.instance;
+    this->hardState.votedForIncarnation = this->hardState.incarnation;
+    this->saveHardState();
+    this->resetElectionTimer();
+    this->emit("quorum_election_started",
+               {{"term", absl::StrCat(this->term())},
+                {"cause", handover ? "leader_handed_over" : "no_leader_heard"}});
+    // Its own vote counts, and others are asked, only once the vote is durable.
+    this->persistence.afterSync([this, electionTerm = this->term(), handover] {
+        if (this->currentRole != QuorumRole::Candidate || this->term() != electionTerm)
+            return;
+        this->votes.insert(this->selfKey());
+        this->requestVotes(VotePhase::Vote, electionTerm, handover);
+        this->countVotes();
+    });
+}
+
+void QuorumLog::requestVotes(VotePhase phase, std::uint64_t electionTerm, bool handover)
+{
+    for (const QuorumMember &voter : this->membership().voters) {
+        if (keyOf(voter) == this->selfKey())
+            continue;
+        QuorumVoteRequest request;
+        request.header = this->header(voter.incarnation);
+        request.header.term = electionTerm;
+        request.phase = phase;
+        request.lastIndex = this->lastIndex();
+        request.lastTerm = this->entries.lastTerm();
+        request.handover = handover;
+        this->hooks.send(voter.peer.instance, request);
+    }
+}
+
+// Only voters of the newest membership count, each under its present incarnation.
+bool QuorumLog::wonVotes() const
+{
+    const std::vector<QuorumMember> &voters = this->membership().voters;
+    const auto granted =
+        std::count_if(voters.begin(), voters.end(), [this](const QuorumMember &voter) {
+            return this->votes.count(keyOf(voter)) != 0;
+        });
+    return static_cast<std::size_t>(granted) > voters.size() / 2;
+}
+
+void QuorumLog::countVotes()
+{
+    if (!this->wonVotes())
+        return;
+    if (this->currentRole == QuorumRole::PreCandidate)
+        this->startElection(false);
+    else if (this->currentRole == QuorumRole::Candidate)
+        this->becomeLeader();
+}
+
+void QuorumLog::becomeLeader()
+{
+    this->currentRole = QuorumRole::Leader;
+    this->knownLeader = this->settings.self;
+    this->leadershipStart = this->currentTime;
+    this->progresses.clear();
+    this->rebuildProgress();
+    this->uncommittedBytes = 0;
+    for (std::uint64_t index = this->committed + 1; index <= this->lastIndex(); ++index)
+        this->uncommittedBytes += this->entries.at(index).payload.bytes.size();
+    this->firstIndexOfTerm = this->appendLocally(EntryKind::Empty, {}, {});
+    this->emit("quorum_leader_elected",
+               {{"leader", this->settings.self.instance.value},
+                {"term", absl::StrCat(this->term())},
+                {"votes", absl::StrCat(this->votes.size())},
+                {"voters", absl::StrCat(this->membership().voters.size())}});
+    this->advanceLeader();
+}
+
+// Whether this instance has to protect the lease of a leader, itself included.
+bool QuorumLog::leaderMayHoldLease() const
+{
+    if (this->isLeader())
+        return true;
+    return this->currentTime < this->heardLeaderAt + this->settings.electionTimeoutMin;
+}
+
+bool QuorumLog::logIsCurrent(std::uint64_t otherIndex, std::uint64_t otherTerm) const
+{
+    return std::make_tuple(otherTerm, otherIndex)
+           >= std::make_tuple(this->entries.lastTerm(), this->lastIndex());
+}
+
+bool QuorumLog::grantPreVote(const QuorumVoteRequest &request) const
+{
+    return !this->leaderMayHoldLease() && request.header.term > this->term()
+           && this->logIsCurrent(request.lastIndex, request.lastTerm);
+}
+
+bool QuorumLog::grantVote(const InstanceId &from, const QuorumVoteRequest &request)
+{
+    // A handover is started by the leader after its own lease ended.
+    const bool handover = request.handover && (!this->isLeader() || this->handoverSent);
+    if (!handover && this->leaderMayHoldLease())
+        return false;
+    if (request.header.term < this->term())
+        return false;
+    if (request.header.term > this->term())
+        this->becomeFollower(request.header.term, "vote_request_of_newer_term");
+    const bool sameVote = this->hardState.votedFor == from
+                          && this->hardState.votedForIncarnation == request.header.fromIncarnation;
+    if (!this->hardState.votedFor.empty() && !sameVote)
+        return false;
+    if (!this->logIsCurrent(request.lastIndex, request.lastTerm))
+        return false;
+    this->hardState.votedFor = from;
+    this->hardState.votedForIncarnation = request.header.fromIncarnation;
+    this->saveHardState();
+    this->resetElectionTimer();
+    return true;
+}
+
+void QuorumLog::handle(const InstanceId &from, const QuorumVoteRequest &request)
+{
+    QuorumVoteAnswer answer;
+    answer.granted = request.phase == VotePhase::PreVote ? this->grantPreVote(request)
+                                                         : this->grantVote(from, request);
+    answer.header = this->header(request.header.fromIncarnation);
+    answer.phase = request.phase;
+    answer.electionTerm = request.header.term;
+    this->sendAfterSync(from, answer);
+}
+
+void QuorumLog::handle(const InstanceId &from, const QuorumVoteAnswer &answer)
+{
+    if (!answer.granted)
+        return;
+    const bool preVote = answer.phase == VotePhase::PreVote
+                         && this->currentRole == QuorumRole::PreCandidate
+                         && answer.electionTerm == this->term() + 1;
+    const bool vote = answer.phase == VotePhase::Vote && this->currentRole == QuorumRole::Candidate
+                      && answer.electionTerm == this->term();
+    if (!preVote && !vote)
+        return;
+    this->votes.insert({from, answer.header.fromIncarnation});
+    this->countVotes();
+}
+
+void QuorumLog::handle(const InstanceId &from, const QuorumTimeoutNow &request)
+{
+    const bool fromLeader = this->knownLeader && this->knownLeader->instance == from;
+    if (request.header.term == this->term() && fromLeader && this->isVoter())
+        this->startElection(true);
+}
+
+// The newest time that a majority of the voters reached; absent when no majority has one.
+std::optional<TimePoint> QuorumLog::majorityTime(std::optional<TimePoint> MemberProgress::*time,
+                                                 TimePoint own) const
+{
+    std::vector<std::optional<TimePoint>> times;
+    for (const QuorumMember &voter : this->membership().voters) {
+        const auto found = this->progresses.find(keyOf(voter));
+        if (keyOf(voter) == this->selfKey())
+            times.emplace_back(own);
+        else if (found != this->progresses.end())
+            times.push_back(found->second.*time);
+        else
+            times.emplace_back();
+    }
+    std::sort(times.begin(), times.end(), std::greater<>());
+    return times.empty() ? std::nullopt : times[times.size() / 2];
+}
+
+void QuorumLog::checkQuorum()
+{
+    const auto heard = this->majorityTime(&MemberProgress::heardAt, this->currentTime);
+    if (!heard || *heard + this->settings.electionTimeoutMax < this->currentTime)
+        this->becomeFollower(this->term(), "no_majority_answered");
+}
+
+const MemberProgress *QuorumLog::handoverTarget() const
+{
+    const MemberProgress *best = nullptr;
+    for (const QuorumMember &voter : this->membership().voters) {
+        const auto found = this->progresses.find(keyOf(voter));
+        if (found == this->progresses.end() || !this->heardRecently(found->second))
+            continue;
+        const MemberProgress &progress = found->second;
+        if (progress.matchIndex >= this->committed
+            && (best == nullptr || progress.matchIndex > best->matchIndex))
+            best = &progress;
+    }
+    return best;
+}
+
+absl::Status QuorumLog::handOverLeadership(TimePoint time)
+{
+    this->enter(time);
+    if (!this->isLeader())
+        return absl::FailedPreconditionError("not the leader");
+    if (this->handoverTarget() == nullptr)
+        return absl::UnavailableError("no other voter has caught up");
+    if (!this->handoverLeaseEnd) {
+        this->handoverLeaseEnd = std::max(this->currentTime, this->leaseEnd(this->currentTime));
+        this->emit("quorum_handover_started",
+                   {{"term", absl::StrCat(this->term())}, {"cause", "requested"}});
+    }
+    this->leave();
+    return absl::OkStatus();
+}
+
+void QuorumLog::advanceHandover()
+{
+    if (!this->handoverLeaseEnd || this->currentTime < *this->handoverLeaseEnd)
+        return;
+    if (this->currentTime >= *this->handoverLeaseEnd + this->settings.electionTimeoutMax) {
+        this->becomeFollower(this->term(), "handover_ended");
+        return;
+    }
+    const MemberProgress *target = this->handoverTarget();
+    if (this->handoverSent || target == nullptr)
+        return;
+    this->handoverSent = true;
+    QuorumTimeoutNow request;
+    request.header = this->header(target->member.incarnation);
+    this->hooks.send(target->member.peer.instance, request);
+    this->emit("quorum_handover_sent", {{"to", target->member.peer.instance.value}});
+}
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/quorum_entries.hpp
+++ b/src/rhubarbweir/coordination/quorum_entries.hpp
@@ -31,7 +31,8 @@
     // Entries from `from` on within the bounds; at least one when there is one.
     std::vector<QuorumEntry> slice(std::uint64_t from, std::size_t maxEntries,
                                    std::size_t maxBytes) const;
-    // The newest membership at or before `index`, and the index that set it.
+    // The newest membership at or before `index`, and the index that set it (at the earliest the
+    // base: firstIndex() - 1).
     const QuorumMembership &membershipAt(std::uint64_t index) const;
     std::uint64_t membershipIndexAt(std::uint64_t index) const;
 
@@ -42,7 +43,8 @@
     std::uint64_t baseTerm = 0;
     // In force at baseIndex.
     QuorumMembership baseMembership;
-    std::uint64_t baseMembershipIndex = 0;
+    // Indexes of the entries of kind Membership, in order.
+    std::deque<std::uint64_t> membershipIndexes;
 };
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/quorum_entry.hpp
+++ b/src/rhubarbweir/coordination/quorum_entry.hpp
@@ -40,15 +40,12 @@
     std::vector<QuorumMember> learners;
     // Number of voters to keep; replacements fill up to it.
     std::uint32_t voterTarget = 0;
-    // Incarnations that a newer one of the same instance superseded; their late messages are
-    // ignored. Bounded by MaxSupersededIncarnations, oldest first.
-    std::vector<std::uint64_t> superseded;
-    // Instances removed by an operator: not taken back until added again.
+    // Added by an operator: may join although no settings name them.
+    std::vector<QuorumPeer> admitted;
+    // Removed by an operator: may not join until added again.
     std::vector<InstanceId> barred;
 };
 
-inline constexpr std::size_t MaxSupersededIncarnations = 64;
-
 enum class EntryKind {
     // Written by a new leader to commit what its predecessors left.
     Empty,
--- a/src/rhubarbweir/coordination/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum_log.hpp
@@ -26,6 +26,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace rhubarbweir {
@@ -68,14 +69,17 @@
     // Errors: FailedPrecondition when not the leader, InvalidArgument for a payload that is too
     // large, ResourceExhausted when too much waits for a commit.
     absl::StatusOr<std::uint64_t> propose(std::string payload, TimePoint now);
-    // Takes a member in without a vote; lifts an earlier removal.
+    // Lets an instance join without a vote, also one that was removed. It becomes a learner when it
+    // asks to join, and takes the place of a voter when one is missing.
     // Errors: FailedPrecondition when not the leader, Unavailable while another change is running,
     // AlreadyExists for a member.
-    absl::Status addLearner(const QuorumMember &member, TimePoint now);
-    // Removes a voter; a learner that caught up takes its place.
-    // Errors: as addLearner; NotFound for no voter, FailedPrecondition for the last voter.
+    absl::Status addLearner(const QuorumPeer &peer, TimePoint now);
+    // Removes a voter for good; a learner that caught up takes its place.
+    // Errors: as addLearner; NotFound for no voter, FailedPrecondition for the last voter or the
+    // leader itself, which has to hand over first.
     absl::Status removeVoter(const InstanceId &instance, TimePoint now);
-    // Hands the leadership to the voter with the most entries. The lease ends at once.
+    // Hands the leadership to the voter with the most entries: the lease is no longer extended, no
+    // proposal is taken, and once the lease has ended the other voter starts an election.
     // Errors: FailedPrecondition when not the leader, Unavailable when no voter has caught up.
     absl::Status handOverLeadership(TimePoint now);
 
@@ -103,81 +107,107 @@
     TimePoint nextDeadline() const;
 
 private:
+    using MemberKey = std::pair<InstanceId, std::uint64_t>;
+
     // quorum_log.cpp
+    void enter(TimePoint time);
+    void leave();
     QuorumHeader header(std::uint64_t toIncarnation) const;
-    bool accepts(const InstanceId &from, const QuorumHeader &received, TimePoint now);
-    void dispatch(const InstanceId &from, const QuorumMessage &message, TimePoint now);
+    bool accepts(const InstanceId &from, const QuorumHeader &received);
+    void adoptTerm(const QuorumMessage &message, const QuorumHeader &received);
     void sendAfterSync(const InstanceId &to, QuorumMessage message);
-    void pumpPersistence();
     void emit(const std::string &name, std::vector<QuorumEventField> fields) const;
-    const QuorumMember *selfMember() const;
+    void stop(const std::string &cause);
     bool isVoter() const;
-    const QuorumMember *findMember(const InstanceId &instance, std::uint64_t incarnation) const;
+    std::vector<QuorumPeer> knownPeers() const;
+    QuorumPeer findPeer(const InstanceId &instance) const;
+    void saveHardState();
     void applyCommitted();
+    static MemberKey keyOf(const QuorumMember &member);
+    MemberKey selfKey() const;
 
     // quorum_election.cpp
     Duration leaseDuration() const;
-    void resetElectionTimer(TimePoint now);
-    void becomeFollower(std::uint64_t newTerm, const std::string &cause, TimePoint now);
-    void startPreVote(TimePoint now);
-    void startElection(bool handover, TimePoint now);
+    void resetElectionTimer();
+    void becomeFollower(std::uint64_t newTerm, const std::string &cause);
+    void advanceElection();
+    void startPreVote();
+    void startElection(bool handover);
     void requestVotes(VotePhase phase, std::uint64_t electionTerm, bool handover);
-    void countVotes(TimePoint now);
-    void becomeLeader(TimePoint now);
-    bool heardLeaderRecently(TimePoint now) const;
+    bool wonVotes() const;
+    void countVotes();
+    void becomeLeader();
+    bool leaderMayHoldLease() const;
     bool logIsCurrent(std::uint64_t otherIndex, std::uint64_t otherTerm) const;
-    void handle(const InstanceId &from, const QuorumVoteRequest &request, TimePoint now);
-    void handle(const InstanceId &from, const QuorumVoteAnswer &answer, TimePoint now);
-    void handle(const InstanceId &from, const QuorumTimeoutNow &request, TimePoint now);
-    void checkQuorum(TimePoint now);
+    bool grantPreVote(const QuorumVoteRequest &request) const;
+    bool grantVote(const InstanceId &from, const QuorumVoteRequest &request);
+    void handle(const InstanceId &from, const QuorumVoteRequest &request);
+    void handle(const InstanceId &from, const QuorumVoteAnswer &answer);
+    void handle(const InstanceId &from, const QuorumTimeoutNow &request);
+    std::optional<TimePoint> majorityTime(std::optional<TimePoint> MemberProgress::*time,
+                                          TimePoint own) const;
+    void checkQuorum();
+    const MemberProgress *handoverTarget() const;
+    void advanceHandover();
 
     // quorum_replication.cpp
-    void appendLocally(EntryKind kind, std::string payload, const QuorumMembership &change);
-    void replicate(TimePoint now);
-    void sendAppends(MemberProgress &progress, bool heartbeat, TimePoint now);
-    void sendAppend(MemberProgress &progress, std::vector<QuorumEntry> batch, TimePoint now);
-    std::uint64_t nextSequence(TimePoint now);
+    std::uint64_t appendLocally(EntryKind kind, std::string payload,
+                                const QuorumMembership &change);
+    void replicate();
+    void advanceLeader();
+    void sendHeartbeat(MemberProgress &progress);
+    void sendEntries(MemberProgress &progress);
+    void sendAppend(MemberProgress &progress, std::uint64_t previousIndex,
+                    std::vector<QuorumEntry> batch);
+    std::uint64_t nextSequence();
     MemberProgress *noteAnswer(const InstanceId &from, const QuorumHeader &received,
-                               std::uint64_t sequence, TimePoint now);
-    void handle(const InstanceId &from, const QuorumAppend &append, TimePoint now);
-    void handle(const InstanceId &from, const QuorumAppendAnswer &answer, TimePoint now);
-    std::uint64_t storeEntries(const QuorumAppend &append, TimePoint now);
-    void answerAppend(const InstanceId &to, const QuorumAppend &append, bool accepted,
-                      std::uint64_t index);
-    void followLeader(const InstanceId &from, const QuorumHeader &received, TimePoint now);
-    void advanceCommit(TimePoint now);
-    void onDurable(std::uint64_t index, std::uint64_t entryTerm, TimePoint now);
+                               std::uint64_t answered);
+    void handle(const InstanceId &from, const QuorumAppend &append);
+    void handle(const InstanceId &from, const QuorumAppendAnswer &answer);
+    void handleAccepted(MemberProgress &progress, std::uint64_t matched);
+    void handleRefused(MemberProgress &progress, std::uint64_t retry);
+    bool matchesPrevious(const QuorumAppend &append) const;
+    std::uint64_t retryIndex(const QuorumAppend &append) const;
+    bool storeEntries(const QuorumAppend &append);
+    void answerAppend(const InstanceId &to, const QuorumHeader &received, std::uint64_t answered,
+                      bool accepted, std::uint64_t index);
+    void followLeader(const InstanceId &from, const QuorumHeader &received);
+    void advanceCommit();
+    void commitUpTo(std::uint64_t index);
+    void onDurable(std::uint64_t index, std::uint64_t entryTerm);
 
     // quorum_snapshots.cpp
-    void maybeSnapshot();
-    void sendChunk(MemberProgress &progress, TimePoint now);
-    void handle(const InstanceId &from, const QuorumSnapshotChunk &chunk, TimePoint now);
-    void handle(const InstanceId &from, const QuorumSnapshotAnswer &answer, TimePoint now);
-    void installSnapshot(const QuorumSnapshot &received);
+    void snapshotIfDue();
+    void sendChunk(MemberProgress &progress);
+    void handle(const InstanceId &from, const QuorumSnapshotChunk &chunk);
+    void handle(const InstanceId &from, const QuorumSnapshotAnswer &answer);
+    void answerChunk(const InstanceId &to, const QuorumSnapshotChunk &chunk,
+                     std::uint64_t nextOffset);
+    void installSnapshot(QuorumSnapshot received);
 
     // quorum_membership.cpp
-    void syncProgress(TimePoint now);
-    bool changeRunning() const;
-    bool mayChangeMembership() const;
-    void proposeMembership(const QuorumMembership &next, const std::string &event,
-                           std::vector<QuorumEventField> fields, TimePoint now);
-    void handle(const InstanceId &from, const QuorumJoin &join, TimePoint now);
-    void maintainMembership(TimePoint now);
-    bool majorityAlive(TimePoint now) const;
-    bool caughtUp(const MemberProgress &progress, TimePoint now) const;
-    const MemberProgress *lostVoter(TimePoint now) const;
-    const MemberProgress *bestLearner(TimePoint now) const;
-    bool isConfigured(const InstanceId &instance) const;
+    void rebuildProgress();
+    absl::Status checkChange() const;
+    void proposeMembership(QuorumMembership next, const std::string &event,
+                           std::vector<QuorumEventField> fields);
+    void handle(const InstanceId &from, const QuorumJoin &join);
+    void maintainMembership();
+    bool heardRecently(const MemberProgress &progress) const;
+    bool majorityWithout(const QuorumMember &lost) const;
+    const MemberProgress *lostVoter() const;
+    const MemberProgress *bestLearner(const InstanceId &freed) const;
+    void replaceVoter(const QuorumMember &lost, const std::string &cause);
+    void promoteLearner(const QuorumMember &learner);
 
     // quorum_bootstrap.cpp
     bool isBootstrapper() const;
     void drawIncarnation();
-    void advanceUnjoined(TimePoint now);
-    void sendJoins(TimePoint now);
-    void handle(const InstanceId &from, const QuorumBootstrapQuery &query, TimePoint now);
-    void handle(const InstanceId &from, const QuorumBootstrapAnswer &answer, TimePoint now);
-    void bootstrapCluster(TimePoint now);
-    bool acceptsCluster(const InstanceId &from, const QuorumHeader &received);
+    void advanceJoining();
+    void handle(const InstanceId &from, const QuorumBootstrapQuery &query);
+    void handle(const InstanceId &from, const QuorumBootstrapAnswer &answer);
+    void bootstrapIfPromised();
+    bool acceptsCluster(const QuorumHeader &received);
+    void bindCluster(std::uint64_t clusterId);
 
     QuorumSettings settings;
     QuorumHooks hooks;
@@ -187,7 +217,10 @@
     QuorumHardState hardState;
     QuorumEntries entries;
     QuorumPersistence persistence;
+    // The newest one made or installed here.
     std::optional<QuorumSnapshot> snapshot;
+    // Time of the running event.
+    TimePoint currentTime;
 
     // applied <= committed <= lastIndex(); durable <= lastIndex().
     std::uint64_t committed = 0;
@@ -202,22 +235,28 @@
     std::optional<SnapshotAssembly> assembly;
 
     // Candidate: instances (as members) that granted the running phase.
-    std::set<std::pair<InstanceId, std::uint64_t>> votes;
+    std::set<MemberKey> votes;
 
     // Leader: every member but itself, by identity.
-    std::map<std::pair<InstanceId, std::uint64_t>, MemberProgress> progresses;
+    std::map<MemberKey, MemberProgress> progresses;
     // Leader: when each sequence number was sent; only those that can still extend the lease.
     std::map<std::uint64_t, TimePoint> sentAt;
     std::uint64_t sequence = 0;
     std::uint64_t firstIndexOfTerm = 0;
     std::size_t uncommittedBytes = 0;
     TimePoint leadershipStart;
-    TimePoint quorumCheckAt;
-    // Set once the leader asked another to take over: it holds no lease in this term any more.
-    bool handingOver = false;
+    // Set while the leader hands over: its lease ends here and is never extended in this term.
+    std::optional<TimePoint> handoverLeaseEnd;
+    bool handoverSent = false;
 
     // Bootstrapper: incarnations that promised to follow this one.
     std::map<InstanceId, std::uint64_t> promises;
+    // Promises given up for a newer one in this process's life: late queries of those are ignored.
+    std::set<std::uint64_t> formerPromises;
+
+    // Guards against hooks that call back into the log.
+    bool handingOutBatches = false;
+    bool applying = false;
 };
 
 } // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/coordination/quorum_membership.cpp
@@ -0,0 +1,250 @@
+// See quorum_log.hpp. This file: changes of members, one at a time, and replacement of lost voters.
+//
+// A lost voter is removed only when a learner is ready, and the learner is promoted as soon as the
+// removal is committed: each step changes the voters by one, so any two majorities share a voter.
+#include "rhubarbweir/coordination/quorum_log.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+bool names(const std::vector<QuorumPeer> &peers, const InstanceId &instance)
+{
+    return std::any_of(peers.begin(), peers.end(),
+                       [&instance](const QuorumPeer &peer) { return peer.instance == instance; });
+}
+
+bool names(const std::vector<QuorumMember> &members, const InstanceId &instance)
+{
+    return std::any_of(members.begin(), members.end(), [&instance](const QuorumMember &member) {
+        return member.peer.instance == instance;
+    });
+}
+
+void removeInstance(std::vector<QuorumMember> &members, const InstanceId &instance)
+{
+    const auto same = [&instance](const QuorumMember &member) {
+        return member.peer.instance == instance;
+    };
+    members.erase(std::remove_if(members.begin(), members.end(), same), members.end());
+}
+
+void removeMember(std::vector<QuorumMember> &members, const QuorumMember &member)
+{
+    members.erase(std::remove(members.begin(), members.end(), member), members.end());
+}
+
+} // namespace
+
+void QuorumLog::rebuildProgress()
+{
+    std::map<MemberKey, MemberProgress> rebuilt;
+    const auto keep = [this, &rebuilt](const QuorumMember &member) {
+        const MemberKey key = keyOf(member);
+        if (key == this->selfKey())
+            return;
+        const auto found = this->progresses.find(key);
+        MemberProgress progress;
+        if (found != this->progresses.end())
+            progress = found->second;
+        else {
+            progress.nextIndex = this->lastIndex() + 1;
+            progress.heardAt = this->currentTime;
+            progress.heartbeatAt = this->currentTime;
+        }
+        progress.member = member;
+        rebuilt[key] = std::move(progress);
+    };
+    const QuorumMembership &current = this->membership();
+    std::for_each(current.voters.begin(), current.voters.end(), keep);
+    std::for_each(current.learners.begin(), current.learners.end(), keep);
+    this->progresses = std::move(rebuilt);
+}
+
+absl::Status QuorumLog::checkChange() const
+{
+    if (!this->isLeader() || this->handoverLeaseEnd)
+        return absl::FailedPreconditionError("not the leader");
+    // Without an entry of its own term committed, an earlier leader's change could still win.
+    if (this->committed < this->firstIndexOfTerm)
+        return absl::UnavailableError("the leader has not committed an entry yet");
+    if (this->entries.membershipIndexAt(this->lastIndex()) > this->committed)
+        return absl::UnavailableError("another membership change is running");
+    return absl::OkStatus();
+}
+
+void QuorumLog::proposeMembership(QuorumMembership next, const std::string &event,
+                                  std::vector<QuorumEventField> fields)
+{
+    const std::uint64_t index = this->appendLocally(EntryKind::Membership, {}, next);
+    fields.push_back({"index", absl::StrCat(index)});
+    fields.push_back({"voters", absl::StrCat(next.voters.size())});
+    this->emit(event, std::move(fields));
+    this->replicate();
+}
+
+void QuorumLog::handle(const InstanceId &from, const QuorumJoin &join)
+{
+    if (!this->checkChange().ok() || join.peer.instance != from)
+        return;
+    const QuorumMembership &current = this->membership();
+    const QuorumMember member{join.peer, join.header.fromIncarnation};
+    const bool known = names(this->settings.initialVoters, from)
+                       || names(this->settings.spares, from) || names(current.admitted, from)
+                       || names(current.voters, from) || names(current.learners, from);
+    const bool barred =
+        std::find(current.barred.begin(), current.barred.end(), from) != current.barred.end();
+    if (!known || barred || this->progresses.count(keyOf(member)) != 0)
+        return;
+    QuorumMembership next = current;
+    removeInstance(next.learners, from);
+    next.learners.push_back(member);
+    this->proposeMembership(std::move(next), "quorum_learner_added",
+                            {{"instance", from.value},
+                             {"incarnation", absl::StrCat(member.incarnation)},
+                             {"cause", "asked_to_join"}});
+}
+
+absl::Status QuorumLog::addLearner(const QuorumPeer &peer, TimePoint time)
+{
+    this->enter(time);
+    if (const absl::Status allowed = this->checkChange(); !allowed.ok())
+        return allowed;
+    QuorumMembership next = this->membership();
+    if (names(next.voters, peer.instance) || names(next.learners, peer.instance))
+        return absl::AlreadyExistsError("the instance is a member");
+    next.barred.erase(std::remove(next.barred.begin(), next.barred.end(), peer.instance),
+                      next.barred.end());
+    if (!names(next.admitted, peer.instance))
+        next.admitted.push_back(peer);
+    this->proposeMembership(std::move(next), "quorum_learner_admitted",
+                            {{"instance", peer.instance.value}, {"cause", "requested"}});
+    this->leave();
+    return absl::OkStatus();
+}
+
+absl::Status QuorumLog::removeVoter(const InstanceId &instance, TimePoint time)
+{
+    this->enter(time);
+    if (const absl::Status allowed = this->checkChange(); !allowed.ok())
+        return allowed;
+    QuorumMembership next = this->membership();
+    if (!names(next.voters, instance))
+        return absl::NotFoundError("the instance is no voter");
+    if (next.voters.size() == 1 || instance == this->settings.self.instance)
+        return absl::FailedPreconditionError("the leader and the last voter cannot be removed");
+    removeInstance(next.voters, instance);
+    next.barred.push_back(instance);
+    this->proposeMembership(std::move(next), "quorum_voter_removed",
+                            {{"instance", instance.value}, {"cause", "requested"}});
+    this->leave();
+    return absl::OkStatus();
+}
+
+void QuorumLog::maintainMembership()
+{
+    if (!this->checkChange().ok())
+        return;
+    if (this->membership().voters.size() < this->membership().voterTarget) {
+        if (const MemberProgress *learner = this->bestLearner({}))
+            this->promoteLearner(learner->member);
+        return;
+    }
+    const MemberProgress *lost = this->lostVoter();
+    if (lost == nullptr || this->bestLearner(lost->member.peer.instance) == nullptr)
+        return;
+    if (this->majorityWithout(lost->member))
+        this->replaceVoter(lost->member, lost->superseded ? "data_folder_lost" : "silent");
+}
+
+bool QuorumLog::heardRecently(const MemberProgress &progress) const
+{
+    return progress.answered && !progress.superseded
+           && this->currentTime < *progress.heardAt + this->settings.electionTimeoutMax;
+}
+
+// Whether the voters that remain without `lost` can commit its removal.
+bool QuorumLog::majorityWithout(const QuorumMember &lost) const
+{
+    std::size_t remaining = 0;
+    std::size_t alive = 0;
+    for (const QuorumMember &voter : this->membership().voters) {
+        if (voter == lost)
+            continue;
+        ++remaining;
+        const auto found = this->progresses.find(keyOf(voter));
+        if (keyOf(voter) == this->selfKey()
+            || (found != this->progresses.end() && this->heardRecently(found->second)))
+            ++alive;
+    }
+    return alive > remaining / 2;
+}
+
+const MemberProgress *QuorumLog::lostVoter() const
+{
+    const MemberProgress *silent = nullptr;
+    for (const QuorumMember &voter : this->membership().voters) {
+        const auto found = this->progresses.find(keyOf(voter));
+        if (found == this->progresses.end())
+            continue;
+        if (found->second.superseded)
+            return &found->second;
+        if (*found->second.heardAt + this->settings.replaceAfter <= this->currentTime)
+            silent = &found->second;
+    }
+    return silent;
+}
+
+// A learner that caught up; one in a failure domain without a voter goes first. `freed` is an
+// instance whose vote is about to end: its new incarnation may take the place.
+const MemberProgress *QuorumLog::bestLearner(const InstanceId &freed) const
+{
+    const QuorumMembership &current = this->membership();
+    const auto domainTaken = [&current, &freed](const FailureDomainId &domain) {
+        return std::any_of(current.voters.begin(), current.voters.end(),
+                           [&domain, &freed](const QuorumMember &voter) {
+                               return voter.peer.instance != freed
+                                      && voter.peer.failureDomain == domain;
+                           });
+    };
+    const MemberProgress *best = nullptr;
+    for (const QuorumMember &learner : current.learners) {
+        const InstanceId &instance = learner.peer.instance;
+        if (instance != freed && names(current.voters, instance))
+            continue;
+        const auto found = this->progresses.find(keyOf(learner));
+        if (found == this->progresses.end() || !this->heardRecently(found->second)
+            || found->second.probing || found->second.matchIndex < this->committed)
+            continue;
+        if (!domainTaken(learner.peer.failureDomain))
+            return &found->second;
+        if (best == nullptr)
+            best = &found->second;
+    }
+    return best;
+}
+
+void QuorumLog::replaceVoter(const QuorumMember &lost, const std::string &cause)
+{
+    QuorumMembership next = this->membership();
+    removeMember(next.voters, lost);
+    this->proposeMembership(std::move(next), "quorum_voter_removed",
+                            {{"instance", lost.peer.instance.value}, {"cause", cause}});
+}
+
+void QuorumLog::promoteLearner(const QuorumMember &learner)
+{
+    QuorumMembership next = this->membership();
+    removeMember(next.learners, learner);
+    next.voters.push_back(learner);
+    this->proposeMembership(std::move(next), "quorum_voter_added",
+                            {{"instance", learner.peer.instance.value},
+                             {"cause", "voter_missing_and_learner_caught_up"}});
+}
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/quorum_persistence.hpp
+++ b/src/rhubarbweir/coordination/quorum_persistence.hpp
@@ -9,7 +9,7 @@
 #include <deque>
 #include <functional>
 #include <optional>
-#include <utility>
+#include <vector>
 
 namespace rhubarbweir {
 
@@ -23,17 +23,24 @@
 
     // Runs `action` once everything handed in so far is durable; at once when it already is.
     void afterSync(std::function<void()> action);
-    bool clean() const { return !this->outstanding && !this->dirty(); }
     // The next batch, when there is one and none is on the way.
     std::optional<PersistBatch> nextBatch();
-    // Marks the batch on the way as durable and returns the actions that waited for it.
-    // Empty for an unknown token.
-    std::vector<std::function<void()>> complete(std::uint64_t token);
     bool isOutstanding(std::uint64_t token) const
     {
         return this->outstanding && *this->outstanding == token;
     }
 
+    struct Completion
+    {
+        // Last entry, or snapshot, that became durable; index 0 for none.
+        std::uint64_t lastIndex = 0;
+        std::uint64_t lastTerm = 0;
+        // What waited for the batch, in order.
+        std::vector<std::function<void()>> actions;
+    };
+    // Marks the batch on the way as durable.
+    Completion complete();
+
 private:
     struct Waiting
     {
@@ -47,6 +54,8 @@
     PersistBatch gathered;
     std::uint64_t nextToken = 1;
     std::optional<std::uint64_t> outstanding;
+    // Last entry of the batch on the way.
+    Completion onTheWay;
     // Ordered by token.
     std::deque<Waiting> waiting;
 };
--- a/src/rhubarbweir/coordination/quorum_progress.hpp
+++ b/src/rhubarbweir/coordination/quorum_progress.hpp
@@ -7,6 +7,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
+#include <string>
 
 namespace rhubarbweir {
 
@@ -21,9 +23,13 @@
     // Last index of each append with entries on the way; at most maxInflightAppends.
     std::deque<std::uint64_t> inflight;
     // When the newest answered message was sent; the leader's lease rests on it.
-    TimePoint answeredSince;
-    // When the member last answered anything.
-    TimePoint heardAt;
+    std::optional<TimePoint> answeredSince;
+    // When the member last answered anything; at first when it became known.
+    std::optional<TimePoint> heardAt;
+    // Whether it answered since this leader knows it.
+    bool answered = false;
+    // Sequence number of the newest answered message.
+    std::uint64_t answeredSequence = 0;
     // When an unanswered append or chunk is sent again.
     TimePoint resendAt;
     TimePoint heartbeatAt;
--- /dev/null
+++ b/src/rhubarbweir/coordination/quorum_snapshots.cpp
@@ -0,0 +1,122 @@
+// See quorum_log.hpp. This file: making, sending and installing snapshots.
+#include "rhubarbweir/coordination/quorum_log.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace rhubarbweir {
+
+void QuorumLog::snapshotIfDue()
+{
+    const std::uint64_t last = this->snapshot ? this->snapshot->index : 0;
+    if (this->applied < last + this->settings.snapshotEvery)
+        return;
+    QuorumSnapshot made;
+    made.index = this->applied;
+    made.term = *this->entries.termAt(made.index);
+    made.membership = this->entries.membershipAt(made.index);
+    made.state.bytes = this->hooks.makeSnapshot();
+    this->persistence.setSnapshot(made, false);
+    if (made.index > this->settings.entriesKept)
+        this->entries.dropUpTo(made.index - this->settings.entriesKept);
+    this->snapshot = std::move(made);
+}
+
+void QuorumLog::sendChunk(MemberProgress &progress)
+{
+    if (progress.snapshotIndex != this->snapshot->index) {
+        progress.snapshotIndex = this->snapshot->index;
+        progress.snapshotOffset = 0;
+    }
+    const std::string &state = this->snapshot->state.bytes;
+    QuorumSnapshotChunk chunk;
+    chunk.header = this->header(progress.member.incarnation);
+    chunk.sequence = this->nextSequence();
+    chunk.index = this->snapshot->index;
+    chunk.indexTerm = this->snapshot->term;
+    chunk.membership = this->snapshot->membership;
+    chunk.offset = progress.snapshotOffset;
+    chunk.bytes.bytes = state.substr(chunk.offset, this->settings.snapshotChunkBytes);
+    chunk.last = chunk.offset + chunk.bytes.bytes.size() == state.size();
+    progress.resendAt = this->currentTime + this->settings.electionTimeoutMax;
+    this->hooks.send(progress.member.peer.instance, chunk);
+}
+
+void QuorumLog::handle(const InstanceId &from, const QuorumSnapshotChunk &chunk)
+{
+    if (chunk.header.term < this->term()) {
+        this->answerChunk(from, chunk, 0);
+        return;
+    }
+    this->followLeader(from, chunk.header);
+    if (chunk.index <= this->committed) {
+        this->answerAppend(from, chunk.header, chunk.sequence, true, chunk.index);
+        return;
+    }
+    const bool continues = this->assembly && this->assembly->index == chunk.index
+                           && this->assembly->leaderTerm == chunk.header.term;
+    if (!continues)
+        this->assembly = SnapshotAssembly{chunk.index, chunk.header.term, {}};
+    if (this->assembly->bytes.size() != chunk.offset) {
+        this->answerChunk(from, chunk, this->assembly->bytes.size());
+        return;
+    }
+    this->assembly->bytes += chunk.bytes.bytes;
+    if (!chunk.last) {
+        this->answerChunk(from, chunk, this->assembly->bytes.size());
+        return;
+    }
+    QuorumSnapshot received{chunk.index, chunk.indexTerm, chunk.membership,
+                            OpaqueBytes(std::move(this->assembly->bytes))};
+    this->assembly.reset();
+    this->bindCluster(chunk.header.clusterId);
+    this->installSnapshot(std::move(received));
+    this->answerAppend(from, chunk.header, chunk.sequence, true, chunk.index);
+}
+
+void QuorumLog::handle(const InstanceId &from, const QuorumSnapshotAnswer &answer)
+{
+    MemberProgress *progress = this->noteAnswer(from, answer.header, answer.sequence);
+    if (progress == nullptr || progress->snapshotIndex != answer.index)
+        return;
+    if (answer.nextOffset == progress->snapshotOffset || !this->snapshot)
+        return;
+    if (answer.nextOffset > this->snapshot->state.bytes.size())
+        return;
+    progress->snapshotOffset = answer.nextOffset;
+    this->sendChunk(*progress);
+}
+
+void QuorumLog::answerChunk(const InstanceId &to, const QuorumSnapshotChunk &chunk,
+                            std::uint64_t nextOffset)
+{
+    QuorumSnapshotAnswer answer;
+    answer.header = this->header(chunk.header.fromIncarnation);
+    answer.sequence = chunk.sequence;
+    answer.index = chunk.index;
+    answer.nextOffset = nextOffset;
+    this->sendAfterSync(to, answer);
+}
+
+void QuorumLog::installSnapshot(QuorumSnapshot received)
+{
+    // Entries behind a matching one stay; others contradict the snapshot.
+    const bool keepsTail = this->entries.termAt(received.index) == received.term;
+    if (keepsTail) {
+        this->entries.dropUpTo(received.index);
+    } else {
+        this->entries.reset(received.index, received.term, received.membership);
+        this->durable = 0;
+    }
+    this->committed = received.index;
+    this->applied = received.index;
+    this->currentRole = QuorumRole::Follower;
+    this->persistence.setSnapshot(received, !keepsTail);
+    this->hooks.restoreSnapshot(received.state.bytes, received.index);
+    this->emit("quorum_snapshot_installed", {{"index", absl::StrCat(received.index)},
+                                             {"bytes", absl::StrCat(received.state.bytes.size())}});
+    this->snapshot = std::move(received);
+}
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -96,7 +96,7 @@
 // quorum_entry.hpp
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumPeer, instance, address, failureDomain)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumMember, peer, incarnation)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumMembership, voters, learners, voterTarget, superseded,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumMembership, voters, learners, voterTarget, admitted,
                                    barred)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumEntry, index, term, kind, payload, membership)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumSnapshot, index, term, membership, state)
--- /dev/null
+++ b/src/rhubarbweir/transport/file_storage.cpp
@@ -0,0 +1,175 @@
+// See file_storage.hpp.
+#include "rhubarbweir/transport/file_storage.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <fcntl.h>
+#include <filesystem>
+#include <sys/file.h>
+#include <unistd.h>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+constexpr const char *LockName = "lock";
+constexpr mode_t FileMode = 0640;
+constexpr std::size_t ReadBytes = 1 << 16;
+
+absl::Status lastError(const std::string &action, const std::string &name)
+{
+    const std::string text = absl::StrCat(action, " ", name);
+    if (errno == ENOENT)
+        return absl::NotFoundError(text);
+    if (errno == ENOSPC || errno == EDQUOT || errno == EFBIG)
+        return absl::ResourceExhaustedError(text);
+    return absl::UnavailableError(absl::StrCat(text, ": error ", errno));
+}
+
+} // namespace
+
+FileStorage::FileStorage(std::string givenPath)
+    : path(std::move(givenPath))
+{
+}
+
+FileStorage::~FileStorage()
+{
+    this->closeAppended();
+    if (this->lockDescriptor >= 0)
+        ::close(this->lockDescriptor);
+    if (this->folderDescriptor >= 0)
+        ::close(this->folderDescriptor);
+}
+
+absl::StatusOr<std::shared_ptr<FileStorage>> FileStorage::open(const std::string &path)
+{
+    std::error_code error;
+    std::filesystem::create_directories(path, error);
+    std::shared_ptr<FileStorage> storage(new FileStorage(path));
+    storage->folderDescriptor = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (storage->folderDescriptor < 0)
+        return absl::UnavailableError(absl::StrCat("cannot open folder ", path));
+    storage->lockDescriptor =
+        ::openat(storage->folderDescriptor, LockName, O_RDWR | O_CREAT | O_CLOEXEC, FileMode);
+    if (storage->lockDescriptor < 0)
+        return absl::UnavailableError(absl::StrCat("cannot open the lock of ", path));
+    if (::flock(storage->lockDescriptor, LOCK_EX | LOCK_NB) != 0)
+        return absl::UnavailableError(absl::StrCat("another process holds ", path));
+    return storage;
+}
+
+absl::StatusOr<std::vector<std::string>> FileStorage::list()
+{
+    std::vector<std::string> names;
+    std::error_code error;
+    std::filesystem::directory_iterator entry(this->path, error);
+    const std::filesystem::directory_iterator end;
+    for (; !error && entry != end; entry.increment(error))
+        names.push_back(entry->path().filename().string());
+    if (error)
+        return absl::UnavailableError(absl::StrCat("list: ", error.message()));
+    std::sort(names.begin(), names.end());
+    return names;
+}
+
+absl::StatusOr<std::string> FileStorage::read(const std::string &name)
+{
+    const int descriptor = ::openat(this->folderDescriptor, name.c_str(), O_RDONLY | O_CLOEXEC);
+    if (descriptor < 0)
+        return lastError("open", name);
+    std::string bytes;
+    std::vector<char> buffer(ReadBytes);
+    ssize_t count = 0;
+    do {
+        count = ::read(descriptor, buffer.data(), buffer.size());
+        if (count > 0)
+            bytes.append(buffer.data(), static_cast<std::size_t>(count));
+    } while (count > 0 || (count < 0 && errno == EINTR));
+    const absl::Status status = count < 0 ? lastError("read", name) : absl::OkStatus();
+    ::close(descriptor);
+    if (!status.ok())
+        return status;
+    return bytes;
+}
+
+absl::Status FileStorage::append(const std::string &name, std::string_view bytes)
+{
+    if (const absl::Status opened = this->openForAppend(name); !opened.ok())
+        return opened;
+    while (!bytes.empty()) {
+        const ssize_t count = ::write(this->appendedDescriptor, bytes.data(), bytes.size());
+        if (count < 0 && errno == EINTR)
+            continue;
+        if (count < 0)
+            return lastError("append", name);
+        bytes.remove_prefix(static_cast<std::size_t>(count));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status FileStorage::sync(const std::string &name)
+{
+    if (const absl::Status opened = this->openForAppend(name); !opened.ok())
+        return opened;
+    if (::fdatasync(this->appendedDescriptor) != 0)
+        return lastError("sync", name);
+    return absl::OkStatus();
+}
+
+absl::Status FileStorage::truncate(const std::string &name, std::uint64_t size)
+{
+    if (const absl::Status opened = this->openForAppend(name); !opened.ok())
+        return opened;
+    if (::ftruncate(this->appendedDescriptor, static_cast<off_t>(size)) != 0)
+        return lastError("truncate", name);
+    return absl::OkStatus();
+}
+
+absl::Status FileStorage::rename(const std::string &from, const std::string &to)
+{
+    this->closeAppended();
+    if (::renameat(this->folderDescriptor, from.c_str(), this->folderDescriptor, to.c_str()) != 0)
+        return lastError("rename", from);
+    return absl::OkStatus();
+}
+
+absl::Status FileStorage::remove(const std::string &name)
+{
+    this->closeAppended();
+    if (::unlinkat(this->folderDescriptor, name.c_str(), 0) != 0)
+        return lastError("remove", name);
+    return absl::OkStatus();
+}
+
+absl::Status FileStorage::syncFolder()
+{
+    if (::fsync(this->folderDescriptor) != 0)
+        return lastError("sync folder", this->path);
+    return absl::OkStatus();
+}
+
+absl::Status FileStorage::openForAppend(const std::string &name)
+{
+    if (this->appendedDescriptor >= 0 && this->appendedName == name)
+        return absl::OkStatus();
+    this->closeAppended();
+    this->appendedDescriptor = ::openat(this->folderDescriptor, name.c_str(),
+                                        O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, FileMode);
+    if (this->appendedDescriptor < 0)
+        return lastError("open", name);
+    this->appendedName = name;
+    return absl::OkStatus();
+}
+
+void FileStorage::closeAppended()
+{
+    if (this->appendedDescriptor >= 0)
+        ::close(this->appendedDescriptor);
+    this->appendedDescriptor = -1;
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/transport/file_storage.hpp
@@ -0,0 +1,42 @@
+// A folder of files on a real disk, locked against other processes.
+#pragma once
+
+#include "rhubarbweir/coordination/quorum_storage.hpp"
+
+#include <memory>
+#include <string>
+
+namespace rhubarbweir {
+
+class FileStorage : public StorageFolder
+{
+public:
+    // Creates the folder when it is missing and locks it until the object ends.
+    // Errors: Unavailable when another process holds the folder or it cannot be opened.
+    static absl::StatusOr<std::shared_ptr<FileStorage>> open(const std::string &path);
+    ~FileStorage() override;
+
+    absl::StatusOr<std::vector<std::string>> list() override;
+    absl::StatusOr<std::string> read(const std::string &name) override;
+    absl::Status append(const std::string &name, std::string_view bytes) override;
+    absl::Status sync(const std::string &name) override;
+    absl::Status truncate(const std::string &name, std::uint64_t size) override;
+    absl::Status rename(const std::string &from, const std::string &to) override;
+    absl::Status remove(const std::string &name) override;
+    absl::Status syncFolder() override;
+
+private:
+    explicit FileStorage(std::string path);
+
+    absl::Status openForAppend(const std::string &name);
+    void closeAppended();
+
+    std::string path;
+    int folderDescriptor = -1;
+    int lockDescriptor = -1;
+    // The file that append() used last stays open.
+    std::string appendedName;
+    int appendedDescriptor = -1;
+};
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/transport/quorum_store.cpp
@@ -0,0 +1,273 @@
+// See quorum_store.hpp.
+#include "rhubarbweir/transport/quorum_store.hpp"
+
+#include "rhubarbweir/protocol/internal/json_messages.hpp"
+#include "rhubarbweir/transport/internal/record_format.hpp"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
+
+#include <algorithm>
+
+namespace rhubarbweir {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr absl::string_view LogPrefix = "log-";
+constexpr absl::string_view SnapshotPrefix = "snapshot-";
+constexpr absl::string_view TemporarySuffix = ".tmp";
+
+// Record types, in key "r".
+constexpr const char *StartRecord = "start";
+constexpr const char *HardStateRecord = "hard_state";
+constexpr const char *TruncateRecord = "truncate";
+constexpr const char *EntryRecord = "entry";
+constexpr const char *SnapshotRecord = "snapshot";
+
+template<typename Body>
+std::string encodeRecord(const char *type, const Body &body)
+{
+    std::string bytes;
+    json::to_cbor(json{{"r", type}, {"b", body}}, bytes);
+    return bytes;
+}
+
+// Replays the records of one log file.
+absl::Status replay(const json &record, RecoveredState &state)
+{
+    const auto type = record.at("r").get<std::string>();
+    const json &body = record.at("b");
+    std::vector<QuorumEntry> &entries = state.entries;
+    if (type == HardStateRecord) {
+        state.hardState = body.get<QuorumHardState>();
+    } else if (type == TruncateRecord) {
+        while (!entries.empty() && entries.back().index >= body.get<std::uint64_t>())
+            entries.pop_back();
+    } else if (type == EntryRecord) {
+        const auto base = state.snapshot ? state.snapshot->index : 0;
+        const auto last = entries.empty() ? base : entries.back().index;
+        entries.push_back(body.get<QuorumEntry>());
+        if (entries.back().index != last + 1)
+            return absl::DataLossError(absl::StrCat("gap before entry ", entries.back().index));
+    } else {
+        return absl::DataLossError(absl::StrCat("unknown record type ", type));
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+QuorumStore::QuorumStore(std::shared_ptr<StorageFolder> givenFolder)
+    : folder(std::move(givenFolder))
+{
+}
+
+absl::StatusOr<RecoveredState> QuorumStore::load()
+{
+    const auto names = this->folder->list();
+    if (!names.ok())
+        return names.status();
+    bool snapshotSeen = false;
+    for (const std::string &name : *names) {
+        std::uint64_t number = 0;
+        absl::string_view digits = name;
+        snapshotSeen =
+            snapshotSeen
+            || (absl::StartsWith(name, SnapshotPrefix) && !absl::EndsWith(name, TemporarySuffix));
+        if (absl::ConsumePrefix(&digits, LogPrefix) && absl::SimpleAtoi(digits, &number))
+            this->generation = std::max(this->generation, number);
+    }
+    // The first generation's log is written before any snapshot.
+    if (this->generation == 0 && snapshotSeen)
+        return absl::DataLossError("the log file is missing");
+    if (this->generation == 0)
+        return RecoveredState{};
+    try {
+        auto recovered = this->loadGeneration();
+        if (const absl::Status removed = this->removeOthers(); recovered.ok() && !removed.ok())
+            return removed;
+        return recovered;
+    } catch (const std::exception &error) {
+        return absl::DataLossError(error.what());
+    }
+}
+
+absl::StatusOr<RecoveredState> QuorumStore::loadGeneration()
+{
+    const auto bytes = this->folder->read(this->logName());
+    if (!bytes.ok())
+        return bytes.status();
+    const auto scan = scanRecords(*bytes);
+    if (!scan.ok())
+        return scan.status();
+    if (scan->bodies.empty())
+        return absl::DataLossError("the log has no first record");
+    const json start = json::from_cbor(scan->bodies.front());
+    if (start.at("r") != StartRecord)
+        return absl::DataLossError("the log has no first record");
+    RecoveredState state;
+    this->hasSnapshot = start.at("b").get<bool>();
+    if (this->hasSnapshot) {
+        const auto file = this->folder->read(this->snapshotName());
+        if (!file.ok())
+            return absl::DataLossError("the snapshot is missing");
+        const auto records = scanRecords(*file);
+        if (!records.ok() || records->bodies.size() != 1)
+            return absl::DataLossError("the snapshot is damaged");
+        state.snapshot = json::from_cbor(records->bodies.front()).at("b").get<QuorumSnapshot>();
+        this->snapshotIndex = state.snapshot->index;
+    }
+    for (std::size_t number = 1; number < scan->bodies.size(); ++number) {
+        const absl::Status replayed = replay(json::from_cbor(scan->bodies[number]), state);
+        if (!replayed.ok())
+            return replayed;
+    }
+    if (!state.hardState)
+        return absl::DataLossError("the log has no hard state");
+    this->hardState = *state.hardState;
+    for (const QuorumEntry &entry : state.entries)
+        this->tail.emplace_back(entry.index, encodeRecord(EntryRecord, entry));
+    if (scan->validBytes == bytes->size())
+        return state;
+    absl::Status cut = this->folder->truncate(this->logName(), scan->validBytes);
+    if (cut.ok())
+        cut = this->folder->sync(this->logName());
+    if (!cut.ok())
+        return cut;
+    return state;
+}
+
+absl::Status QuorumStore::write(const PersistBatch &batch)
+{
+    if (this->failed)
+        return absl::FailedPreconditionError("an earlier write failed");
+    const bool newGeneration = this->generation == 0 || batch.snapshot;
+    const absl::Status written =
+        newGeneration ? this->startGeneration(batch) : this->appendBatch(batch);
+    this->failed = !written.ok();
+    return written;
+}
+
+absl::Status QuorumStore::appendBatch(const PersistBatch &batch)
+{
+    std::string bytes;
+    if (batch.hardState)
+        appendRecord(bytes, encodeRecord(HardStateRecord, *batch.hardState));
+    if (batch.truncateFrom)
+        appendRecord(bytes, encodeRecord(TruncateRecord, *batch.truncateFrom));
+    const std::size_t before = batch.entries.size();
+    this->updateTail(batch);
+    for (std::size_t number = this->tail.size() - before; number < this->tail.size(); ++number)
+        appendRecord(bytes, this->tail[number].second);
+    const absl::Status appended = this->folder->append(this->logName(), bytes);
+    return appended.ok() ? this->folder->sync(this->logName()) : appended;
+}
+
+// The whole batch appears at once, by the rename of the log file.
+absl::Status QuorumStore::startGeneration(const PersistBatch &batch)
+{
+    ++this->generation;
+    if (batch.snapshot) {
+        this->hasSnapshot = true;
+        this->snapshotIndex = batch.snapshot->index;
+        if (batch.discardEntries)
+            this->tail.clear();
+        std::string bytes;
+        appendRecord(bytes, encodeRecord(SnapshotRecord, *batch.snapshot));
+        const absl::Status saved = this->writeWhole(this->snapshotName(), bytes);
+        if (!saved.ok())
+            return saved;
+    }
+    this->updateTail(batch);
+    std::string bytes;
+    appendRecord(bytes, encodeRecord(StartRecord, this->hasSnapshot));
+    appendRecord(bytes, encodeRecord(HardStateRecord, this->hardState));
+    for (const auto &[index, record] : this->tail)
+        appendRecord(bytes, record);
+    const absl::Status written = this->writeWhole(this->logName(), bytes);
+    return written.ok() ? this->removeOthers() : written;
+}
+
+void QuorumStore::updateTail(const PersistBatch &batch)
+{
+    if (batch.hardState)
+        this->hardState = *batch.hardState;
+    while (batch.truncateFrom && !this->tail.empty()
+           && this->tail.back().first >= *batch.truncateFrom)
+        this->tail.pop_back();
+    for (const QuorumEntry &entry : batch.entries)
+        this->tail.emplace_back(entry.index, encodeRecord(EntryRecord, entry));
+    while (!this->tail.empty() && this->tail.front().first <= this->snapshotIndex)
+        this->tail.pop_front();
+}
+
+absl::Status QuorumStore::writeWhole(const std::string &name, const std::string &bytes)
+{
+    const std::string temporary = absl::StrCat(name, TemporarySuffix);
+    absl::Status status = this->folder->remove(temporary);
+    if (status.ok() || absl::IsNotFound(status))
+        status = this->folder->append(temporary, bytes);
+    if (status.ok())
+        status = this->folder->sync(temporary);
+    if (status.ok())
+        status = this->folder->rename(temporary, name);
+    if (status.ok())
+        status = this->folder->syncFolder();
+    return status;
+}
+
+absl::Status QuorumStore::removeOthers()
+{
+    const auto names = this->folder->list();
+    if (!names.ok())
+        return names.status();
+    for (const std::string &name : *names) {
+        const bool current =
+            name == this->logName() || (this->hasSnapshot && name == this->snapshotName());
+        const bool own =
+            absl::StartsWith(name, LogPrefix) || absl::StartsWith(name, SnapshotPrefix);
+        if (current || !own)
+            continue;
+        const absl::Status removed = this->folder->remove(name);
+        if (!removed.ok())
+            return removed;
+    }
+    return this->folder->syncFolder();
+}
+
+absl::Status QuorumStore::reset()
+{
+    const auto names = this->folder->list();
+    if (!names.ok())
+        return names.status();
+    for (const std::string &name : *names) {
+        if (!absl::StartsWith(name, LogPrefix) && !absl::StartsWith(name, SnapshotPrefix))
+            continue;
+        const absl::Status removed = this->folder->remove(name);
+        if (!removed.ok())
+            return removed;
+    }
+    this->generation = 0;
+    this->hasSnapshot = false;
+    this->snapshotIndex = 0;
+    this->tail.clear();
+    this->hardState = {};
+    this->failed = false;
+    return this->folder->syncFolder();
+}
+
+std::string QuorumStore::logName() const
+{
+    return absl::StrCat(LogPrefix, this->generation);
+}
+
+std::string QuorumStore::snapshotName() const
+{
+    return absl::StrCat(SnapshotPrefix, this->generation);
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/tests/unit/quorum_faults.tests.cpp
@@ -0,0 +1,161 @@
+// Seeded property test of the quorum log: kills, cuts, torn, lost and damaged disks, delays,
+// losses, duplicates. The cluster checks its invariants after every event.
+#include "unit/support/quorum_cluster.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace rhubarbweir;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+class FaultRun
+{
+public:
+    explicit FaultRun(std::uint64_t seed)
+        : cluster(seed, 3 + 2 * (seed % 2), seed % 3 == 0 ? 1 : 0)
+    {
+        this->cluster.settings.replaceAfter = milliseconds(1500);
+        this->cluster.lossPercent = seed % 5;
+        this->cluster.duplicatePercent = seed % 7;
+        this->cluster.greatestDelay = milliseconds(seed % 4 == 0 ? 60 : 4);
+        this->cluster.greatestSync = milliseconds(seed % 6 == 0 ? 40 : 4);
+    }
+
+    void run()
+    {
+        this->cluster.startAll();
+        this->cluster.check(this->cluster.commitOne(seconds(20)), "no first commit");
+        this->load();
+        for (int fault = 0; fault < 30; ++fault) {
+            this->cluster.runFor(milliseconds(50 + this->pick(700)));
+            this->injectFault();
+        }
+        this->cluster.healLinks();
+        this->cluster.lossPercent = 0;
+        this->cluster.greatestDelay = milliseconds(4);
+        for (std::size_t number = 0; number < this->cluster.nodes.size(); ++number) {
+            QuorumNode &node = this->cluster.nodes[number];
+            node.folder->failSyncs = false;
+            node.folder->full = false;
+            if (node.log && node.log->role() == QuorumRole::Stopped)
+                this->cluster.crash(number);
+            this->cluster.start(number);
+        }
+        this->cluster.runFor(seconds(1));
+        this->cluster.check(this->cluster.commitOne(seconds(10)), "no progress once healed");
+        this->loading = false;
+        const bool settled = this->cluster.runUntil(
+            seconds(20), [this] { return this->cluster.allEqual() && this->cluster.whole(); });
+        this->cluster.check(settled, "instances differ once healed");
+    }
+
+    QuorumCluster cluster;
+
+private:
+    std::size_t pick(std::size_t bound) { return this->cluster.random() % bound; }
+
+    void load()
+    {
+        if (!this->loading)
+            return;
+        this->cluster.propose(this->pick(this->cluster.nodes.size()));
+        this->cluster.schedule(milliseconds(10), [this] { this->load(); });
+    }
+
+    void injectFault()
+    {
+        const std::size_t number = this->pick(this->cluster.nodes.size());
+        const std::size_t other = this->pick(this->cluster.nodes.size());
+        QuorumNode &node = this->cluster.nodes[number];
+        switch (this->pick(10)) {
+        case 0:
+        case 1:
+            this->cluster.crash(number);
+            break;
+        case 2:
+            this->cluster.crash(number);
+            this->cluster.start(number);
+            break;
+        case 3:
+            this->cluster.cut(number, other);
+            break;
+        case 4:
+            this->cluster.isolate(number);
+            break;
+        case 5:
+            this->cluster.healLinks();
+            break;
+        case 6:
+            (this->pick(2) == 0 ? node.folder->failSyncs : node.folder->full) = true;
+            break;
+        case 7:
+            this->loseFolder(number);
+            break;
+        default:
+            this->restartAll();
+            break;
+        }
+    }
+
+    // Wiped or damaged, as long as the committed entries survive on a majority.
+    void loseFolder(std::size_t number)
+    {
+        if (!this->cluster.mayLoseFolder())
+            return;
+        QuorumNode &node = this->cluster.nodes[number];
+        this->cluster.crash(number);
+        const auto names = node.folder->list();
+        node.lastIncarnation = 0;
+        if (this->pick(2) == 0 || names->empty()) {
+            this->cluster.wipe(number);
+        } else {
+            const std::string &name = names->at(this->pick(names->size()));
+            const std::size_t size = node.folder->read(name)->size();
+            if (size == 0)
+                this->cluster.wipe(number);
+            else
+                node.folder->flipBit(name, this->pick(size * 8));
+        }
+        this->cluster.start(number);
+    }
+
+    void restartAll()
+    {
+        for (std::size_t number = 0; number < this->cluster.nodes.size(); ++number) {
+            const auto &log = this->cluster.nodes[number].log;
+            if (log && log->role() == QuorumRole::Stopped)
+                this->cluster.crash(number);
+            this->cluster.start(number);
+        }
+    }
+
+    bool loading = true;
+};
+
+void runSeeds(std::uint64_t from, std::uint64_t to)
+{
+    for (std::uint64_t seed = from; seed < to; ++seed) {
+        FaultRun run(seed);
+        try {
+            run.run();
+        } catch (const std::exception &error) {
+            for (const std::string &line : run.cluster.eventLines)
+                fprintf(stderr, "%s\n", line.c_str());
+            cr_assert_fail("seed %llu: %s", static_cast<unsigned long long>(seed), error.what());
+        }
+    }
+}
+
+} // namespace
+
+Test(quorum_faults, seeds_a, .description = "seeds 0 to 499 keep every invariant")
+{
+    runSeeds(0, 500);
+}
+
+Test(quorum_faults, seeds_b, .description = "seeds 500 to 1,199 keep every invariant")
+{
+    runSeeds(500, 1200);
+}
--- /dev/null
+++ b/tests/unit/quorum_log.tests.cpp
@@ -0,0 +1,234 @@
+// Focused tests of the quorum log; quorum_faults.tests.cpp holds the seeded property test.
+#include "unit/support/quorum_cluster.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace rhubarbweir;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+bool eventSeen(const QuorumCluster &cluster, const std::string &text)
+{
+    for (const std::string &line : cluster.eventLines) {
+        if (line.find(text) != std::string::npos)
+            return true;
+    }
+    return false;
+}
+
+std::size_t follower(const QuorumCluster &cluster, std::size_t skipped = 0)
+{
+    const std::size_t leader = cluster.leader().value();
+    return (leader + 1 + skipped) % cluster.nodes.size();
+}
+
+} // namespace
+
+Test(quorum_log, elects_and_commits, .description = "a new cluster elects a leader and commits")
+{
+    QuorumCluster cluster(1);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    cluster.runFor(seconds(1));
+    cr_assert(cluster.allEqual());
+    cr_assert_eq(cluster.nodes[follower(cluster)].log->leader()->instance,
+                 cluster.nodes[*cluster.leader()].peer.instance);
+}
+
+Test(quorum_log, cut_leader, .description = "a leader cut off for an hour extends nothing")
+{
+    QuorumCluster cluster(2);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    const std::size_t old = *cluster.leader();
+    cluster.isolate(old);
+    // It can still append, but neither commit nor lease.
+    cr_assert(cluster.propose(old));
+    cluster.runFor(milliseconds(300));
+    cr_assert_not(cluster.nodes[old].log->leaseValid(cluster.local(cluster.nodes[old])));
+    for (int minute = 0; minute < 60; ++minute) {
+        cr_assert(cluster.commitOne());
+        cr_assert_neq(*cluster.leader(), old);
+        cluster.runFor(minutes(1));
+        cr_assert_not(cluster.nodes[old].log->isLeader());
+    }
+    const std::uint64_t term = cluster.nodes[*cluster.leader()].log->term();
+    cluster.healLinks();
+    cluster.runFor(seconds(2));
+    cr_assert(cluster.allEqual());
+    cr_assert_eq(cluster.nodes[*cluster.leader()].log->term(), term,
+                 "the return disturbs no leader");
+}
+
+Test(quorum_log, second_disk_lost,
+     .description = "a lost disk is repaired, a second is lost at once")
+{
+    QuorumCluster cluster(3);
+    cluster.startAll();
+    for (int number = 0; number < 20; ++number)
+        cr_assert(cluster.commitOne());
+    const std::size_t first = follower(cluster);
+    const std::size_t second = follower(cluster, 1);
+    cluster.wipe(first);
+    cluster.start(first);
+    cr_assert(cluster.runUntil(seconds(5), [&] { return cluster.whole(); }));
+    cr_assert(eventSeen(cluster, "quorum_voter_removed instance=control-" + std::to_string(first)
+                                     + " cause=data_folder_lost"));
+    cluster.wipe(second);
+    cr_assert(cluster.commitOne(), "the repaired voter and the leader are a majority");
+    cluster.start(second);
+    cr_assert(cluster.runUntil(seconds(5), [&] { return cluster.whole() && cluster.allEqual(); }));
+}
+
+Test(quorum_log, damaged_folder, .description = "a flipped bit costs the old incarnation its vote")
+{
+    QuorumCluster cluster(4);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    const std::size_t hurt = follower(cluster);
+    const std::uint64_t before = cluster.nodes[hurt].log->incarnation();
+    cluster.crash(hurt);
+    cluster.nodes[hurt].folder->flipBit("log-1", 1000);
+    cluster.start(hurt);
+    cr_assert_eq(cluster.damagedLoads, 1);
+    cr_assert_neq(cluster.nodes[hurt].log->incarnation(), before);
+    cr_assert(cluster.runUntil(seconds(5), [&] { return cluster.whole() && cluster.allEqual(); }));
+}
+
+Test(quorum_log, far_behind, .description = "300 entries while a voter is down arrive by snapshot")
+{
+    QuorumCluster cluster(5);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    const std::size_t down = follower(cluster);
+    cluster.crash(down);
+    for (int number = 0; number < 300; ++number)
+        cr_assert(cluster.commitOne());
+    cluster.start(down);
+    cr_assert(cluster.runUntil(seconds(2), [&] { return cluster.allEqual(); }));
+    cr_assert(eventSeen(cluster, std::to_string(down) + " quorum_snapshot_installed"));
+    cluster.crash(down);
+    cluster.start(down);
+    cluster.runFor(seconds(1));
+    cr_assert(cluster.allEqual(), "the installed snapshot is durable");
+}
+
+Test(quorum_log, failed_sync, .description = "after a failed sync a leader stops for good")
+{
+    QuorumCluster cluster(6);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    const std::size_t old = *cluster.leader();
+    cluster.nodes[old].folder->failSyncs = true;
+    cluster.propose(old);
+    cluster.runFor(milliseconds(20));
+    cr_assert(cluster.nodes[old].log->role() == QuorumRole::Stopped);
+    cluster.nodes[old].folder->failSyncs = false;
+    cr_assert(cluster.commitOne());
+    cr_assert_neq(*cluster.leader(), old);
+    cr_assert(cluster.nodes[old].log->role() == QuorumRole::Stopped, "it does not retry");
+    cluster.crash(old);
+    cluster.start(old);
+    cluster.runFor(seconds(1));
+    cr_assert(cluster.allEqual());
+}
+
+Test(quorum_log, full_disk, .description = "a follower with a full disk acknowledges nothing")
+{
+    QuorumCluster cluster(7);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    const std::size_t hurt = follower(cluster);
+    cluster.nodes[hurt].folder->full = true;
+    cr_assert(cluster.commitOne());
+    cluster.runFor(milliseconds(100));
+    cr_assert(cluster.nodes[hurt].log->role() == QuorumRole::Stopped);
+    cr_assert(cluster.commitOne());
+}
+
+Test(quorum_log, wrong_bootstrap, .description = "a wiped bootstrapper joins, it starts no cluster")
+{
+    QuorumCluster cluster(8);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    cluster.runFor(seconds(1));
+    // All but one voter stop; the smallest instance bootstraps, and its folder is lost.
+    cluster.crash(1);
+    cluster.wipe(0);
+    cluster.start(0);
+    cluster.runFor(seconds(10));
+    cr_assert_not(cluster.leader().has_value(), "one old voter and a wiped one are no majority");
+    cr_assert(eventSeen(cluster, "quorum_bootstrap_declined"));
+    cluster.start(1);
+    cr_assert(cluster.commitOne());
+    cr_assert(cluster.runUntil(seconds(5), [&] { return cluster.whole() && cluster.allEqual(); }));
+}
+
+Test(quorum_log, spare, .description = "a spare takes the place of a silent voter by itself")
+{
+    QuorumCluster cluster(9, 3, 1);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    const std::size_t lost = *cluster.leader() == 0 ? 1 : 0;
+    cluster.wipe(lost);
+    cluster.runFor(seconds(2));
+    cr_assert_not(eventSeen(cluster, "quorum_voter_removed"), "not before the stated time");
+    cluster.runFor(seconds(3));
+    cr_assert(eventSeen(cluster, "cause=silent"));
+    const QuorumMembership &now = cluster.nodes[*cluster.leader()].log->membership();
+    cr_assert_eq(now.voters.size(), 3);
+    cr_assert(cluster.nodes[3].lastIncarnation == now.voters.back().incarnation);
+}
+
+Test(quorum_log, no_majority, .description = "without a living majority no voter is replaced")
+{
+    QuorumCluster cluster(10, 3, 1);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    cluster.runFor(seconds(1));
+    const std::size_t leader = *cluster.leader();
+    cluster.crash((leader + 1) % 3);
+    cluster.crash((leader + 2) % 3);
+    cluster.runFor(seconds(20));
+    cr_assert_not(eventSeen(cluster, "quorum_voter_removed"));
+    cr_assert_not(cluster.leader().has_value());
+}
+
+Test(quorum_log, handover, .description = "a planned change of the leader loses nothing")
+{
+    QuorumCluster cluster(11);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    cluster.runFor(milliseconds(100));
+    const std::size_t old = *cluster.leader();
+    cr_assert(cluster.nodes[old].log->handOverLeadership(cluster.local(cluster.nodes[old])).ok());
+    const bool moved = cluster.runUntil(
+        milliseconds(300), [&] { return cluster.leader() && *cluster.leader() != old; });
+    cr_assert(moved, "faster than the least election timeout after the lease");
+    cr_assert(cluster.commitOne());
+}
+
+Test(quorum_log, operator_changes, .description = "a removed voter stays out until added again")
+{
+    QuorumCluster cluster(12, 3, 1);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    cluster.runFor(seconds(1));
+    const std::size_t removed = *cluster.leader() == 0 ? 1 : 0;
+    const QuorumPeer peer = cluster.nodes[removed].peer;
+    const auto leading = [&]() -> QuorumNode & {
+        return cluster.nodes[*cluster.leader()];
+    };
+    cr_assert(leading().log->removeVoter(peer.instance, cluster.local(leading())).ok());
+    cr_assert(absl::IsUnavailable(
+        leading().log->removeVoter(cluster.nodes[2].peer.instance, cluster.local(leading()))));
+    cluster.runFor(seconds(5));
+    cr_assert_eq(leading().log->membership().voters.size(), 3);
+    cr_assert(leading().log->membership().learners.empty());
+    cr_assert(leading().log->addLearner(peer, cluster.local(leading())).ok());
+    cluster.runFor(seconds(2));
+    cr_assert_eq(leading().log->membership().learners.size(), 1);
+}
