--- a/src/programs/load/checker.cpp
+++ b/src/programs/load/checker.cpp
@@ -114,8 +114,9 @@
 
 bool Checker::isOwnAnswer(const CallerRequest &request, const CallerAnswer &answer)
 {
+    const bool hasKey = request.kind == RequestKind::Read || request.kind == RequestKind::Write;
     const bool isOwn = answer.session == request.session && answer.requestId == request.requestId
-        && (answer.outcome != Outcome::Ok || answer.key == request.key);
+                       && (answer.outcome != Outcome::Ok || !hasKey || answer.key == request.key);
     if (isOwn)
         return true;
     ++this->counted.crossed;
@@ -138,11 +139,11 @@
         return;
     const bool isBounded = request.consistency == Consistency::Bounded;
     ++(isBounded ? this->counted.tooOld : this->counted.readYourWrites);
-    this->note(absl::StrCat(isBounded ? "too old: " : "stale: ", std::string(nameOf(request.consistency)),
-                            " read ", nameOfRequest(keyOf(request)), " of ", request.key, " from ",
-                            answer.servedBy.value, " at ", answer.position.term, "/",
-                            answer.position.position, " showed ", *number, ", confirmed was ",
-                            expectation.least));
+    this->note(absl::StrCat(
+        isBounded ? "too old: " : "stale: ", std::string(nameOf(request.consistency)), " read ",
+        nameOfRequest(keyOf(request)), " of ", request.key, " from ", answer.servedBy.value, " at ",
+        answer.position.term, "/", answer.position.position, " showed ", *number,
+        ", confirmed was ", expectation.least));
 }
 
 void Checker::checkFinalRead(const std::string &key, const std::string &value)
@@ -163,8 +164,8 @@
     }
     // A register may only show a number that an unresolved Set may have written.
     const std::int64_t greatest = state.operation == WriteOperation::Add
-        ? state.confirmed + state.unresolved
-        : (state.unresolved > 0 ? state.planned : state.confirmed);
+                                      ? state.confirmed + state.unresolved
+                                      : (state.unresolved > 0 ? state.planned : state.confirmed);
     if (*number > greatest) {
         this->doubledByReads += *number - greatest;
         this->note(absl::StrCat("doubled: final value of ", key, " is ", *number,
@@ -229,11 +230,13 @@
 {
     Violations result = this->counted;
     result.confirmedLost = std::max(this->lostByReads, this->lostByLogs);
-    result.doubled = std::max(this->doubledByReads, this->doubledByLogs + this->counted.falseNotRun);
+    result.doubled =
+        std::max(this->doubledByReads, this->doubledByLogs + this->counted.falseNotRun);
     return result;
 }
 
-std::optional<std::int64_t> Checker::numberIn(const std::string &key, const std::string &value) const
+std::optional<std::int64_t> Checker::numberIn(const std::string &key,
+                                              const std::string &value) const
 {
     if (value.empty())
         return 0;
@@ -242,9 +245,8 @@
     if (found->second.operation == WriteOperation::Add)
         return absl::SimpleAtoi(value, &number) ? std::make_optional(number) : std::nullopt;
     const std::string prefix = key + ":";
-    const bool isOwn
-        = value.compare(0, prefix.size(), prefix) == 0
-        && absl::SimpleAtoi(value.substr(prefix.size()), &number);
+    const bool isOwn = value.compare(0, prefix.size(), prefix) == 0
+                       && absl::SimpleAtoi(value.substr(prefix.size()), &number);
     return isOwn ? std::make_optional(number) : std::nullopt;
 }
 
--- a/src/programs/load/measurements.cpp
+++ b/src/programs/load/measurements.cpp
@@ -20,7 +20,7 @@
 
 LatencyHistogram::LatencyHistogram()
     : bins(boost::histogram::make_histogram(
-          Axis(Bins, LeastMilliseconds, GreatestMilliseconds, "latency in ms")))
+        Axis(Bins, LeastMilliseconds, GreatestMilliseconds, "latency in ms")))
 {
 }
 
