Read the settings of stand-in and load through the shared settings library

Cause: a second INI reader could not report unknown keys or lines. Change: both programs declare a schema; flags of rhubarb-load replace keys of its file.

--- a/src/programs/load/load_runner.cpp
+++ b/src/programs/load/load_runner.cpp
@@ -10,7 +10,6 @@
 #include <fstream>
 #include <iostream>
 #include <random>
-#include <sysexits.h>
 #include <utility>
 
 namespace rhubarbweir {
@@ -20,7 +19,6 @@
 constexpr std::chrono::seconds ProgressInterval{2};
 constexpr std::chrono::milliseconds IdleCheckInterval{20};
 constexpr std::chrono::seconds OpenTimeout{20};
-constexpr int ExitBrokenPromise = 1;
 
 Mix mixFor(const LoadSettings &settings)
 {
@@ -57,7 +55,7 @@
 {
 }
 
-int LoadRunner::run()
+ExitCode LoadRunner::run()
 {
     this->openSessions();
     this->loop.every(ProgressInterval, [this] { this->showProgress(); });
@@ -80,7 +78,7 @@
             return;
         std::cerr << "only " << this->openSessionCount << " of " << this->sessions.size()
                   << " sessions could be opened\n";
-        this->exitCode = EX_UNAVAILABLE;
+        this->exitCode = ExitCode::Unavailable;
         this->loop.stop();
     });
 }
@@ -178,13 +176,14 @@
     const RunResult result = this->checkReports();
     printReport(std::cout, this->shared.measurements, result);
     const std::string &file = this->shared.settings.jsonFile;
-    this->exitCode = isClean(this->shared.measurements, result) ? EX_OK : ExitBrokenPromise;
+    this->exitCode =
+        isClean(this->shared.measurements, result) ? ExitCode::Success : ExitCode::Failure;
     if (!file.empty()) {
         const absl::Status written =
             replaceFile(file, jsonReport(this->shared.measurements, result).dump(2) + "\n");
         if (!written.ok()) {
             std::cerr << written << "\n";
-            this->exitCode = EX_CANTCREAT;
+            this->exitCode = ExitCode::CannotCreate;
         }
     }
     this->loop.stop();
--- a/src/programs/load/load_runner.hpp
+++ b/src/programs/load/load_runner.hpp
@@ -15,8 +15,8 @@
 public:
     explicit LoadRunner(LoadSettings loadSettings);
 
-    // Returns the exit code.
-    int run();
+    // Returns when the checks are done.
+    ExitCode run();
 
 private:
     void openSessions();
@@ -44,7 +44,7 @@
     TimePoint loadEndsAt = TimePoint::max();
     // When the next operation of an open loop arrives.
     TimePoint nextArrivalAt;
-    int exitCode = 0;
+    ExitCode exitCode = ExitCode::Success;
 };
 
 } // namespace rhubarbweir
--- a/src/programs/load/load_settings.cpp
+++ b/src/programs/load/load_settings.cpp
@@ -1,199 +1,185 @@
 // See load_settings.hpp.
 #include "programs/load/load_settings.hpp"
 
-#include <INIReader.h>
-#include <absl/strings/ascii.h>
-#include <absl/strings/numbers.h>
-#include <absl/strings/str_split.h>
+#include "programs/support/settings_file.hpp"
 
-#include <functional>
-#include <getopt.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+
+#include <algorithm>
+#include <fstream>
 #include <iostream>
-#include <memory>
-#include <sysexits.h>
+#include <iterator>
 
 namespace rhubarbweir {
 
 namespace {
 
-// One setting: its name, what it accepts, and how a text becomes its value.
-struct LoadOption
-{
-    const char *name;
-    const char *expected;
-    std::function<bool(LoadSettings &, const std::string &)> assign;
-};
+constexpr char Section[] = "load";
 
-std::vector<std::string> listOf(const std::string &text)
+Setting number(const char *key, std::int64_t least, std::int64_t greatest, const char *unset,
+               const char *description)
 {
-    std::vector<std::string> items;
-    for (absl::string_view item : absl::StrSplit(text, ',', absl::SkipWhitespace()))
-        items.emplace_back(absl::StripAsciiWhitespace(item));
-    return items;
+    return Setting::integer(Section, key, least, greatest, description).otherwise(unset);
 }
 
-template<typename Number>
-LoadOption numberOption(const char *name, Number LoadSettings::*member)
+Setting span(const char *key, const char *unset, const char *description)
 {
-    return {name, "a whole number", [member](LoadSettings &settings, const std::string &text) {
-                return absl::SimpleAtoi(text, &(settings.*member));
-            }};
+    return Setting::duration(Section, key, Duration(0), std::chrono::hours(24), description)
+        .otherwise(unset);
 }
 
-LoadOption fractionOption(const char *name, const char *expected, double LoadSettings::*member)
+std::string flagOf(const Setting &setting)
 {
-    return {name, expected, [member](LoadSettings &settings, const std::string &text) {
-                return absl::SimpleAtod(text, &(settings.*member)) && settings.*member >= 0;
-            }};
+    return absl::StrReplaceAll(setting.key, {{"_", "-"}});
 }
 
-LoadOption millisecondsOption(const char *name, Duration LoadSettings::*member)
+CommandDescription describe(const SettingsSchema &schema)
 {
-    return {name, "milliseconds", [member](LoadSettings &settings, const std::string &text) {
-                std::int64_t value = 0;
-                const bool isValid = absl::SimpleAtoi(text, &value) && value >= 0;
-                settings.*member = std::chrono::milliseconds(value);
-                return isValid;
-            }};
+    CommandDescription description;
+    description.program = "rhubarb-load";
+    description.summary = "Callers' load and measurement. Flags win over the settings file.";
+    description.options.push_back({"settings", "FILE", "Read settings from FILE.", false});
+    description.options.push_back(
+        {"check-settings", "", "Check the settings, report all faults and exit.", false});
+    description.options.push_back(
+        {"print-settings-reference", "", "Print the settings reference and exit.", true});
+    for (const Setting &setting : schema.settings())
+        description.options.push_back({flagOf(setting), "VALUE", setting.description, false});
+    return description;
 }
 
-LoadOption listOption(const char *name, std::vector<std::string> LoadSettings::*member)
+std::string readFile(const std::string &file)
 {
-    return {name, "a list with commas", [member](LoadSettings &settings, const std::string &text) {
-                settings.*member = listOf(text);
-                return !(settings.*member).empty();
-            }};
+    std::ifstream in(file);
+    return std::string(std::istreambuf_iterator<char>(in), {});
 }
 
-std::vector<LoadOption> loadOptions()
+// The file's content without the settings that flags replace, and the flags at its end. Lines
+// keep their numbers.
+std::string withFlags(const std::string &content, const std::string &file,
+                      const SettingsSchema &schema, const CommandLine &commandLine)
 {
-    return {
-        listOption("proxies", &LoadSettings::proxies),
-        {"groups", "a list with commas",
-         [](LoadSettings &settings, const std::string &text) {
-             settings.groups.clear();
-             for (const std::string &group : listOf(text))
-                 settings.groups.emplace_back(group);
-             return !settings.groups.empty();
-         }},
-        {"mix", "lakeshore or rallye",
-         [](LoadSettings &settings, const std::string &text) {
-             const auto mix = enumFromName<MixName>(text);
-             settings.mix = mix.value_or(MixName::Lakeshore);
-             return mix.has_value();
-         }},
-        fractionOption("roaming", "a share from 0 to 1", &LoadSettings::roaming),
-        numberOption("sessions", &LoadSettings::sessions),
-        fractionOption("rate", "operations a second, 0 for a closed loop", &LoadSettings::rate),
-        millisecondsOption("think_time_ms", &LoadSettings::thinkTime),
-        millisecondsOption("duration_ms", &LoadSettings::duration),
-        numberOption("seed", &LoadSettings::seed),
-        millisecondsOption("peak_after_ms", &LoadSettings::peakAfter),
-        millisecondsOption("peak_for_ms", &LoadSettings::peakFor),
-        fractionOption("peak_factor", "a factor", &LoadSettings::peakFactor),
-        millisecondsOption("deadline_ms", &LoadSettings::deadline),
-        millisecondsOption("grace_ms", &LoadSettings::grace),
-        millisecondsOption("settle_for_ms", &LoadSettings::settleFor),
-        numberOption("keys_per_group", &LoadSettings::keysPerGroup),
-        listOption("reports", &LoadSettings::reports),
-        millisecondsOption("report_wait_ms", &LoadSettings::reportWait),
-        {"json", "a file name",
-         [](LoadSettings &settings, const std::string &text) {
-             settings.jsonFile = text;
-             return !text.empty();
-         }},
+    std::vector<std::string> lines{""};
+    for (const char character : content) {
+        if (character == '\n')
+            lines.emplace_back();
+        else
+            lines.back().push_back(character);
+    }
+    const SettingsFileContent parsed = parseSettingsText(content, file);
+    const auto isReplaced = [&](const SettingsEntry &entry) {
+        return entry.section == Section
+               && commandLine.has(absl::StrReplaceAll(entry.key, {{"_", "-"}}));
     };
+    for (const SettingsEntry &entry : parsed.entries) {
+        if (!isReplaced(entry))
+            continue;
+        const auto extra = std::count(entry.value.begin(), entry.value.end(), '\n');
+        for (std::int64_t line = entry.line; line <= entry.line + extra; ++line)
+            lines.at(line - 1).clear();
+    }
+    std::string result;
+    for (const std::string &line : lines)
+        absl::StrAppend(&result, line, "\n");
+    if (parsed.sections.empty())
+        absl::StrAppend(&result, "[", Section, "]\n");
+    for (const Setting &setting : schema.settings()) {
+        if (commandLine.has(flagOf(setting)))
+            absl::StrAppend(&result, setting.key, " = ", commandLine.value(flagOf(setting)), "\n");
+    }
+    return result;
 }
 
-void printUsage(std::ostream &out)
+LoadSettings loadSettingsFrom(const Settings &values)
 {
-    out << "usage: rhubarb-load [--settings FILE] [--NAME=VALUE ...]\n"
-           "Flags and keys of section [load] have the same names; flags win.\n";
-    for (const LoadOption &known : loadOptions())
-        out << "  --" << known.name << "=  " << known.expected << "\n";
-    out << "  --check-settings, --help, --version\n";
+    LoadSettings settings;
+    settings.proxies = values.list(Section, "proxies");
+    for (const std::string &group : values.list(Section, "groups"))
+        settings.groups.emplace_back(group);
+    settings.mix = enumFromName<MixName>(values.text(Section, "mix")).value();
+    settings.roaming = static_cast<double>(values.integer(Section, "roaming_percent")) / 100.0;
+    settings.sessions = static_cast<std::uint32_t>(values.integer(Section, "sessions"));
+    settings.rate = static_cast<double>(values.integer(Section, "rate"));
+    settings.thinkTime = values.duration(Section, "think_time");
+    settings.duration = values.duration(Section, "duration");
+    settings.seed = static_cast<std::uint64_t>(values.integer(Section, "seed"));
+    settings.peakAfter = values.duration(Section, "peak_after");
+    settings.peakFor = values.duration(Section, "peak_for");
+    settings.peakFactor = static_cast<double>(values.integer(Section, "peak_factor"));
+    settings.deadline = values.duration(Section, "deadline");
+    settings.grace = values.duration(Section, "grace");
+    settings.settleFor = values.duration(Section, "settle_for");
+    settings.keysPerGroup = static_cast<std::uint32_t>(values.integer(Section, "keys_per_group"));
+    settings.reports = values.list(Section, "reports");
+    settings.reportWait = values.duration(Section, "report_wait");
+    settings.jsonFile = values.text(Section, "json");
+    return settings;
 }
 
-// Returns whether the value was accepted.
-bool assign(LoadSettings &settings, const LoadOption &option, const std::string &text,
-            const std::string &origin)
+} // namespace
+
+SettingsSchema loadSettingsSchema()
 {
-    if (option.assign(settings, text))
-        return true;
-    std::cerr << origin << ": " << option.name << ": expected " << option.expected << ", found '"
-              << text << "'\n";
-    return false;
+    SettingsSchema schema("rhubarb-load");
+    schema.add(Setting::addressList(Section, "proxies", "Proxies that callers connect to."));
+    schema.add(Setting::list(Section, "groups", "Database groups."));
+    schema.add(Setting::choice(Section, "mix", {"lakeshore", "rallye"}, "Shares of operations.")
+                   .otherwise("lakeshore"));
+    schema.add(number("roaming_percent", 0, 100, "2", "Operations that change the proxy first."));
+    schema.add(number("sessions", 1, 100'000, "50", "Caller sessions."));
+    schema.add(number("rate", 0, 1'000'000, "0",
+                      "Operations a second over all sessions; 0 is a closed loop."));
+    schema.add(span("think_time", "0ms", "Pause of a session in a closed loop."));
+    schema.add(span("duration", "30s", "Length of the load."));
+    schema.add(number("seed", 0, 1'000'000'000, "1", "Seed of all choices."));
+    schema.add(span("peak_after", "0s", "Start of the peak."));
+    schema.add(span("peak_for", "0s", "Length of the peak; 0s for none."));
+    schema.add(number("peak_factor", 1, 1000, "10", "The peak's multiple of the rate."));
+    schema.add(span("deadline", "1s", "Time that a caller gives one operation."));
+    schema.add(
+        span("grace", "500ms", "Time after the deadline before an answer counts as missing."));
+    schema.add(span("settle_for", "20s", "Time for outcome queries and final reads."));
+    schema.add(number("keys_per_group", 1, 1000, "4", "Keys of a session in each group."));
+    schema.add(Setting::list(Section, "reports",
+                             "Reports of the stand-ins: files, or folders of .json files.")
+                   .otherwise(""));
+    schema.add(
+        span("report_wait", "1500ms", "Time for the stand-ins to write their last reports."));
+    schema.add(Setting::outputFile(Section, "json", "Receives the result as JSON.").otherwise(""));
+    return schema;
 }
 
-bool readFile(const std::string &file, LoadSettings &settings)
+LoadStart startLoadProgram(int argc, char **argv)
 {
-    const INIReader ini(file);
-    if (ini.ParseError() != 0) {
-        std::cerr << file << ": line " << ini.ParseError() << ": expected key = value\n";
-        return false;
+    const SettingsSchema schema = loadSettingsSchema();
+    LoadStart start;
+    const CommandLine commandLine =
+        parseCommandLine(argc, argv, describe(schema), std::cout, std::cerr);
+    if (commandLine.exit) {
+        start.exit = commandLine.exit;
+        return start;
     }
-    bool isValid = true;
-    for (const LoadOption &option : loadOptions()) {
-        if (ini.HasValue("load", option.name)) {
-            const std::string text = ini.GetString("load", option.name, "");
-            isValid = assign(settings, option, text, file) && isValid;
-        }
+    if (commandLine.has("print-settings-reference")) {
+        writeSettingsReference(schema, std::cout);
+        start.exit = ExitCode::Success;
+        return start;
     }
-    return isValid;
-}
-
-bool checkWhole(const LoadSettings &settings)
-{
-    const bool isWhole = !settings.proxies.empty() && !settings.groups.empty()
-                         && settings.sessions > 0 && settings.keysPerGroup > 0;
-    if (!isWhole)
-        std::cerr << "proxies, groups, sessions and keys_per_group have to be given\n";
-    return isWhole;
-}
-
-} // namespace
-
-LoadSettings loadSettingsFromCommandLine(int argc, char **argv)
-{
-    const std::vector<LoadOption> options = loadOptions();
-    std::vector<option> known;
-    for (std::size_t index = 0; index < options.size(); ++index)
-        known.push_back(
-            {options[index].name, required_argument, nullptr, 1000 + static_cast<int>(index)});
-    known.push_back({"settings", required_argument, nullptr, 's'});
-    known.push_back({"check-settings", no_argument, nullptr, 'c'});
-    known.push_back({"help", no_argument, nullptr, 'h'});
-    known.push_back({"version", no_argument, nullptr, 'v'});
-    known.push_back({nullptr, 0, nullptr, 0});
-    LoadSettings settings;
-    std::vector<std::pair<const LoadOption *, std::string>> flags;
-    bool checkOnly = false;
-    bool isValid = true;
-    for (int code = 0; (code = getopt_long(argc, argv, "s:chv", known.data(), nullptr)) != -1;) {
-        if (code >= 1000) {
-            flags.emplace_back(&options[code - 1000], optarg);
-        } else if (code == 's') {
-            isValid = readFile(optarg, settings) && isValid;
-        } else if (code == 'c') {
-            checkOnly = true;
-        } else if (code == 'v') {
-            std::cout << "rhubarb-load 0.1.0\n";
-            settings.exitCode = EX_OK;
-            return settings;
-        } else {
-            printUsage(code == 'h' ? std::cout : std::cerr);
-            settings.exitCode = code == 'h' ? EX_OK : EX_USAGE;
-            return settings;
-        }
+    const std::string file = commandLine.value("settings", "command line");
+    const std::string content =
+        commandLine.has("settings") ? readFile(commandLine.value("settings")) : std::string();
+    const LoadedSettings loaded =
+        schema.loadText(withFlags(content, file, schema, commandLine), file);
+    for (const SettingsFault &fault : loaded.faults)
+        std::cerr << fault << "\n";
+    if (!loaded.faults.empty()) {
+        start.exit = ExitCode::Configuration;
+        return start;
     }
-    for (const auto &[flag, text] : flags)
-        isValid = assign(settings, *flag, text, "command line") && isValid;
-    isValid = checkWhole(settings) && isValid;
-    if (!isValid)
-        settings.exitCode = EX_CONFIG;
-    else if (checkOnly)
-        settings.exitCode = EX_OK;
-    return settings;
+    start.settings = loadSettingsFrom(loaded.settings);
+    if (commandLine.has("check-settings"))
+        start.exit = ExitCode::Success;
+    return start;
 }
 
 } // namespace rhubarbweir
--- a/src/programs/load/load_settings.hpp
+++ b/src/programs/load/load_settings.hpp
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "programs/load/workload.hpp"
+#include "programs/support/command_line.hpp"
 
-#include <absl/status/status.h>
-
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,11 +39,19 @@
     // Time that the stand-ins have to write their last reports.
     Duration reportWait = std::chrono::milliseconds(1500);
     std::string jsonFile;
-    // Set by --help, --version or a usage error: the program ends with it.
-    int exitCode = -1;
 };
 
-// Prints faults to standard error and sets exitCode.
-LoadSettings loadSettingsFromCommandLine(int argc, char **argv);
+struct LoadStart
+{
+    LoadSettings settings;
+    // Set when the program has to end at once.
+    std::optional<ExitCode> exit;
+};
+
+SettingsSchema loadSettingsSchema();
+
+// Reads --settings FILE and flags named like the settings, which win over the file.
+// Faults are printed to standard error.
+LoadStart startLoadProgram(int argc, char **argv);
 
 } // namespace rhubarbweir
--- a/src/programs/load/main.cpp
+++ b/src/programs/load/main.cpp
@@ -3,8 +3,9 @@
 
 int main(int argc, char **argv)
 {
-    const rhubarbweir::LoadSettings settings = rhubarbweir::loadSettingsFromCommandLine(argc, argv);
-    if (settings.exitCode != -1)
-        return settings.exitCode;
-    return rhubarbweir::LoadRunner(settings).run();
+    using namespace rhubarbweir;
+    const LoadStart start = startLoadProgram(argc, argv);
+    if (start.exit)
+        return exitStatus(*start.exit);
+    return exitStatus(LoadRunner(start.settings).run());
 }
--- a/src/programs/standin/standin_server.cpp
+++ b/src/programs/standin/standin_server.cpp
@@ -22,12 +22,35 @@
            && a.applied == b.applied;
 }
 
+DatabaseSettings databaseSettingsFrom(const StandinProgramSettings &settings)
+{
+    DatabaseSettings database;
+    database.target = settings.id;
+    database.group = settings.group;
+    database.limits.connections = settings.connections;
+    database.limits.slots = settings.slots;
+    database.hardConnectionLimit = settings.hardConnections;
+    database.serviceTime = settings.serviceTime;
+    database.exponentialService = settings.exponentialService;
+    database.connectionSetup = settings.connectionSetup;
+    database.behindWait = settings.behindWait;
+    database.replicationDelay = settings.replicationDelay;
+    database.applyLag.least = settings.lagLeast;
+    database.applyLag.greatest = settings.lagGreatest;
+    database.applyLag.holdFor = settings.lagHoldFor;
+    database.applyLag.spellShare = settings.spellPercent / 100.0;
+    database.applyLag.spellLag = settings.spellLag;
+    database.applyLag.spellFor = settings.spellFor;
+    database.seed = settings.seed;
+    return database;
+}
+
 } // namespace
 
-StandinServer::StandinServer(EventLoop &eventLoop, ServerSettings serverSettings)
+StandinServer::StandinServer(EventLoop &eventLoop, StandinProgramSettings standinSettings)
     : loop(eventLoop)
-    , settings(std::move(serverSettings))
-    , database(this->settings.database,
+    , settings(std::move(standinSettings))
+    , database(databaseSettingsFrom(this->settings),
                DatabaseHooks{[this](std::uint64_t number, const Message &message) {
                                  const auto found = this->connections.find(number);
                                  if (found != this->connections.end())
@@ -40,7 +63,7 @@
                                  this->journal.append(record);
                              }})
     , server(
-          eventLoop, this->settings.address, {Subprotocol::Target}, MaxSockets,
+          eventLoop, this->settings.listenAddress, {Subprotocol::Target}, MaxSockets,
           ServerHooks{
               [this](const ConnectionPtr &connection, Subprotocol) { this->accepted(connection); },
               [this](const std::string &path) { return this->answerGet(path); },
@@ -70,7 +93,7 @@
     if (!this->settings.reportFile.empty())
         this->loop.every(this->settings.reportInterval, [this] { this->writeReport(); });
     logEvent(LogLevel::Info, "started",
-             {{"address", this->settings.address},
+             {{"address", this->settings.listenAddress},
               {"term", static_cast<std::int64_t>(this->database.adoptedTerm())}});
     return absl::OkStatus();
 }
@@ -159,7 +182,7 @@
         connection->send(this->database.receive(*promote, now));
         logEvent(LogLevel::Info, "promoted", {{"term", static_cast<std::int64_t>(promote->term)}});
         for (const PeerAddress &member : promote->members) {
-            if (member.target != this->settings.database.target)
+            if (member.target != this->settings.id)
                 this->dialMember(member.target, member.address);
         }
     } else if (const auto *primary = std::get_if<FollowPrimary>(&message)) {
@@ -174,7 +197,7 @@
 {
     Announcement announcement;
     announcement.status = this->database.status();
-    announcement.address = this->settings.address;
+    announcement.address = this->settings.listenAddress;
     announcement.failureDomain = this->settings.failureDomain;
     announcement.uses = this->database.usage().byHolder();
     for (std::size_t index = 0; index < this->controls.size(); ++index) {
@@ -234,8 +257,8 @@
     if (message.term != this->database.adoptedTerm() || this->database.isPrimary())
         return;
     ReplicateAnswer hello;
-    hello.group = this->settings.database.group;
-    hello.target = this->settings.database.target;
+    hello.group = this->settings.group;
+    hello.target = this->settings.id;
     hello.term = message.term;
     this->members[message.primary.target].address = message.primary.address;
     this->sendToMember(message.primary.target, hello);
--- a/src/programs/standin/standin_server.hpp
+++ b/src/programs/standin/standin_server.hpp
@@ -4,7 +4,7 @@
 
 #include "programs/standin/database.hpp"
 #include "programs/standin/journal.hpp"
-#include "programs/standin/server_settings.hpp"
+#include "programs/support/standin_program_settings.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 #include "rhubarbweir/transport/web_socket.hpp"
 
@@ -17,7 +17,7 @@
 class StandinServer
 {
 public:
-    StandinServer(EventLoop &eventLoop, ServerSettings serverSettings);
+    StandinServer(EventLoop &eventLoop, StandinProgramSettings standinSettings);
 
     // Restores the journal, then listens and announces.
     // Errors: those of Journal::open() and WebSocketServer::listen().
@@ -54,7 +54,7 @@
     void writeReport() const;
 
     EventLoop &loop;
-    ServerSettings settings;
+    StandinProgramSettings settings;
     Journal journal;
     Database database;
     WebSocketServer server;
