--- a/src/rhubarbweir/coordination/group_holder.cpp
+++ b/src/rhubarbweir/coordination/group_holder.cpp
@@ -12,6 +12,27 @@
 constexpr Duration MaxStartAllowance = std::chrono::milliseconds(10);
 constexpr std::size_t MaxWaitingInTransaction = 16;
 
+std::size_t slotsOf(const std::vector<TargetGrant> &grants)
+{
+    std::size_t slots = 0;
+    for (const TargetGrant &grant : grants)
+        slots += grant.slots;
+    return slots;
+}
+
+// This holder's part of the group's queue, by its part of the slots: then full queues are
+// equally long in time, and no holder attracts more than it can serve.
+std::size_t queueShare(const GroupView &group, const std::vector<TargetGrant> &own)
+{
+    const std::size_t limit = group.queueLimit == 0 ? DefaultQueueLimit : group.queueLimit;
+    std::size_t total = 0;
+    for (const HolderView &holder : group.holders)
+        total += slotsOf(holder.grants);
+    if (total == 0)
+        return limit;
+    return std::max<std::size_t>(1, limit * slotsOf(own) / total);
+}
+
 } // namespace
 
 GroupHolder::GroupHolder(const ProxySettings &givenSettings, GroupHolderHooks givenHooks,
@@ -31,7 +52,7 @@
     std::vector<TargetId> members;
     for (const TargetView &target : group.targets)
         members.push_back(target.target);
-    const std::uint32_t limit = group.queueLimit == 0 ? DefaultQueueLimit : group.queueLimit;
+    const std::size_t limit = queueShare(group, newGrants);
     this->reads.setLimit(limit);
     this->writes.setLimit(limit);
     this->pool.setGroup(group, newGrants, now);
--- a/src/rhubarbweir/coordination/proxy_node.cpp
+++ b/src/rhubarbweir/coordination/proxy_node.cpp
@@ -272,6 +272,8 @@
     // A wake-up after a stop: the lease is judged before any request is.
     for (const auto &[group, holder] : this->parts->holders)
         holder->advance(now);
+    // What holders answer at the deadline goes before the router's own judgement.
+    this->parts->settle(now);
     this->parts->router.advance(now);
     this->parts->settle(now);
     auto &holders = this->parts->holders;
