Test the failures that a simpler proxy falls for

The property test of the view found that a group dropped by a full delta could come back with a lower revision: the newest revision of each group is now kept over its removal.

--- a/src/rhubarbweir/coordination/view_subscriber.cpp
+++ b/src/rhubarbweir/coordination/view_subscriber.cpp
@@ -171,10 +171,13 @@
     for (const GroupId &group : delta.removed)
         next->groups.erase(group);
     for (const GroupView &group : delta.groups) {
+        std::uint64_t &newest = this->newestGroups[group.group];
         const auto held = this->view->groups.find(group.group);
-        const bool isOlder =
-            held != this->view->groups.end() && group.revision < held->second.revision;
-        next->groups[group.group] = isOlder ? held->second : group;
+        if (group.revision >= newest)
+            next->groups[group.group] = group;
+        else if (held != this->view->groups.end())
+            next->groups[group.group] = held->second;
+        newest = std::max(newest, group.revision);
     }
     this->view = std::move(next);
     this->hooks.viewChanged(this->view);
--- a/src/rhubarbweir/coordination/view_subscriber.hpp
+++ b/src/rhubarbweir/coordination/view_subscriber.hpp
@@ -82,6 +82,8 @@
     ViewSubscriberHooks hooks;
     // Never null; starts empty at revision 0, so nothing survives a restart.
     ProxyViewPtr view = std::make_shared<ProxyView>();
+    // Greatest revision seen of each group, removed ones too; none comes back older.
+    std::map<GroupId, std::uint64_t> newestGroups;
     // Never moves back.
     TimePoint leaseEnd;
     std::vector<TargetObservation> observations;
--- /dev/null
+++ b/tests/unit/proxy_traps.tests.cpp
@@ -0,0 +1,345 @@
+// One test for each failure that a simpler proxy falls for.
+#include "fakes/proxy_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace rhubarbweir;
+using namespace rhubarbweir::fakes;
+using std::chrono::milliseconds;
+
+namespace {
+
+// A caller with one session on one proxy, which remembers every answer.
+class TestCaller
+{
+public:
+    TestCaller(ProxyFixture &givenFixture, std::string givenProxy, CallerConnectionId connection,
+               SessionId resumed = {})
+        : fixture(givenFixture)
+        , proxy(std::move(givenProxy))
+        , id(connection)
+        , session(resumed)
+    {
+        const auto former = this->fixture.answered;
+        this->fixture.answered = [this, former](CallerConnectionId to, const CallerReply &reply) {
+            if (to != this->id) {
+                if (former)
+                    former(to, reply);
+                return;
+            }
+            this->receive(reply);
+        };
+        this->fixture.callerOpened(this->proxy, this->id, CallerId("c"), resumed);
+        this->fixture.time.runFor(milliseconds(1));
+    }
+
+    std::uint64_t send(RequestKind kind, const std::function<void(CallerRequest &)> &adjust = {})
+    {
+        CallerRequest request;
+        request.session = this->session;
+        request.requestId = ++this->lastRequest;
+        request.kind = kind;
+        request.group = GroupId("g");
+        request.transaction = kind == RequestKind::Begin ? 0 : this->transaction;
+        request.key = "k";
+        request.value = "7";
+        request.timeLeft = milliseconds(400);
+        request.token = this->token;
+        if (adjust)
+            adjust(request);
+        if (kind == RequestKind::Begin)
+            this->transaction = request.requestId;
+        this->fixture.callerSends(this->proxy, this->id, request);
+        return request.requestId;
+    }
+
+    // Sends, and waits until the deadline has passed.
+    CallerAnswer ask(RequestKind kind, const std::function<void(CallerRequest &)> &adjust = {})
+    {
+        const std::uint64_t request = this->send(kind, adjust);
+        this->fixture.time.runFor(milliseconds(410));
+        return this->answer(request);
+    }
+
+    const CallerAnswer &answer(std::uint64_t request) const
+    {
+        cr_assert(this->answers.count(request) == 1, "request %d has %d answers",
+                  static_cast<int>(request), static_cast<int>(this->answers.count(request)));
+        return this->answers.find(request)->second;
+    }
+
+    ProxyFixture &fixture;
+    std::string proxy;
+    CallerConnectionId id;
+    SessionId session;
+    SessionToken token;
+    std::uint64_t transaction = 0;
+    std::uint64_t lastRequest = 0;
+    std::multimap<std::uint64_t, CallerAnswer> answers;
+    bool toldToMove = false;
+
+private:
+    void receive(const CallerReply &reply)
+    {
+        if (const auto *opened = std::get_if<SessionOpened>(&reply))
+            this->session = opened->session;
+        this->toldToMove = this->toldToMove || std::holds_alternative<MoveSession>(reply);
+        if (const auto *answer = std::get_if<CallerAnswer>(&reply)) {
+            this->answers.emplace(answer->requestId, *answer);
+            for (const auto &[group, position] : answer->token.seen)
+                this->token.observe(group, position);
+        }
+    }
+};
+
+std::size_t runsOf(const ProxyFixture &fixture, const TestCaller &caller, std::uint64_t request)
+{
+    std::size_t runs = 0;
+    const auto &log = fixture.databases.at(fixture.group.primary)->log;
+    for (const LogEntry &entry : log) {
+        for (const RequestKey &key : entry.requests)
+            runs += !entry.seals && key == RequestKey{caller.session, request} ? 1 : 0;
+    }
+    return runs;
+}
+
+void cutReplication(ProxyFixture &fixture)
+{
+    fixture.cuts.insert({"d1", "d2"});
+    fixture.cuts.insert({"d1", "d3"});
+}
+
+} // namespace
+
+Test(proxy_traps, commit_of_dead_proxy,
+     .description = "trap 1: a commit whose proxy died is asked for elsewhere and runs once")
+{
+    ProxyFixture fixture(1);
+    TestCaller caller(fixture, "p3", 1);
+    cr_assert(caller.ask(RequestKind::Begin).outcome == Outcome::Ok);
+    cr_assert(caller.ask(RequestKind::Write).outcome == Outcome::Ok);
+    const std::uint64_t commit = caller.send(RequestKind::Commit);
+    fixture.time.runFor(milliseconds(2));
+    fixture.freeze("p3");
+    fixture.breakHop("p3", "p1");
+    fixture.breakHop("p3", "p2");
+    fixture.time.runFor(milliseconds(100));
+    TestCaller elsewhere(fixture, "p2", 2, caller.session);
+    elsewhere.lastRequest = 100;
+    const auto asked = elsewhere.ask(
+        RequestKind::AskOutcome, [&](CallerRequest &request) { request.askedRequestId = commit; });
+    cr_assert(asked.outcome == Outcome::Ok);
+    cr_assert(runsOf(fixture, caller, commit) == 1);
+}
+
+Test(proxy_traps, write_on_primary_alone,
+     .description = "trap 3: a write that only the lost primary held was never Ok")
+{
+    ProxyFixture fixture(2);
+    cutReplication(fixture);
+    TestCaller caller(fixture, "p3", 1);
+    const std::uint64_t first = caller.send(RequestKind::Write);
+    fixture.time.runFor(milliseconds(20));
+    cr_assert(fixture.primary().log.size() == 2 && caller.answers.empty());
+    fixture.kill(TargetId("d1"));
+    fixture.time.runFor(milliseconds(50));
+    fixture.failOver(milliseconds(5));
+    fixture.time.runFor(milliseconds(300));
+    cr_assert(caller.answer(first).outcome == Outcome::NotRun);
+    cr_assert(caller.answer(first).reason == Reason::Sealed);
+    const std::uint64_t second = caller.lastRequest + 1;
+    cr_assert(caller.ask(RequestKind::Write).outcome == Outcome::Ok);
+    cr_assert(runsOf(fixture, caller, first) == 0 && runsOf(fixture, caller, second) == 1);
+}
+
+Test(proxy_traps, old_primary, .description = "trap 2: an old primary's answer is not Ok")
+{
+    ProxyFixture fixture(3);
+    cutReplication(fixture);
+    fixture.proxy("p1").cutFromControl = true;
+    for (const char *other : {"d2", "d3", "p2", "p3"})
+        fixture.cuts.insert({"p1", other});
+    TestCaller caller(fixture, "p1", 1);
+    fixture.failOver(milliseconds(5));
+    const CallerAnswer write = caller.ask(RequestKind::Write);
+    cr_assert(write.outcome == Outcome::OutcomeUnknown);
+    const CallerAnswer latest = caller.ask(RequestKind::Read, [](CallerRequest &request) {
+        request.consistency = Consistency::Latest;
+    });
+    cr_assert(latest.outcome != Outcome::Ok);
+}
+
+Test(proxy_traps, diverged_tail,
+     .description = "trap 4: a fenced replica with a diverged tail serves no session read")
+{
+    ProxyFixture fixture(4);
+    TestCaller writer(fixture, "p3", 1);
+    cutReplication(fixture);
+    for (int count = 0; count < 3; ++count)
+        writer.send(RequestKind::Write, [](CallerRequest &request) { request.value = "666"; });
+    fixture.time.runFor(milliseconds(20));
+    fixture.failOver(milliseconds(5));
+    fixture.database("d1").fence(2);
+    fixture.time.runFor(milliseconds(500));
+    TestCaller reader(fixture, "p3", 2);
+    cr_assert(covers(fixture.database("d1").status().applied, {1, 1}));
+    for (int count = 0; count < 8; ++count) {
+        reader.token.observe(GroupId("g"), {1, 1});
+        const CallerAnswer read = reader.ask(RequestKind::Read);
+        cr_assert(read.outcome == Outcome::Ok && read.servedBy != TargetId("d1"));
+        cr_assert(read.value != "666");
+    }
+}
+
+Test(proxy_traps, late_answer, .description = "trap 5: a late answer belongs to nobody")
+{
+    FixtureSettings settings;
+    settings.adjust = [](ProxySettings &each) {
+        each.silentAfter = std::chrono::seconds(10);
+    };
+    ProxyFixture fixture(5, settings);
+    TestCaller caller(fixture, "p1", 1);
+    fixture.targetDelay = milliseconds(396);
+    const std::uint64_t late =
+        caller.send(RequestKind::Read, [](CallerRequest &request) { request.key = "late"; });
+    fixture.time.runFor(milliseconds(400));
+    fixture.targetDelay = Duration{0};
+    const CallerAnswer next =
+        caller.ask(RequestKind::Read, [](CallerRequest &request) { request.key = "next"; });
+    cr_assert(caller.answer(late).outcome == Outcome::OutcomeUnknown);
+    cr_assert(next.outcome == Outcome::Ok && next.key == "next");
+    cr_assert(fixture.breaches().empty());
+}
+
+Test(proxy_traps, frozen_holder,
+     .description = "trap 6: a holder that wakes after its grant sends nothing")
+{
+    ProxyFixture fixture(6);
+    TestCaller caller(fixture, "p3", 1);
+    fixture.freeze("p1");
+    for (int count = 0; count < 40; ++count)
+        caller.send(RequestKind::Write,
+                    [](CallerRequest &request) { request.timeLeft = std::chrono::seconds(20); });
+    fixture.time.runFor(std::chrono::seconds(2));
+    fixture.group.holders = {fixture.holder("p2", 1), fixture.holder("p3", 2)};
+    fixture.publish();
+    fixture.time.runFor(milliseconds(200));
+    std::uint64_t before = 0;
+    for (const auto &[name, database] : fixture.databases)
+        before += database->senders[InstanceId("p1")];
+    fixture.thaw("p1");
+    fixture.time.runFor(milliseconds(500));
+    std::uint64_t after = 0;
+    for (const auto &[name, database] : fixture.databases)
+        after += database->senders[InstanceId("p1")];
+    cr_assert(after == before, "%d statements after the grant", static_cast<int>(after - before));
+    cr_assert(fixture.breaches().empty());
+}
+
+Test(proxy_traps, leaving_target,
+     .description = "trap 11: a leaving target ends its transactions and gets nothing new")
+{
+    ProxyFixture fixture(7);
+    TestCaller caller(fixture, "p1", 1);
+    TestCaller reader(fixture, "p1", 2);
+    TestCaller other(fixture, "p2", 3);
+    cr_assert(caller.ask(RequestKind::Begin).outcome == Outcome::Ok);
+    fixture.proxy("p2").cutFromControl = true;
+    fixture.group.targets[0].leaving = true;
+    fixture.group.targets[1].leaving = true;
+    fixture.publish();
+    fixture.time.runFor(std::chrono::seconds(3));
+    cr_assert(caller.ask(RequestKind::Write).outcome == Outcome::Ok);
+    cr_assert(caller.ask(RequestKind::Commit).outcome == Outcome::Ok);
+    const auto writes = fixture.database("d1").kinds;
+    const auto reads = fixture.database("d2").kinds;
+    cr_assert(reader.ask(RequestKind::Write).outcome == Outcome::NotRun);
+    cr_assert(reader.ask(RequestKind::Read).servedBy == TargetId("d3"));
+    cr_assert(other.ask(RequestKind::Read).reason == Reason::NoCurrentView);
+    cr_assert(fixture.database("d1").kinds == writes);
+    cr_assert(fixture.database("d2").kinds == reads);
+}
+
+Test(proxy_traps, roaming_transaction,
+     .description = "trap 12: a transaction does not follow its caller to another proxy")
+{
+    ProxyFixture fixture(8);
+    TestCaller caller(fixture, "p3", 1);
+    cr_assert(caller.ask(RequestKind::Begin).outcome == Outcome::Ok);
+    cr_assert(caller.ask(RequestKind::Write).outcome == Outcome::Ok);
+    TestCaller moved(fixture, "p2", 2, caller.session);
+    moved.lastRequest = 100;
+    moved.transaction = caller.transaction;
+    const CallerAnswer refused = moved.ask(RequestKind::Write);
+    cr_assert(refused.outcome == Outcome::NotRun);
+    cr_assert(refused.reason == Reason::TransactionElsewhere);
+    const CallerAnswer commit = caller.ask(RequestKind::Commit);
+    cr_assert(commit.outcome == Outcome::NotRun && commit.reason == Reason::TransactionEnded);
+    cr_assert(fixture.proxy("p1").node->counters().openTransactions == 0);
+    cr_assert(fixture.proxy("p2").node->counters().openTransactions == 0);
+    cr_assert(fixture.primary().log.size() == 1);
+}
+
+Test(proxy_traps, broken_hop,
+     .description = "trap 13: a write is not sent again when its hop broke")
+{
+    for (std::int64_t wait = 1; wait < 12; ++wait) {
+        ProxyFixture fixture(9);
+        TestCaller caller(fixture, "p3", 1);
+        const std::uint64_t write = caller.send(RequestKind::Write);
+        fixture.time.runFor(milliseconds(wait));
+        fixture.breakHop("p3", "p1");
+        fixture.breakHop("p3", "p2");
+        fixture.time.runFor(milliseconds(500));
+        const CallerAnswer &answer = caller.answer(write);
+        const std::size_t runs = runsOf(fixture, caller, write);
+        cr_assert(answer.outcome == (runs == 1 ? Outcome::Ok : Outcome::NotRun));
+        cr_assert(runs == 1 || answer.reason == Reason::Sealed);
+        cr_assert(fixture.database("d1").kinds[StatementKind::Write] <= 1);
+    }
+}
+
+Test(proxy_traps, replicas_behind,
+     .description = "trap 14: a session read waits briefly, then the primary serves it")
+{
+    FixtureSettings settings;
+    settings.limits.applyLag = std::chrono::seconds(30);
+    ProxyFixture fixture(10, settings);
+    TestCaller caller(fixture, "p3", 1);
+    cr_assert(caller.ask(RequestKind::Write).outcome == Outcome::Ok);
+    const CallerAnswer read = caller.ask(RequestKind::Read);
+    cr_assert(read.outcome == Outcome::Ok && read.value == "7" && !read.servedByReplica);
+}
+
+Test(proxy_traps, draining, .description = "a draining proxy ends what runs and cuts nothing")
+{
+    ProxyFixture fixture(11);
+    TestCaller caller(fixture, "p1", 1);
+    cr_assert(caller.ask(RequestKind::Begin).outcome == Outcome::Ok);
+    fixture.with("p1", [&](ProxyNode &node) { node.drain(fixture.time.now()); });
+    cr_assert(caller.toldToMove);
+    cr_assert(!fixture.proxy("p1").node->isDrained());
+    cr_assert(caller.ask(RequestKind::Write).outcome == Outcome::Ok);
+    cr_assert(caller.ask(RequestKind::Commit).outcome == Outcome::Ok);
+    caller.transaction = 0;
+    const CallerAnswer refused = caller.ask(RequestKind::Read);
+    cr_assert(refused.outcome == Outcome::NotRun && refused.reason == Reason::Draining);
+    fixture.group.holders = {fixture.holder("p2", 1), fixture.holder("p3", 2)};
+    fixture.publish();
+    fixture.time.runFor(milliseconds(200));
+    cr_assert(fixture.proxy("p1").node->isDrained());
+}
+
+Test(proxy_traps, duplicate_in_flight,
+     .description = "a second copy of a request in flight is answered once, where its caller is")
+{
+    ProxyFixture fixture(12);
+    TestCaller caller(fixture, "p3", 1);
+    const std::uint64_t write = caller.send(RequestKind::Write);
+    TestCaller again(fixture, "p3", 2, caller.session);
+    again.send(RequestKind::Write);
+    fixture.time.runFor(milliseconds(400));
+    cr_assert(caller.answers.empty());
+    cr_assert(again.answer(write).outcome == Outcome::Ok);
+    cr_assert(runsOf(fixture, caller, write) == 1);
+}
