Decide on primaries, leases, grants and the table in ControlNode

First working version, not yet tested beyond the build: the replicated state and its CBOR form, failover driven by the committed phase of each group, leases with views, grants that shrink before they grow, and the operators' requests.

--- a/src/rhubarbweir/coordination/control_messages.hpp
+++ b/src/rhubarbweir/coordination/control_messages.hpp
@@ -51,7 +51,7 @@
     std::uint64_t term = 0;
     // Empty while no primary is known.
     TargetId primary;
-    // Set during a planned change: writes wait in the queue.
+    // Set while the primary changes, planned or not: writes wait in the queue.
     bool writesHeld = false;
     std::uint32_t queueLimit = 0;
     std::vector<TargetView> targets;
--- /dev/null
+++ b/src/rhubarbweir/coordination/control_node.cpp
@@ -0,0 +1,409 @@
+// See control_node.hpp.
+#include "rhubarbweir/coordination/control_node.hpp"
+
+#include "rhubarbweir/coordination/control_context.hpp"
+#include "rhubarbweir/coordination/failover_manager.hpp"
+#include "rhubarbweir/coordination/grant_manager.hpp"
+#include "rhubarbweir/coordination/operator_service.hpp"
+#include "rhubarbweir/coordination/view_publisher.hpp"
+
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Longest pause between two looks at what is due.
+constexpr Duration TickInterval = std::chrono::milliseconds(20);
+
+// An automatic action, as the log and StatusReport tell it.
+struct Action
+{
+    ControlEventKind kind;
+    GroupId group;
+    TargetId target;
+    std::uint64_t term = 0;
+    std::string cause;
+};
+
+std::optional<Action> actionOf(const RegisterMember &command, const ReplicatedState &)
+{
+    return Action{ControlEventKind::TargetRegistered, command.group, command.target, 0,
+                  "announced from " + command.member.address};
+}
+std::optional<Action> actionOf(const BeginTerm &command, const ReplicatedState &)
+{
+    return Action{ControlEventKind::TermBegun, command.group, command.preferred, command.newTerm,
+                  command.cause};
+}
+std::optional<Action> actionOf(const ChoosePrimary &command, const ReplicatedState &)
+{
+    return Action{ControlEventKind::PrimaryChosen, command.group, command.target, command.term,
+                  command.cause};
+}
+std::optional<Action> actionOf(const ConfirmPrimary &command, const ReplicatedState &state)
+{
+    return Action{ControlEventKind::PrimaryConfirmed, command.group,
+                  state.findGroup(command.group)->primary, command.term, "promoted"};
+}
+std::optional<Action> actionOf(const HoldWrites &command, const ReplicatedState &)
+{
+    return Action{ControlEventKind::WritesHeld, command.group, command.target, command.term,
+                  command.cause};
+}
+std::optional<Action> actionOf(const ReleaseWrites &command, const ReplicatedState &)
+{
+    return Action{ControlEventKind::WritesReleased, command.group, TargetId(), command.term,
+                  command.cause};
+}
+std::optional<Action> actionOf(const SetGrants &command, const ReplicatedState &)
+{
+    return Action{ControlEventKind::GrantsChanged, command.group, TargetId(), 0, command.cause};
+}
+std::optional<Action> actionOf(const EditTable &command, const ReplicatedState &)
+{
+    return Action{ControlEventKind::TableEdited, GroupId(), TargetId(), 0,
+                  "edit " + command.requestId + " by " + command.editor};
+}
+std::optional<Action> actionOf(const StartLeadership &, const ReplicatedState &)
+{
+    return std::nullopt;
+}
+
+} // namespace
+
+struct ControlNode::Parts
+{
+    Parts(ControlSettings controlSettings, QuorumPort quorumPort, StateCodec stateCodec,
+          ControlHooks controlHooks, std::uint64_t seed)
+        : settings(std::move(controlSettings))
+        , quorum(std::move(quorumPort))
+        , codec(std::move(stateCodec))
+        , hooks(std::move(controlHooks))
+        , random(seed)
+    {
+    }
+
+    void report(ControlEventKind kind, const TargetId &target, std::string cause);
+    void noteAction(const CommandBody &body, std::uint64_t index);
+    void beginOffice(TimePoint now);
+    void endOffice();
+    void proposeMarker(TimePoint now);
+    void registerMember(const Announcement &announcement, TimePoint now);
+    void watchStates(TimePoint now);
+    void reportToLeader(TimePoint now);
+    void decide(TimePoint now);
+
+    ControlSettings settings;
+    QuorumPort quorum;
+    StateCodec codec;
+    ControlHooks hooks;
+    std::mt19937_64 random;
+
+    ReplicatedState state;
+    CommandProposer proposer{settings, quorum, codec};
+    TargetRegistry targets{settings};
+    ObservationBook observations{settings};
+    LeaseBook leases{settings};
+    ControlContext context{settings, quorum, hooks, state, proposer, targets, observations, leases};
+    FailoverManager failover{context};
+    GrantManager grants{context};
+    ViewPublisher views{context};
+    OperatorService operators{context, failover, views};
+
+    bool wasLeader = false;
+    // When the present term of office began, as the quorum says.
+    TimePoint officeStart;
+    // The marker of this term of office was applied, and so is all that was committed before.
+    bool isInOffice = false;
+    std::uint64_t marker = 0;
+    // Last state seen of each member, to report changes.
+    std::map<TargetId, ObservedState> lastStates;
+    // Targets whose refusal was logged.
+    std::set<TargetId> refused;
+    TimePoint nextReportAt;
+    TimePoint nextTickAt;
+};
+
+void ControlNode::Parts::report(ControlEventKind kind, const TargetId &target, std::string cause)
+{
+    ControlEvent event;
+    event.kind = kind;
+    event.target = target;
+    event.group = this->state.groupOf(target);
+    event.instance = this->settings.instance;
+    event.revision = this->state.revision();
+    event.cause = std::move(cause);
+    this->hooks.event(event);
+}
+
+void ControlNode::Parts::noteAction(const CommandBody &body, std::uint64_t index)
+{
+    const auto action =
+        std::visit([this](const auto &command) { return actionOf(command, this->state); }, body);
+    if (!action)
+        return;
+    ControlEvent event;
+    event.kind = action->kind;
+    event.group = action->group;
+    event.target = action->target;
+    event.instance = this->settings.instance;
+    event.term = action->term;
+    event.revision = index;
+    event.cause = action->cause;
+    this->hooks.event(event);
+    const std::string subject = action->target.empty()
+                                    ? action->group.value
+                                    : action->group.value + "/" + action->target.value;
+    this->operators.record({index, subject, std::string(nameOf(action->kind)), action->cause});
+}
+
+void ControlNode::Parts::beginOffice(TimePoint now)
+{
+    this->isInOffice = false;
+    this->marker = this->random();
+    this->leases.beginOffice(now);
+    this->observations.clear();
+    this->failover.beginOffice();
+    this->grants.beginOffice();
+    this->proposer.beginOffice(this->state.time(), now);
+    this->proposeMarker(now);
+}
+
+void ControlNode::Parts::proposeMarker(TimePoint now)
+{
+    this->proposer.proposeOnce({ProposalTopic::Leadership, ""},
+                               StartLeadership{this->settings.instance, this->marker}, now);
+}
+
+void ControlNode::Parts::endOffice()
+{
+    if (this->isInOffice)
+        this->report(ControlEventKind::LeadershipEnded, TargetId(), "the quorum has moved on");
+    this->isInOffice = false;
+    this->operators.endOffice();
+    this->proposer.endOffice();
+}
+
+void ControlNode::Parts::registerMember(const Announcement &announcement, TimePoint now)
+{
+    const GroupId &group = announcement.status.group;
+    const TargetId &target = announcement.status.target;
+    const GroupId present = this->state.groupOf(target);
+    const GroupRecord *record = this->state.findGroup(group);
+    std::string refusal;
+    if (!isValidName(group.value) || !isValidName(target.value))
+        refusal = "malformed name";
+    else if (!present.empty() && present != group)
+        refusal = "it belongs to " + present.value;
+    else if (present.empty() && record != nullptr
+             && record->members.size() >= this->state.sizeOf(group))
+        refusal = "the group has all its databases";
+    if (!refusal.empty()) {
+        if (this->refused.insert(target).second)
+            this->report(ControlEventKind::TargetRefused, target, refusal);
+        return;
+    }
+    if (!present.empty()) {
+        const GroupMember &member = record->members.at(target);
+        if (member.address == announcement.address
+            && member.failureDomain == announcement.failureDomain)
+            return;
+    }
+    this->proposer.proposeOnce(
+        {ProposalTopic::Member, target.value},
+        RegisterMember{group, target, {announcement.address, announcement.failureDomain}}, now);
+}
+
+// Logs changes of what this instance sees, and reports them to the leader at once.
+void ControlNode::Parts::watchStates(TimePoint now)
+{
+    bool isChanged = false;
+    for (const auto &[group, record] : this->state.groups()) {
+        for (const auto &[target, member] : record.members) {
+            const ObservedState current = this->targets.stateOf(target, now);
+            const auto [last, isNew] = this->lastStates.try_emplace(target, current);
+            if (isNew || last->second == current)
+                continue;
+            last->second = current;
+            isChanged = true;
+            this->report(ControlEventKind::TargetStateChanged, target,
+                         std::string(nameOf(current)));
+        }
+    }
+    if (isChanged || now >= this->nextReportAt)
+        this->reportToLeader(now);
+}
+
+void ControlNode::Parts::reportToLeader(TimePoint now)
+{
+    this->nextReportAt = now + this->settings.reportInterval;
+    const InstanceId leader = this->quorum.leader();
+    if (leader.empty() || leader == this->settings.instance)
+        return;
+    ObserverReport message;
+    message.instance = this->settings.instance;
+    message.failureDomain = this->settings.failureDomain;
+    for (const auto &[group, record] : this->state.groups()) {
+        for (const auto &[target, member] : record.members) {
+            const ObservedState seen = this->targets.stateOf(target, now);
+            if (seen != ObservedState::Alive)
+                message.observations.push_back({target, group, seen});
+        }
+    }
+    this->hooks.sendToControl(leader, message);
+}
+
+// Everything that a leader may have to do now.
+void ControlNode::Parts::decide(TimePoint now)
+{
+    if (!this->isInOffice || now >= this->quorum.leaseEnd())
+        return;
+    this->failover.advance(now);
+    this->grants.advance(now);
+}
+
+ControlNode::ControlNode(ControlSettings settings, QuorumPort quorum, StateCodec codec,
+                         ControlHooks hooks, std::uint64_t seed)
+    : parts(std::make_unique<Parts>(std::move(settings), std::move(quorum), std::move(codec),
+                                    std::move(hooks), seed))
+{
+}
+
+ControlNode::~ControlNode() = default;
+
+void ControlNode::receiveFromProxy(ConnectionId connection, const RenewLease &message,
+                                   TimePoint now)
+{
+    Parts &node = *this->parts;
+    if (node.isInOffice)
+        node.observations.receive(message, now);
+    node.views.renew(connection, message, node.isInOffice, now);
+    node.decide(now);
+}
+
+void ControlNode::receiveFromTarget(ConnectionId connection, const TargetReport &message,
+                                    TimePoint now)
+{
+    Parts &node = *this->parts;
+    if (!node.targets.receive(connection, message, now))
+        return;
+    const auto *announcement = std::get_if<Announcement>(&message);
+    if (announcement != nullptr && node.isInOffice)
+        node.registerMember(*announcement, now);
+    node.decide(now);
+}
+
+void ControlNode::receiveFromOperator(ConnectionId connection, const OperatorRequest &message,
+                                      TimePoint now)
+{
+    this->parts->operators.receive(connection, message, this->parts->isInOffice, now);
+}
+
+void ControlNode::receiveFromControl(const InstanceId &, const ObserverReport &message,
+                                     TimePoint now)
+{
+    Parts &node = *this->parts;
+    if (!node.isInOffice)
+        return;
+    node.observations.receive(message, now);
+    node.decide(now);
+}
+
+void ControlNode::connectionClosed(ConnectionId connection, TimePoint now)
+{
+    Parts &node = *this->parts;
+    node.targets.connectionClosed(connection);
+    node.leases.connectionClosed(connection);
+    node.operators.connectionClosed(connection);
+    node.watchStates(now);
+    node.decide(now);
+}
+
+void ControlNode::applied(std::uint64_t index, std::string_view payload, TimePoint now)
+{
+    Parts &node = *this->parts;
+    node.proposer.applied(index);
+    const auto command = node.codec.decodeCommand(payload);
+    if (!command.ok()) {
+        node.report(ControlEventKind::CommandMalformed, TargetId(),
+                    std::string(command.status().message()));
+        return;
+    }
+    const auto *setGrants = std::get_if<SetGrants>(&command->body);
+    const GroupGrants before =
+        setGrants == nullptr ? GroupGrants() : node.state.grantsOf(setGrants->group);
+    const std::uint64_t formerRevision = node.state.revision();
+    const ApplyResult result = node.state.apply(index, *command);
+    if (setGrants != nullptr && result.accepted)
+        node.grants.replaced(setGrants->group, before, index);
+    if (result.accepted)
+        node.noteAction(command->body, index);
+    node.operators.applied(index, command->body, result);
+    const auto *start = std::get_if<StartLeadership>(&command->body);
+    if (start != nullptr && node.wasLeader && start->marker == node.marker) {
+        node.isInOffice = true;
+        node.report(ControlEventKind::LeadershipStarted, TargetId(), "elected");
+    }
+    if (node.isInOffice && node.state.revision() != formerRevision)
+        node.views.publish(now);
+    node.decide(now);
+}
+
+void ControlNode::leadershipChanged(TimePoint now)
+{
+    Parts &node = *this->parts;
+    const bool isLeader = node.quorum.isLeader();
+    const TimePoint start = node.quorum.leadershipStart();
+    node.nextReportAt = now;
+    if (isLeader && node.wasLeader && start == node.officeStart)
+        return;
+    if (node.wasLeader)
+        node.endOffice();
+    node.wasLeader = isLeader;
+    node.officeStart = start;
+    if (isLeader)
+        node.beginOffice(now);
+}
+
+void ControlNode::advance(TimePoint now)
+{
+    Parts &node = *this->parts;
+    node.nextTickAt = now + TickInterval;
+    node.watchStates(now);
+    node.operators.advance(now);
+    if (node.wasLeader && !node.isInOffice)
+        node.proposeMarker(now);
+    if (!node.isInOffice)
+        return;
+    node.views.advance(now);
+    node.leases.forgetOld(now);
+    node.decide(now);
+}
+
+TimePoint ControlNode::nextDeadline() const
+{
+    return this->parts->nextTickAt;
+}
+
+std::string ControlNode::snapshot() const
+{
+    return this->parts->codec.encodeSnapshot(this->parts->state.snapshot());
+}
+
+absl::Status ControlNode::restore(std::string_view snapshot, TimePoint now)
+{
+    const auto decoded = this->parts->codec.decodeSnapshot(snapshot);
+    if (!decoded.ok())
+        return decoded.status();
+    this->parts->state.restore(*decoded);
+    this->advance(now);
+    return absl::OkStatus();
+}
+
+const ReplicatedState &ControlNode::state() const
+{
+    return this->parts->state;
+}
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/control_settings.hpp
+++ b/src/rhubarbweir/coordination/control_settings.hpp
@@ -74,7 +74,8 @@
 struct QuorumPort
 {
     // Appends a payload; returns its index. It may still be lost or replaced: only
-    // ControlNode::applied() says that it is committed. Errors: Unavailable when not leading.
+    // ControlNode::applied() says that it is committed, and it never runs within this call.
+    // Errors: Unavailable when not leading.
     std::function<absl::StatusOr<std::uint64_t>(std::string payload, TimePoint now)> propose;
     std::function<bool()> isLeader;
     std::function<InstanceId()> leader;
--- /dev/null
+++ b/src/rhubarbweir/coordination/failover_manager.cpp
@@ -0,0 +1,385 @@
+// See failover_manager.hpp.
+#include "rhubarbweir/coordination/failover_manager.hpp"
+
+#include "rhubarbweir/coordination/primary_choice.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Interval of status probes while a replica catches up.
+constexpr Duration CatchUpProbeInterval = std::chrono::milliseconds(20);
+// Interval of orders to a replica that is in the term but has no entry of it yet.
+constexpr Duration FollowRepeatInterval = std::chrono::seconds(1);
+
+std::string describe(const LogPosition &position)
+{
+    return std::to_string(position.term) + ":" + std::to_string(position.position);
+}
+
+} // namespace
+
+FailoverManager::FailoverManager(const ControlContext &controlContext)
+    : context(controlContext)
+{
+}
+
+void FailoverManager::beginOffice()
+{
+    this->progress.clear();
+    this->nextMoveAt.clear();
+}
+
+void FailoverManager::advance(TimePoint now)
+{
+    for (const auto &[group, record] : this->context.state.groups())
+        this->advanceGroup(group, now);
+}
+
+void FailoverManager::advanceGroup(const GroupId &group, TimePoint now)
+{
+    const GroupRecord *found = this->context.state.findGroup(group);
+    if (found == nullptr)
+        return;
+    const GroupRecord &record = *found;
+    Progress &work = this->progressOf(group, record, now);
+    switch (record.phase) {
+    case GroupPhase::Unassigned:
+        this->assign(group, record, work, now);
+        return;
+    case GroupPhase::Steady:
+        this->watchPrimary(group, record, work, now);
+        return;
+    case GroupPhase::PlannedHold:
+        this->catchUp(group, record, work, now);
+        return;
+    case GroupPhase::Fencing:
+        this->fence(group, record, work, now);
+        return;
+    case GroupPhase::Promoting:
+        this->promote(group, record, work, now);
+        return;
+    }
+}
+
+FailoverManager::Progress &FailoverManager::progressOf(const GroupId &group,
+                                                       const GroupRecord &record, TimePoint now)
+{
+    const auto [entry, isNew] = this->progress.try_emplace(group);
+    Progress &work = entry->second;
+    if (isNew || work.term != record.term || work.phase != record.phase) {
+        work = Progress();
+        work.term = record.term;
+        work.phase = record.phase;
+        work.since = now;
+    }
+    return work;
+}
+
+// Waits until all databases of a fresh group announced themselves, or a majority for a while.
+void FailoverManager::assign(const GroupId &group, const GroupRecord &record, Progress &work,
+                             TimePoint now)
+{
+    const std::uint32_t size = this->context.state.sizeOf(group);
+    const auto alive =
+        std::count_if(record.members.begin(), record.members.end(), [&](const auto &member) {
+            return this->context.targets.isAlive(member.first, now);
+        });
+    if (alive < majorityOf(size)) {
+        work.majoritySince = TimePoint::max();
+        return;
+    }
+    work.majoritySince = std::min(work.majoritySince, now);
+    const bool isComplete = alive == size;
+    if (!isComplete && now < work.majoritySince + this->context.settings.assignmentPatience)
+        return;
+    this->beginTerm(group, record, TargetId(),
+                    "first assignment: " + std::to_string(alive) + " of " + std::to_string(size)
+                        + " databases announced themselves",
+                    now);
+}
+
+void FailoverManager::watchPrimary(const GroupId &group, const GroupRecord &record, Progress &work,
+                                   TimePoint now)
+{
+    std::string cause = this->causeToReplace(record, work, now);
+    if (!cause.empty()) {
+        this->beginTerm(group, record, TargetId(), std::move(cause), now);
+        return;
+    }
+    this->orderFollowers(group, record, record.primary, work, now);
+    if (this->isLeaving(record.primary))
+        this->movePrimaryOffLeaving(group, record, now);
+}
+
+std::string FailoverManager::causeToReplace(const GroupRecord &record, const Progress &work,
+                                            TimePoint now) const
+{
+    const TargetId &primary = record.primary;
+    const ControlSettings &settings = this->context.settings;
+    std::vector<Sighting> sightings = this->context.observations.sightingsOf(primary, now);
+    sightings.push_back({settings.instance, settings.failureDomain,
+                         this->context.targets.stateOf(primary, now), false});
+    const Suspicion suspicion = assess(sightings);
+    if (suspicion.isSuspected)
+        return "primary " + primary.value + " lost: " + suspicion.evidence;
+    const RegisteredTarget *target = this->context.targets.find(primary);
+    // A status from before the promotion may still be on its way for a short while.
+    if (target == nullptr || target->seenAt < work.since + settings.silentAfter)
+        return "";
+    const TargetStatus &status = target->status;
+    if (status.adoptedTerm > record.term)
+        return "primary " + primary.value + " is in term " + std::to_string(status.adoptedTerm);
+    if (status.role != TargetRole::Primary)
+        return "primary " + primary.value + " came back as a replica";
+    return "";
+}
+
+void FailoverManager::movePrimaryOffLeaving(const GroupId &group, const GroupRecord &record,
+                                            TimePoint now)
+{
+    TimePoint &next = this->nextMoveAt[group];
+    if (now < next)
+        return;
+    const TargetId target = this->bestReplica(record, now);
+    if (target.empty())
+        return;
+    next = now + this->context.settings.plannedRetryPause;
+    HoldWrites command{group, record.term, target, "",
+                       "primary " + record.primary.value + " is leaving"};
+    this->context.proposer.proposeOnce({ProposalTopic::Group, group.value}, std::move(command),
+                                       now);
+}
+
+// PlannedHold: once no proxy starts a write and the replica has all that the primary has, the
+// change goes on like a failover.
+void FailoverManager::catchUp(const GroupId &group, const GroupRecord &record, Progress &work,
+                              TimePoint now)
+{
+    const std::string cause = this->causeToReplace(record, work, now);
+    if (!cause.empty()) {
+        this->beginTerm(group, record, record.chosen, cause, now);
+        return;
+    }
+    const ProposalSubject subject{ProposalTopic::Group, group.value};
+    if (now >= work.since + this->context.settings.plannedChangePatience) {
+        ReleaseWrites command{group, record.term,
+                              record.chosen.value + " did not catch up in time"};
+        this->context.proposer.proposeOnce(subject, std::move(command), now);
+        return;
+    }
+    this->order(record.primary, StatusProbe(), work, CatchUpProbeInterval, now);
+    this->order(record.chosen, StatusProbe(), work, CatchUpProbeInterval, now);
+    if (!this->isHoldInForce(group, work, now))
+        return;
+    work.heldSince = std::min(work.heldSince, now);
+    const RegisteredTarget *primary = this->context.targets.find(record.primary);
+    const RegisteredTarget *chosen = this->context.targets.find(record.chosen);
+    const auto isFresh = [&work](const RegisteredTarget *target) {
+        return target != nullptr && target->seenAt > work.heldSince;
+    };
+    if (!isFresh(primary) || !isFresh(chosen) || chosen->status.received < primary->status.received)
+        return;
+    this->beginTerm(group, record, record.chosen,
+                    "planned change to " + record.chosen.value + ", caught up at "
+                        + describe(chosen->status.received),
+                    now);
+}
+
+bool FailoverManager::isHoldInForce(const GroupId &group, const Progress &work, TimePoint now) const
+{
+    if (now >= work.since + this->context.settings.holdPatience)
+        return true;
+    const std::uint64_t revision = this->context.state.revisionOf(group);
+    const auto &holders = this->context.state.grantsOf(group).holders;
+    return std::none_of(holders.begin(), holders.end(), [&](const GrantHolder &holder) {
+        return this->context.leases.mayUseBefore({holder.proxy, holder.incarnation}, revision, now);
+    });
+}
+
+void FailoverManager::fence(const GroupId &group, const GroupRecord &record, Progress &work,
+                            TimePoint now)
+{
+    for (const auto &[target, member] : record.members) {
+        const RegisteredTarget *known = this->context.targets.find(target);
+        if (known != nullptr && known->status.adoptedTerm > record.term) {
+            this->beginTerm(
+                group, record, record.chosen,
+                target.value + " is in term " + std::to_string(known->status.adoptedTerm), now);
+            return;
+        }
+        const bool isFenced = known != nullptr && known->status.adoptedTerm == record.term;
+        if (!isFenced)
+            this->order(target, FenceTarget{group, record.term}, work,
+                        this->context.settings.orderInterval, now);
+    }
+    this->choose(group, record, work, now);
+}
+
+void FailoverManager::choose(const GroupId &group, const GroupRecord &record, const Progress &work,
+                             TimePoint now)
+{
+    std::vector<FencedTarget> fenced;
+    bool isPreferredFenced = record.chosen.empty();
+    std::string evidence;
+    for (const auto &[target, member] : record.members) {
+        const RegisteredTarget *known = this->context.targets.find(target);
+        if (known == nullptr || known->status.adoptedTerm != record.term)
+            continue;
+        fenced.push_back(
+            {target, known->status.received, this->context.targets.isAlive(target, now),
+             this->context.observations.reachability(target, now), this->isLeaving(target)});
+        isPreferredFenced = isPreferredFenced || target == record.chosen;
+        evidence += " " + target.value + "=" + describe(known->status.received);
+    }
+    const bool isWaiting =
+        !isPreferredFenced && now < work.since + this->context.settings.plannedFencePatience;
+    const auto target = choosePrimary(fenced, record.size, record.chosen);
+    if (isWaiting || !target)
+        return;
+    ChoosePrimary command{group, record.term, *target, "greatest log of a majority:" + evidence};
+    this->context.proposer.proposeOnce({ProposalTopic::Group, group.value}, std::move(command),
+                                       now);
+}
+
+void FailoverManager::promote(const GroupId &group, const GroupRecord &record, Progress &work,
+                              TimePoint now)
+{
+    const TargetId &chosen = record.chosen;
+    if (this->isPrimaryOf(chosen, record.term)) {
+        this->orderFollowers(group, record, chosen, work, now);
+        this->context.proposer.proposeOnce({ProposalTopic::Group, group.value},
+                                           ConfirmPrimary{group, record.term}, now);
+        return;
+    }
+    const ObservedState state = this->context.targets.stateOf(chosen, now);
+    const bool isLate = now >= work.since + this->context.settings.promotionPatience;
+    // No proxy knows the chosen target yet, so giving it up needs no second observer.
+    if (state == ObservedState::Broken || isLate) {
+        this->beginTerm(group, record, TargetId(),
+                        chosen.value + " was not promoted: " + std::string(nameOf(state)), now);
+        return;
+    }
+    PromoteTarget message{group, record.term, {}};
+    for (const auto &[target, member] : record.members)
+        message.members.push_back({target, member.address});
+    this->order(chosen, message, work, this->context.settings.orderInterval, now);
+}
+
+// Tells every other member to follow `primary` until it shows an entry of the term.
+void FailoverManager::orderFollowers(const GroupId &group, const GroupRecord &record,
+                                     const TargetId &primary, Progress &work, TimePoint now)
+{
+    const auto address = record.members.find(primary);
+    if (address == record.members.end())
+        return;
+    const FollowPrimary message{group, record.term, {primary, address->second.address}};
+    for (const auto &[target, member] : record.members) {
+        const RegisteredTarget *known = this->context.targets.find(target);
+        if (target == primary || known == nullptr || known->connection == 0)
+            continue;
+        const TargetStatus &status = known->status;
+        const bool isOutside =
+            status.adoptedTerm < record.term || status.role == TargetRole::Primary;
+        const bool isFollowing = !isOutside && status.received.term >= record.term;
+        if (isFollowing)
+            continue;
+        this->order(target, message, work,
+                    isOutside ? this->context.settings.orderInterval : FollowRepeatInterval, now);
+    }
+}
+
+void FailoverManager::beginTerm(const GroupId &group, const GroupRecord &record,
+                                const TargetId &preferred, std::string cause, TimePoint now)
+{
+    std::uint64_t newest = record.term;
+    for (const auto &[target, member] : record.members) {
+        if (const RegisteredTarget *known = this->context.targets.find(target))
+            newest = std::max(newest, known->status.adoptedTerm);
+    }
+    BeginTerm command{group, record.term, newest + 1, preferred, std::move(cause)};
+    this->context.proposer.proposeOnce({ProposalTopic::Group, group.value}, std::move(command),
+                                       now);
+}
+
+void FailoverManager::order(const TargetId &target, const TargetOrder &message, Progress &work,
+                            Duration interval, TimePoint now)
+{
+    const RegisteredTarget *known = this->context.targets.find(target);
+    if (known == nullptr || known->connection == 0)
+        return;
+    TimePoint &next = work.nextOrderAt[target];
+    if (now < next)
+        return;
+    next = now + interval;
+    this->context.hooks.sendToTarget(known->connection, message);
+    if (!std::holds_alternative<FollowPrimary>(message))
+        return;
+    ControlEvent event;
+    event.kind = ControlEventKind::FollowOrdered;
+    event.target = target;
+    event.group = std::get<FollowPrimary>(message).group;
+    event.term = std::get<FollowPrimary>(message).term;
+    event.cause = std::string(nameOf(known->status.role)) + " of term "
+                  + std::to_string(known->status.adoptedTerm) + " at "
+                  + describe(known->status.received);
+    this->context.hooks.event(event);
+}
+
+Reason FailoverManager::checkPlannedChange(const PlannedChange &request, TimePoint now) const
+{
+    const GroupRecord *record = this->context.state.findGroup(request.group);
+    if (record == nullptr)
+        return Reason::UnknownGroup;
+    if (record->phase != GroupPhase::Steady)
+        return Reason::NoPrimary;
+    const TargetId target = this->plannedTarget(request, now);
+    const bool isPossible = record->members.count(target) != 0 && target != record->primary
+                            && this->context.targets.isAlive(target, now);
+    return isPossible ? Reason::None : Reason::RefusedByTarget;
+}
+
+TargetId FailoverManager::plannedTarget(const PlannedChange &request, TimePoint now) const
+{
+    if (!request.target.empty())
+        return request.target;
+    const GroupRecord *record = this->context.state.findGroup(request.group);
+    return record == nullptr ? TargetId() : this->bestReplica(*record, now);
+}
+
+bool FailoverManager::isLeaving(const TargetId &target) const
+{
+    return numberIn(this->context.state.table().rows(), RowScope::Target, target.value,
+                    LeavingField)
+           != 0;
+}
+
+bool FailoverManager::isPrimaryOf(const TargetId &target, std::uint64_t term) const
+{
+    const RegisteredTarget *known = this->context.targets.find(target);
+    return known != nullptr && known->status.adoptedTerm == term
+           && known->status.role == TargetRole::Primary;
+}
+
+// The furthest live replica that stays; empty where there is none.
+TargetId FailoverManager::bestReplica(const GroupRecord &record, TimePoint now) const
+{
+    TargetId best;
+    LogPosition bestPosition;
+    for (const auto &[target, member] : record.members) {
+        if (target == record.primary || this->isLeaving(target)
+            || !this->context.targets.isAlive(target, now))
+            continue;
+        const LogPosition position = this->context.targets.find(target)->status.received;
+        if (best.empty() || bestPosition < position) {
+            best = target;
+            bestPosition = position;
+        }
+    }
+    return best;
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/coordination/grant_manager.cpp
@@ -0,0 +1,251 @@
+// See grant_manager.hpp.
+#include "rhubarbweir/coordination/grant_manager.hpp"
+
+#include "rhubarbweir/coordination/holder_choice.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+ProxyRun runOf(const GrantHolder &holder)
+{
+    return {holder.proxy, holder.incarnation};
+}
+
+void raise(TargetShares &shares, const TargetShares &others)
+{
+    for (const auto &[target, share] : others) {
+        TargetShare &mine = shares[target];
+        mine.slots = std::max(mine.slots, share.slots);
+        mine.connections = std::max(mine.connections, share.connections);
+    }
+}
+
+bool holdsRun(const std::vector<GrantHolder> &holders, const GrantHolder &wanted)
+{
+    return std::any_of(holders.begin(), holders.end(),
+                       [&](const GrantHolder &each) { return runOf(each) == runOf(wanted); });
+}
+
+std::string describe(const std::vector<GrantHolder> &holders)
+{
+    std::string text;
+    for (const GrantHolder &holder : holders) {
+        text += text.empty() ? "" : ",";
+        text += holder.proxy.value + "@" + holder.failureDomain.value;
+        if (!holder.shares.empty())
+            text += "=" + std::to_string(holder.shares.begin()->second.slots) + "/"
+                    + std::to_string(holder.shares.begin()->second.connections);
+    }
+    return text.empty() ? "none" : text;
+}
+
+} // namespace
+
+GrantManager::GrantManager(const ControlContext &controlContext)
+    : context(controlContext)
+{
+}
+
+void GrantManager::beginOffice()
+{
+    this->former.clear();
+}
+
+void GrantManager::replaced(const GroupId &group, const GroupGrants &before, std::uint64_t revision)
+{
+    if (!before.holders.empty())
+        this->former[group].push_back({revision, before.holders});
+}
+
+void GrantManager::advance(TimePoint now)
+{
+    for (const auto &[group, record] : this->context.state.groups())
+        this->advanceGroup(group, now);
+}
+
+void GrantManager::advanceGroup(const GroupId &group, TimePoint now)
+{
+    const GroupGrants &committed = this->context.state.grantsOf(group);
+    GrantInputs inputs;
+    inputs.limits = this->limitsOf(group);
+    inputs.desired = this->desiredFor(group, inputs.limits, now);
+    inputs.committed = committed.holders;
+    inputs.usable = this->usableIn(group, now);
+    inputs.opened = this->openedIn(inputs.limits);
+    // Before the first grant there is nothing that could still be in force.
+    inputs.mayGrow = now >= this->context.leases.graceEnd() || committed.epoch == 0;
+    std::vector<GrantHolder> planned = planGrants(inputs);
+    this->keepDraining(group, inputs, planned, now);
+    if (planned == committed.holders)
+        return;
+    SetGrants command{group, committed.epoch, planned, this->causeOf(group, planned, now)};
+    this->context.proposer.proposeOnce({ProposalTopic::Grants, group.value}, std::move(command),
+                                       now);
+}
+
+TargetShares GrantManager::limitsOf(const GroupId &group) const
+{
+    TargetShares limits;
+    const GroupRecord *record = this->context.state.findGroup(group);
+    if (record == nullptr)
+        return limits;
+    for (const auto &[target, member] : record->members) {
+        const TargetLimits own = limitsIn(this->context.state.table().rows(), group, target);
+        limits[target] = {own.slots, own.connections};
+    }
+    return limits;
+}
+
+std::vector<GrantHolder>
+GrantManager::candidatesFor(const GroupId &group, const TargetShares &limits, TimePoint now) const
+{
+    const LeaseBook &leases = this->context.leases;
+    const std::vector<GrantHolder> &present = this->context.state.grantsOf(group).holders;
+    std::vector<GrantHolder> candidates;
+    for (const auto &[run, lease] : leases.all()) {
+        if (lease.isRetired || lease.draining || now >= lease.endsAt)
+            continue;
+        GrantHolder candidate{run.proxy, run.incarnation, lease.address, lease.failureDomain, {}};
+        if (holdsRun(present, candidate) || !this->hasLeftover(candidate, group, limits, now))
+            candidates.push_back(std::move(candidate));
+    }
+    if (now >= leases.graceEnd())
+        return candidates;
+    // A new leader gives the holders time to renew with it.
+    for (const GrantHolder &holder : present) {
+        if (leases.current(holder.proxy) == nullptr)
+            candidates.push_back(holder);
+    }
+    return candidates;
+}
+
+// Whether the targets still count something open of an earlier run of the proxy.
+bool GrantManager::hasLeftover(const GrantHolder &candidate, const GroupId &group,
+                               const TargetShares &limits, TimePoint now) const
+{
+    const auto &present = this->context.state.grantsOf(group).holders;
+    const auto older = this->former.find(group);
+    const auto isSameProxy = [&candidate](const GrantHolder &each) {
+        return each.proxy == candidate.proxy;
+    };
+    if (std::any_of(present.begin(), present.end(), isSameProxy))
+        return true;
+    if (older != this->former.end()) {
+        for (const FormerGrants &grants : older->second) {
+            if (std::any_of(grants.holders.begin(), grants.holders.end(), isSameProxy))
+                return true;
+        }
+    }
+    // What a target that is gone counted last says nothing; it refuses more than its limit itself.
+    TargetShares alive = limits;
+    for (const auto &[target, limit] : limits) {
+        if (!this->context.targets.isAlive(target, now))
+            alive.erase(target);
+    }
+    return this->openedIn(alive).count(candidate.proxy) != 0;
+}
+
+std::vector<GrantHolder> GrantManager::desiredFor(const GroupId &group, const TargetShares &limits,
+                                                  TimePoint now) const
+{
+    const bool isDivisible = std::any_of(limits.begin(), limits.end(), [](const auto &limit) {
+        return limit.second.slots >= MaxHolders;
+    });
+    const std::size_t count = isDivisible ? MaxHolders : 1;
+    std::vector<GrantHolder> holders =
+        chooseHolders(group, count, this->context.state.grantsOf(group).holders,
+                      this->candidatesFor(group, limits, now));
+    for (std::size_t index = 0; index < holders.size(); ++index) {
+        for (const auto &[target, limit] : limits)
+            holders[index].shares[target] = shareOf(limit, index, holders.size());
+    }
+    return holders;
+}
+
+void GrantManager::keepDraining(const GroupId &group, const GrantInputs &inputs,
+                                std::vector<GrantHolder> &planned, TimePoint now) const
+{
+    for (const GrantHolder &holder : this->context.state.grantsOf(group).holders) {
+        const ProxyLease *lease = this->context.leases.find(runOf(holder));
+        const auto opened = inputs.opened.find(holder.proxy);
+        const bool isKept = lease != nullptr && lease->draining && !lease->isRetired
+                            && now < lease->endsAt && now < lease->drainDeadline
+                            && opened != inputs.opened.end() && !holdsRun(planned, holder);
+        if (!isKept)
+            continue;
+        GrantHolder kept = holder;
+        kept.shares.clear();
+        for (const auto &[target, share] : holder.shares) {
+            const auto use = opened->second.find(target);
+            const std::uint32_t inUse = use == opened->second.end() ? 0 : use->second.slots;
+            const std::uint32_t slots = std::min(share.slots, inUse);
+            if (slots != 0)
+                kept.shares[target] = {slots, std::min(share.connections, slots)};
+        }
+        if (!kept.shares.empty())
+            planned.push_back(std::move(kept));
+    }
+}
+
+std::map<ProxyRun, TargetShares> GrantManager::usableIn(const GroupId &group, TimePoint now)
+{
+    std::map<ProxyRun, TargetShares> usable;
+    // Its holders may renew at any time and so use the committed grant, lease or not.
+    for (const GrantHolder &holder : this->context.state.grantsOf(group).holders)
+        raise(usable[runOf(holder)], holder.shares);
+    std::vector<FormerGrants> &older = this->former[group];
+    const auto isOver = [&](const FormerGrants &grants) {
+        return std::none_of(
+            grants.holders.begin(), grants.holders.end(), [&](const GrantHolder &holder) {
+                return this->context.leases.mayUseBefore(runOf(holder), grants.replacedAt, now);
+            });
+    };
+    older.erase(std::remove_if(older.begin(), older.end(), isOver), older.end());
+    for (const FormerGrants &grants : older) {
+        for (const GrantHolder &holder : grants.holders) {
+            if (this->context.leases.mayUseBefore(runOf(holder), grants.replacedAt, now))
+                raise(usable[runOf(holder)], holder.shares);
+        }
+    }
+    return usable;
+}
+
+std::map<InstanceId, TargetShares> GrantManager::openedIn(const TargetShares &limits) const
+{
+    std::map<InstanceId, TargetShares> opened;
+    for (const auto &[target, limit] : limits) {
+        const RegisteredTarget *known = this->context.targets.find(target);
+        if (known == nullptr)
+            continue;
+        for (const HolderUse &use : known->uses) {
+            if (use.slots != 0 || use.connections != 0)
+                opened[use.holder][target] = {use.slots, use.connections};
+        }
+    }
+    return opened;
+}
+
+std::string GrantManager::causeOf(const GroupId &group, const std::vector<GrantHolder> &planned,
+                                  TimePoint now) const
+{
+    std::string cause;
+    for (const GrantHolder &holder : this->context.state.grantsOf(group).holders) {
+        if (holdsRun(planned, holder))
+            continue;
+        const ProxyLease *lease = this->context.leases.find(runOf(holder));
+        cause += holder.proxy.value;
+        if (lease == nullptr || now >= lease->endsAt)
+            cause += " has no lease; ";
+        else if (lease->isRetired)
+            cause += " was restarted; ";
+        else
+            cause += lease->draining ? " drains; " : " is replaced; ";
+    }
+    return cause + "holders " + describe(planned);
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/coordination/lease_book.cpp
@@ -0,0 +1,131 @@
+// See lease_book.hpp.
+#include "rhubarbweir/coordination/lease_book.hpp"
+
+#include <algorithm>
+
+namespace rhubarbweir {
+
+namespace {
+
+// An ended run is remembered for so many leases, to refuse it if it comes back.
+constexpr int RememberedLeases = 30;
+
+Duration withDrift(const ControlSettings &settings)
+{
+    return settings.leaseFor + settings.leaseFor / settings.driftDivisor;
+}
+
+} // namespace
+
+LeaseBook::LeaseBook(const ControlSettings &controlSettings)
+    : settings(controlSettings)
+{
+}
+
+ProxyLease *LeaseBook::renew(ConnectionId connection, const RenewLease &message, TimePoint now)
+{
+    const ProxyRun run{message.proxy, message.incarnation};
+    ProxyLease &lease = this->leases[run];
+    if (lease.isRetired)
+        return nullptr;
+    this->retireOthers(run);
+    lease.run = run;
+    lease.address = message.address;
+    lease.failureDomain = message.failureDomain;
+    lease.hasView = lease.hasView && lease.connection == connection;
+    lease.connection = connection;
+    // Messages of a former connection may come late.
+    lease.revision = std::max(lease.revision, message.revision);
+    lease.subscription = message.groups;
+    if (message.draining && !lease.draining)
+        lease.drainDeadline = now + this->settings.drainPatience;
+    lease.draining = message.draining;
+    return &lease;
+}
+
+void LeaseBook::retireOthers(const ProxyRun &run)
+{
+    const auto first = this->leases.lower_bound(ProxyRun{run.proxy, 0});
+    for (auto entry = first; entry != this->leases.end() && entry->first.proxy == run.proxy;
+         ++entry) {
+        if (!(entry->first == run))
+            entry->second.isRetired = true;
+    }
+}
+
+void LeaseBook::grant(ProxyLease &lease, std::uint64_t revision, TimePoint now)
+{
+    lease.hasView = true;
+    lease.endsAt = now + withDrift(this->settings);
+    const auto hasEnded = [now](const GrantedLease &granted) {
+        return granted.endsAt <= now;
+    };
+    lease.granted.erase(std::remove_if(lease.granted.begin(), lease.granted.end(), hasEnded),
+                        lease.granted.end());
+    if (!lease.granted.empty() && lease.granted.back().revision == revision)
+        lease.granted.back().endsAt = lease.endsAt;
+    else
+        lease.granted.push_back({revision, lease.endsAt});
+}
+
+void LeaseBook::connectionClosed(ConnectionId connection)
+{
+    for (auto &[run, lease] : this->leases) {
+        if (lease.connection == connection) {
+            lease.connection = 0;
+            lease.hasView = false;
+        }
+    }
+}
+
+void LeaseBook::beginOffice(TimePoint now)
+{
+    this->leases.clear();
+    this->officeGraceEnd = now + withDrift(this->settings);
+}
+
+void LeaseBook::forgetOld(TimePoint now)
+{
+    for (auto entry = this->leases.begin(); entry != this->leases.end();) {
+        if (now >= entry->second.endsAt + RememberedLeases * this->settings.leaseFor)
+            entry = this->leases.erase(entry);
+        else
+            ++entry;
+    }
+}
+
+bool LeaseBook::hasLease(const ProxyRun &run, TimePoint now) const
+{
+    const ProxyLease *lease = this->find(run);
+    return lease != nullptr && now < lease->endsAt;
+}
+
+bool LeaseBook::mayUseBefore(const ProxyRun &run, std::uint64_t revision, TimePoint now) const
+{
+    if (now < this->officeGraceEnd)
+        return true;
+    const ProxyLease *lease = this->find(run);
+    if (lease == nullptr || lease->revision >= revision)
+        return false;
+    return std::any_of(lease->granted.begin(), lease->granted.end(), [&](const GrantedLease &each) {
+        return each.revision < revision && now < each.endsAt;
+    });
+}
+
+const ProxyLease *LeaseBook::find(const ProxyRun &run) const
+{
+    const auto found = this->leases.find(run);
+    return found == this->leases.end() ? nullptr : &found->second;
+}
+
+const ProxyLease *LeaseBook::current(const InstanceId &proxy) const
+{
+    const auto first = this->leases.lower_bound(ProxyRun{proxy, 0});
+    for (auto entry = first; entry != this->leases.end() && entry->first.proxy == proxy; ++entry) {
+        if (!entry->second.isRetired)
+            return &entry->second;
+    }
+    return nullptr;
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/coordination/view_publisher.cpp
@@ -0,0 +1,145 @@
+// See view_publisher.hpp.
+#include "rhubarbweir/coordination/view_publisher.hpp"
+
+#include "rhubarbweir/coordination/group_view_builder.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbweir {
+
+ViewPublisher::ViewPublisher(const ControlContext &controlContext)
+    : context(controlContext)
+{
+}
+
+void ViewPublisher::renew(ConnectionId connection, const RenewLease &message, bool isInOffice,
+                          TimePoint now)
+{
+    if (!isInOffice || now >= this->context.quorum.leaseEnd()) {
+        this->refuse(connection, message, "no lease from the quorum");
+        return;
+    }
+    if (message.revision > this->context.state.revision()) {
+        this->refuse(connection, message,
+                     "the proxy has revision " + std::to_string(message.revision));
+        return;
+    }
+    ProxyLease *lease = this->context.leases.renew(connection, message, now);
+    if (lease == nullptr) {
+        this->refuse(connection, message, "a later run of the proxy took over");
+        return;
+    }
+    LeaseGranted answer;
+    answer.sequence = message.sequence;
+    answer.leaseFor = this->context.settings.leaseFor;
+    answer.delta = this->deltaFor(*lease);
+    this->context.leases.grant(*lease, answer.delta.toRevision, now);
+    this->context.hooks.sendToProxy(connection, answer);
+    if (!this->leased.insert(lease->run).second)
+        return;
+    ControlEvent event;
+    event.kind = ControlEventKind::ProxyLeaseStarted;
+    event.instance = message.proxy;
+    event.revision = message.revision;
+    this->context.hooks.event(event);
+}
+
+void ViewPublisher::refuse(ConnectionId connection, const RenewLease &message, std::string cause)
+{
+    this->context.hooks.sendToProxy(
+        connection, LeaseRefused{message.sequence, this->context.quorum.leaderAddress()});
+    ControlEvent event;
+    event.kind = ControlEventKind::LeaseRefused;
+    event.instance = message.proxy;
+    event.cause = std::move(cause);
+    this->context.hooks.event(event);
+}
+
+void ViewPublisher::publish(TimePoint now)
+{
+    if (now >= this->context.quorum.leaseEnd())
+        return;
+    for (auto &[run, lease] : this->context.leases.all()) {
+        if (lease.connection == 0 || lease.isRetired || !lease.hasView)
+            continue;
+        this->context.hooks.sendToProxy(lease.connection, ViewChanged{this->deltaFor(lease)});
+    }
+}
+
+// From the revision that the proxy reported, so that it fits whatever was lost on the way.
+ViewDelta ViewPublisher::deltaFor(ProxyLease &lease) const
+{
+    const ReplicatedState &state = this->context.state;
+    ViewDelta delta;
+    delta.fromRevision = lease.revision;
+    delta.toRevision = state.revision();
+    for (const auto &[group, record] : state.groups()) {
+        const bool isChanged = state.revisionOf(group) > lease.revision;
+        // A returning proxy may have views of groups that it no longer asks for, with grants
+        // that it lost: it gets every change since its revision.
+        const bool isReturning = !lease.hasView && lease.revision != 0;
+        if (!isChanged || (!isReturning && !this->isWanted(lease, group)))
+            continue;
+        lease.shownGroups.insert(group);
+        delta.groups.push_back(this->viewFor(lease, group));
+    }
+    return delta;
+}
+
+bool ViewPublisher::isWanted(const ProxyLease &lease, const GroupId &group) const
+{
+    const auto &wanted = lease.subscription;
+    if (wanted.empty() || std::find(wanted.begin(), wanted.end(), group) != wanted.end())
+        return true;
+    const auto &holders = this->context.state.grantsOf(group).holders;
+    return lease.shownGroups.count(group) != 0
+           || std::any_of(holders.begin(), holders.end(), [&](const GrantHolder &holder) {
+                  return holder.proxy == lease.run.proxy;
+              });
+}
+
+GroupView ViewPublisher::viewFor(const ProxyLease &lease, const GroupId &group) const
+{
+    GroupView view = buildGroupView(this->context.state, group);
+    const auto &holders = this->context.state.grantsOf(group).holders;
+    const auto isOfEarlierRun = [&](const HolderView &shown) {
+        const bool isHeldNow =
+            std::any_of(holders.begin(), holders.end(), [&](const GrantHolder &holder) {
+                return holder.proxy == shown.proxy && holder.incarnation == lease.run.incarnation;
+            });
+        return shown.proxy == lease.run.proxy && !isHeldNow;
+    };
+    view.holders.erase(std::remove_if(view.holders.begin(), view.holders.end(), isOfEarlierRun),
+                       view.holders.end());
+    return view;
+}
+
+void ViewPublisher::advance(TimePoint now)
+{
+    for (auto run = this->leased.begin(); run != this->leased.end();) {
+        if (this->context.leases.hasLease(*run, now)) {
+            ++run;
+            continue;
+        }
+        ControlEvent event;
+        event.kind = ControlEventKind::ProxyLeaseEnded;
+        event.instance = run->proxy;
+        event.cause = "no renewal in time";
+        this->context.hooks.event(event);
+        run = this->leased.erase(run);
+    }
+}
+
+std::vector<ProxyStatus> ViewPublisher::proxies(TimePoint now) const
+{
+    std::vector<ProxyStatus> statuses;
+    for (const auto &[run, lease] : this->context.leases.all()) {
+        if (!lease.isRetired)
+            statuses.push_back({run.proxy, lease.address, lease.failureDomain, lease.revision,
+                                now < lease.endsAt, lease.draining});
+    }
+    return statuses;
+}
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/state/log_time.hpp
+++ b/src/rhubarbweir/state/log_time.hpp
@@ -7,15 +7,8 @@
 namespace rhubarbweir {
 
 // Runs only while a leader holds office; lifetimes counted by it are therefore lower bounds.
-struct LogClock
-{
-    using duration = Duration;
-    using rep = duration::rep;
-    using period = duration::period;
-    using time_point = std::chrono::time_point<LogClock, Duration>;
-    static constexpr bool is_steady = true;
-};
+struct LogClock;
 
-using LogTime = LogClock::time_point;
+using LogTime = std::chrono::time_point<LogClock, Duration>;
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/state/table_edit.hpp
+++ b/src/rhubarbweir/state/table_edit.hpp
@@ -22,7 +22,7 @@
     EditOutcome outcome = EditOutcome::Invalid;
     // Revision that holds the edit, when accepted; otherwise the revision that refused it.
     std::uint64_t revision = 0;
-    // Rows as they were when the edit was refused with a version conflict.
+    // Rows that had another version than the edit names, as they were then.
     std::vector<TableRow> conflicts;
     // Every fault of the edit, when invalid.
     std::vector<RowProblem> problems;
