--- /dev/null
+++ b/src/programs/control/control_gate.cpp
@@ -0,0 +1,47 @@
+// See control_gate.hpp.
+#include "programs/control/control_gate.hpp"
+
+#include "programs/support/event_log.hpp"
+
+#include <utility>
+
+namespace rhubarbweir {
+
+ControlGate::ControlGate(EventLoop &network, const std::string &address, std::size_t maxConnections,
+                         ControlGateHooks gateHooks)
+    : hooks(std::move(gateHooks))
+    , server(network, address, {Subprotocol::Control}, maxConnections,
+             ServerHooks{[this](const ConnectionPtr &connection, Subprotocol) {
+                             this->accepted(connection);
+                         },
+                         this->hooks.get, logConnectionFault})
+{
+}
+
+void ControlGate::send(ConnectionId id, const Message &message)
+{
+    const auto found = this->connections.find(id);
+    if (found != this->connections.end())
+        found->second->send(message);
+}
+
+void ControlGate::closeAll(CloseReason reason)
+{
+    for (const auto &[id, connection] : this->connections)
+        connection->close(reason);
+}
+
+void ControlGate::accepted(const ConnectionPtr &connection)
+{
+    const ConnectionId id = ++this->lastId;
+    this->connections[id] = connection;
+    connection->onMessage = [this, id](Message message) {
+        this->hooks.received(id, std::move(message));
+    };
+    connection->onClosed = [this, id] {
+        this->connections.erase(id);
+        this->hooks.closed(id);
+    };
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/programs/control/control_gate.hpp
@@ -0,0 +1,45 @@
+// The control instance's listening port: proxies, targets, operators and other control instances.
+// Runs on the network thread; every connection has a number that the control thread uses.
+#pragma once
+
+#include "rhubarbweir/coordination/control_settings.hpp"
+#include "rhubarbweir/transport/web_socket.hpp"
+
+#include <map>
+#include <string>
+
+namespace rhubarbweir {
+
+class EventLoop;
+
+// Run on the network thread.
+struct ControlGateHooks
+{
+    std::function<void(ConnectionId, Message)> received;
+    std::function<void(ConnectionId)> closed;
+    std::function<HttpReply(const std::string &path)> get;
+};
+
+class ControlGate
+{
+public:
+    ControlGate(EventLoop &network, const std::string &address, std::size_t maxConnections,
+                ControlGateHooks hooks);
+
+    // Errors: those of WebSocketServer::listen.
+    absl::Status listen() { return this->server.listen(); }
+    // Does nothing when the connection is gone.
+    void send(ConnectionId id, const Message &message);
+    void closeAll(CloseReason reason);
+
+private:
+    void accepted(const ConnectionPtr &connection);
+
+    ControlGateHooks hooks;
+    // Open connections only.
+    std::map<ConnectionId, ConnectionPtr> connections;
+    ConnectionId lastId = 0;
+    WebSocketServer server;
+};
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/programs/control/control_program.cpp
@@ -0,0 +1,341 @@
+// See control_program.hpp.
+#include "programs/control/control_program.hpp"
+
+#include "programs/support/event_log.hpp"
+#include "rhubarbweir/protocol/quorum_conversion.hpp"
+#include "rhubarbweir/protocol/state_codec.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Time for queued messages to leave before the loops end.
+constexpr std::chrono::milliseconds FlushTime{150};
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) ^ device();
+}
+
+std::vector<QuorumPeer> allPeers(const QuorumSettings &settings)
+{
+    std::vector<QuorumPeer> peers = settings.initialVoters;
+    peers.insert(peers.end(), settings.spares.begin(), settings.spares.end());
+    return peers;
+}
+
+void logControlEvent(const ControlEvent &event)
+{
+    std::vector<EventField> fields;
+    if (!event.group.empty())
+        fields.emplace_back("group", event.group.value);
+    if (!event.target.empty())
+        fields.emplace_back("target", event.target.value);
+    if (!event.instance.empty())
+        fields.emplace_back("subject", event.instance.value);
+    if (event.term != 0)
+        fields.emplace_back("term", static_cast<std::int64_t>(event.term));
+    if (event.revision != 0)
+        fields.emplace_back("revision", static_cast<std::int64_t>(event.revision));
+    if (!event.cause.empty())
+        fields.emplace_back("cause", event.cause);
+    logEvent(LogLevel::Info, nameOf(event.kind), fields);
+}
+
+void logQuorumEvent(const std::string &name, const std::vector<QuorumEventField> &fields)
+{
+    std::vector<EventField> converted;
+    for (const QuorumEventField &field : fields)
+        converted.emplace_back(field.key, field.value);
+    logEvent(LogLevel::Info, name, converted);
+}
+
+// A message as one of the alternatives of `Variant`, if it is one.
+template<typename Variant>
+std::optional<Variant> as(const Message &message)
+{
+    return std::visit(
+        [](const auto &body) -> std::optional<Variant> {
+            if constexpr (std::is_constructible_v<Variant, decltype(body)>)
+                return Variant(body);
+            else
+                return std::nullopt;
+        },
+        message);
+}
+
+template<typename Variant>
+Message toAnyMessage(const Variant &message)
+{
+    return std::visit([](const auto &body) -> Message { return body; }, message);
+}
+
+} // namespace
+
+ControlProgram::ControlProgram(ControlRunSettings runSettings)
+    : settings(std::move(runSettings))
+    , gate(network, settings.listenAddress, settings.maxConnections, this->gateHooks())
+    , links(network, settings.control.instance, allPeers(settings.quorum))
+    , node(settings.control, this->quorumPort(), stateCodec(), this->controlHooks(), randomSeed())
+    , quorum(settings.quorum, this->quorumHooks(), std::mt19937_64(randomSeed()))
+{
+}
+
+ControlProgram::~ControlProgram()
+{
+    this->control.stop();
+    if (this->controlThread.joinable())
+        this->controlThread.join();
+}
+
+absl::Status ControlProgram::run()
+{
+    auto recovered = this->disk.open(this->settings.dataFolder);
+    if (!recovered.ok())
+        return recovered.status();
+    const absl::Status listening = this->gate.listen();
+    if (!listening.ok())
+        return listening;
+    logEvent(LogLevel::Info, "control_started",
+             {{"address", this->settings.listenAddress},
+              {"failure_domain", this->settings.control.failureDomain.value}});
+    this->network.onStopSignal([this](int) { this->stopRequested(); });
+    this->links.start();
+    this->control.post([this, state = *std::move(recovered)] {
+        this->quorum.start(state, EventLoop::now());
+        this->settle();
+    });
+    this->controlThread = std::thread([this] { this->control.run(); });
+    this->network.run();
+    return absl::OkStatus();
+}
+
+QuorumPort ControlProgram::quorumPort()
+{
+    QuorumPort port;
+    port.propose = [this](std::string payload, TimePoint now) {
+        return this->quorum.propose(std::move(payload), now);
+    };
+    port.isLeader = [this] {
+        return this->quorum.isLeader();
+    };
+    port.leader = [this] {
+        const auto leader = this->quorum.leader();
+        return leader ? leader->instance : InstanceId();
+    };
+    port.leaderAddress = [this] {
+        const auto leader = this->quorum.leader();
+        return leader ? leader->address : std::string();
+    };
+    port.leaseEnd = [this] {
+        return this->quorum.leaseEnd(EventLoop::now());
+    };
+    port.leadershipStart = [this] {
+        return this->quorum.lastLeadershipStart();
+    };
+    port.term = [this] {
+        return this->quorum.term();
+    };
+    port.voters = [this] {
+        return this->voterStatuses();
+    };
+    return port;
+}
+
+QuorumHooks ControlProgram::quorumHooks()
+{
+    QuorumHooks hooks;
+    hooks.send = [this](const InstanceId &to, const QuorumMessage &message) {
+        this->network.post([this, to, copy = toMessage(message)] { this->links.send(to, copy); });
+    };
+    hooks.persist = [this](const PersistBatch &batch) {
+        this->persist(batch);
+    };
+    hooks.apply = [this](std::uint64_t index, const std::string &payload) {
+        this->node.applied(index, payload, EventLoop::now());
+    };
+    hooks.makeSnapshot = [this] {
+        return this->node.snapshot();
+    };
+    hooks.restoreSnapshot = [this](const std::string &state, std::uint64_t index) {
+        const absl::Status status = this->node.restore(state, EventLoop::now());
+        logEvent(status.ok() ? LogLevel::Info : LogLevel::Error, "snapshot_restored",
+                 {{"index", static_cast<std::int64_t>(index)}, {"status", status.ToString()}});
+    };
+    hooks.event = logQuorumEvent;
+    return hooks;
+}
+
+ControlHooks ControlProgram::controlHooks()
+{
+    const auto sendTo = [this](ConnectionId connection, Message message) {
+        this->network.post([this, connection, message = std::move(message)] {
+            this->gate.send(connection, message);
+        });
+    };
+    ControlHooks hooks;
+    hooks.sendToProxy = [sendTo](ConnectionId connection, const ProxyReply &message) {
+        sendTo(connection, toAnyMessage(message));
+    };
+    hooks.sendToTarget = [sendTo](ConnectionId connection, const TargetOrder &message) {
+        sendTo(connection, toAnyMessage(message));
+    };
+    hooks.sendToOperator = [sendTo](ConnectionId connection, const OperatorReply &message) {
+        sendTo(connection, toAnyMessage(message));
+    };
+    hooks.sendToControl = [this](const InstanceId &to, const ObserverReport &message) {
+        this->network.post([this, to, message] { this->links.send(to, message); });
+    };
+    hooks.event = logControlEvent;
+    return hooks;
+}
+
+ControlGateHooks ControlProgram::gateHooks()
+{
+    ControlGateHooks hooks;
+    hooks.received = [this](ConnectionId connection, Message message) {
+        this->control.post([this, connection, message = std::move(message)] {
+            this->received(connection, message);
+            this->settle();
+        });
+    };
+    hooks.closed = [this](ConnectionId connection) {
+        this->control.post([this, connection] {
+            this->peers.erase(connection);
+            this->node.connectionClosed(connection, EventLoop::now());
+            this->settle();
+        });
+    };
+    hooks.get = [this](const std::string &path) {
+        return this->get(path);
+    };
+    return hooks;
+}
+
+void ControlProgram::received(ConnectionId connection, const Message &message)
+{
+    const TimePoint now = EventLoop::now();
+    if (const auto *renewal = std::get_if<RenewLease>(&message))
+        this->node.receiveFromProxy(connection, *renewal, now);
+    else if (const auto report = as<TargetReport>(message))
+        this->node.receiveFromTarget(connection, *report, now);
+    else if (const auto request = as<OperatorRequest>(message))
+        this->node.receiveFromOperator(connection, *request, now);
+    else
+        this->receivedFromControl(connection, message);
+}
+
+void ControlProgram::receivedFromControl(ConnectionId connection, const Message &message)
+{
+    const TimePoint now = EventLoop::now();
+    if (const auto *hello = std::get_if<PeerHello>(&message)) {
+        this->peers[connection] = hello->instance;
+        return;
+    }
+    const auto peer = this->peers.find(connection);
+    if (peer == this->peers.end()) {
+        logEvent(LogLevel::Warning, "message_ignored",
+                 {{"cause", "sender did not introduce itself"}});
+        return;
+    }
+    if (const auto quorumMessage = toQuorumMessage(message))
+        this->quorum.receive(peer->second, *quorumMessage, now);
+    else if (const auto *report = std::get_if<ObserverReport>(&message))
+        this->node.receiveFromControl(peer->second, *report, now);
+}
+
+void ControlProgram::persist(const PersistBatch &batch)
+{
+    this->disk.persist(batch, [this, token = batch.token](const absl::Status &status) {
+        this->control.post([this, token, status] {
+            if (status.ok()) {
+                this->quorum.persisted(token, EventLoop::now());
+            } else {
+                logEvent(LogLevel::Error, "disk_failed", {{"cause", status.ToString()}});
+                this->quorum.persistFailed(token, EventLoop::now());
+            }
+            this->settle();
+        });
+    });
+}
+
+void ControlProgram::stopRequested()
+{
+    if (this->stopping) {
+        this->network.stop();
+        return;
+    }
+    this->stopping = true;
+    logEvent(LogLevel::Info, "stop_requested", {{"cause", "signal"}});
+    this->control.post([this] {
+        const absl::Status handedOver = this->quorum.handOverLeadership(EventLoop::now());
+        logEvent(LogLevel::Info, "leadership_handed_over", {{"status", handedOver.ToString()}});
+        this->settle();
+    });
+    this->network.schedule(EventLoop::now() + FlushTime, [this] { this->finish(); });
+}
+
+void ControlProgram::finish()
+{
+    this->gate.closeAll(CloseReason::GoingAway);
+    this->network.schedule(EventLoop::now() + FlushTime, [this] {
+        logEvent(LogLevel::Info, "control_stopped", {});
+        this->network.stop();
+    });
+}
+
+HttpReply ControlProgram::get(const std::string &path) const
+{
+    if (path != "/health")
+        return {};
+    if (this->stopping)
+        return {503, "text/plain", "draining\n"};
+    return this->knowsLeader ? HttpReply{200, "text/plain", "ready\n"}
+                             : HttpReply{503, "text/plain", "no leader\n"};
+}
+
+void ControlProgram::settle()
+{
+    const auto leader = this->quorum.leader();
+    const InstanceId leaderId = leader ? leader->instance : InstanceId();
+    if (leaderId != this->lastLeader || this->quorum.isLeader() != this->wasLeader) {
+        this->lastLeader = leaderId;
+        this->wasLeader = this->quorum.isLeader();
+        this->knowsLeader = !leaderId.empty();
+        this->node.leadershipChanged(EventLoop::now());
+    }
+    const TimePoint deadline = std::min(this->quorum.nextDeadline(), this->node.nextDeadline());
+    if (deadline >= this->armedFor)
+        return;
+    this->armedFor = deadline;
+    this->control.schedule(deadline, [this, deadline] {
+        if (this->armedFor == deadline)
+            this->armedFor = TimePoint::max();
+        this->quorum.advance(EventLoop::now());
+        this->node.advance(EventLoop::now());
+        this->settle();
+    });
+}
+
+std::vector<VoterStatus> ControlProgram::voterStatuses() const
+{
+    std::vector<VoterStatus> statuses;
+    for (const MemberStatus &member : this->quorum.memberStatuses(EventLoop::now())) {
+        VoterStatus status;
+        status.instance = member.member.peer.instance;
+        status.address = member.member.peer.address;
+        status.failureDomain = member.member.peer.failureDomain;
+        status.voter = member.voter;
+        status.reachable = member.reachable;
+        status.matchedIndex = member.matchIndex;
+        statuses.push_back(status);
+    }
+    return statuses;
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/programs/control/control_program.hpp
@@ -0,0 +1,73 @@
+// One control instance: the network thread, the disk thread, and the control thread, which alone
+// runs the quorum log and the control node.
+#pragma once
+
+#include "programs/control/control_gate.hpp"
+#include "programs/control/disk_writer.hpp"
+#include "programs/control/quorum_links.hpp"
+#include "rhubarbweir/coordination/control_node.hpp"
+#include "rhubarbweir/coordination/quorum_log.hpp"
+#include "rhubarbweir/transport/event_loop.hpp"
+
+#include <atomic>
+#include <thread>
+
+namespace rhubarbweir {
+
+struct ControlRunSettings
+{
+    ControlSettings control;
+    QuorumSettings quorum;
+    std::string listenAddress;
+    std::string dataFolder;
+    std::size_t maxConnections = 4096;
+};
+
+class ControlProgram
+{
+public:
+    explicit ControlProgram(ControlRunSettings settings);
+    ~ControlProgram();
+    ControlProgram(const ControlProgram &) = delete;
+    ControlProgram &operator=(const ControlProgram &) = delete;
+
+    // Runs until a stop signal was served.
+    // Errors: those of listening and of opening the data folder.
+    absl::Status run();
+
+private:
+    QuorumPort quorumPort();
+    QuorumHooks quorumHooks();
+    ControlHooks controlHooks();
+    ControlGateHooks gateHooks();
+    void received(ConnectionId connection, const Message &message);
+    void receivedFromControl(ConnectionId connection, const Message &message);
+    void persist(const PersistBatch &batch);
+    void stopRequested();
+    void finish();
+    HttpReply get(const std::string &path) const;
+    // Tells the node of a change of leadership and schedules the next advance().
+    void settle();
+    std::vector<VoterStatus> voterStatuses() const;
+
+    ControlRunSettings settings;
+    EventLoop network;
+    EventLoop control;
+    DiskWriter disk;
+    ControlGate gate;
+    QuorumLinks links;
+    ControlNode node;
+    QuorumLog quorum;
+    // Other control instances by the connection that they opened.
+    std::map<ConnectionId, InstanceId> peers;
+    // Last leadership that the node was told of.
+    bool wasLeader = false;
+    InstanceId lastLeader;
+    TimePoint armedFor = TimePoint::max();
+    // Written by the control thread, read by the network thread for health checks.
+    std::atomic<bool> knowsLeader{false};
+    bool stopping = false;
+    std::thread controlThread;
+};
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/programs/control/disk_writer.hpp
@@ -0,0 +1,37 @@
+// The disk thread of a control instance: writes and syncs batches in order.
+#pragma once
+
+#include "rhubarbweir/transport/event_loop.hpp"
+#include "rhubarbweir/transport/quorum_store.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace rhubarbweir {
+
+class DiskWriter
+{
+public:
+    using Done = std::function<void(const absl::Status &)>;
+
+    DiskWriter() = default;
+    // Finishes the batch in work and ends the thread.
+    ~DiskWriter();
+    DiskWriter(const DiskWriter &) = delete;
+    DiskWriter &operator=(const DiskWriter &) = delete;
+
+    // First call. A damaged folder is emptied, so that the instance returns as a new incarnation.
+    // Errors: Unavailable when the folder cannot be opened or is held by another process.
+    absl::StatusOr<RecoveredState> open(const std::string &folder);
+    // `done` runs on the disk thread.
+    void persist(const PersistBatch &batch, Done done);
+
+private:
+    EventLoop loop;
+    std::unique_ptr<QuorumStore> store;
+    std::thread thread;
+};
+
+} // namespace rhubarbweir
