--- /dev/null
+++ b/src/rhubarbweir/coordination/holder_assignment.cpp
@@ -0,0 +1,83 @@
+// See holder_assignment.hpp.
+#include "rhubarbweir/coordination/holder_assignment.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace rhubarbweir {
+
+namespace {
+
+std::uint64_t rendezvousScore(const GroupId &group, const InstanceId &proxy)
+{
+    const std::string text = group.value + '\n' + proxy.value;
+    return XXH3_64bits(text.data(), text.size());
+}
+
+const GrantHolder *findRun(const std::vector<GrantHolder> &holders, const GrantHolder &wanted)
+{
+    const auto found = std::find_if(holders.begin(), holders.end(), [&](const GrantHolder &each) {
+        return each.proxy == wanted.proxy && each.incarnation == wanted.incarnation;
+    });
+    return found == holders.end() ? nullptr : &*found;
+}
+
+bool hasDomain(const std::vector<GrantHolder> &holders, const FailureDomainId &domain)
+{
+    return std::any_of(holders.begin(), holders.end(),
+                       [&](const GrantHolder &each) { return each.failureDomain == domain; });
+}
+
+// The candidate to add; null when all are chosen.
+const GrantHolder *nextHolder(const GroupId &group, const std::vector<GrantHolder> &chosen,
+                              const std::vector<GrantHolder> &candidates)
+{
+    const GrantHolder *best = nullptr;
+    bool bestIsApart = false;
+    std::uint64_t bestScore = 0;
+    for (const GrantHolder &candidate : candidates) {
+        if (findRun(chosen, candidate) != nullptr)
+            continue;
+        const bool isApart = !hasDomain(chosen, candidate.failureDomain);
+        const std::uint64_t score = rendezvousScore(group, candidate.proxy);
+        const bool isBetter = isApart != bestIsApart ? isApart : score > bestScore;
+        if (best == nullptr || isBetter) {
+            best = &candidate;
+            bestIsApart = isApart;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+std::vector<GrantHolder> chooseHolders(const GroupId &group, std::size_t count,
+                                       const std::vector<GrantHolder> &present,
+                                       const std::vector<GrantHolder> &candidates)
+{
+    std::vector<GrantHolder> chosen;
+    for (const GrantHolder &holder : present) {
+        const GrantHolder *candidate = findRun(candidates, holder);
+        const bool isAnotherDomainOpen =
+            candidate != nullptr && hasDomain(chosen, candidate->failureDomain)
+            && std::any_of(candidates.begin(), candidates.end(), [&](const GrantHolder &each) {
+                   return !hasDomain(chosen, each.failureDomain);
+               });
+        if (candidate != nullptr && chosen.size() < count && !isAnotherDomainOpen)
+            chosen.push_back(*candidate);
+    }
+    while (chosen.size() < count) {
+        const GrantHolder *next = nextHolder(group, chosen, candidates);
+        if (next == nullptr)
+            break;
+        chosen.push_back(*next);
+    }
+    for (GrantHolder &holder : chosen)
+        holder.shares.clear();
+    return chosen;
+}
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/holder_choice.cpp
+++ b/src/rhubarbweir/coordination/holder_choice.cpp
@@ -1,19 +1,12 @@
 // See holder_choice.hpp.
 #include "rhubarbweir/coordination/holder_choice.hpp"
 
-<<<<<<< HEAD
-=======
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
->>>>>>> control
 #include <algorithm>
 
 namespace rhubarbweir {
 
 namespace {
 
-<<<<<<< HEAD
 // What the extra hop to another proxy costs, in requests waiting for each slot.
 constexpr double HopCost = 0.25;
 // Far above any queue: an unreachable holder is chosen only when there is no other.
@@ -42,51 +35,10 @@
             continue;
         best = &holder;
         bestWait = wait;
-=======
-std::uint64_t rendezvousScore(const GroupId &group, const InstanceId &proxy)
-{
-    const std::string text = group.value + '\n' + proxy.value;
-    return XXH3_64bits(text.data(), text.size());
-}
-
-const GrantHolder *findRun(const std::vector<GrantHolder> &holders, const GrantHolder &wanted)
-{
-    const auto found = std::find_if(holders.begin(), holders.end(), [&](const GrantHolder &each) {
-        return each.proxy == wanted.proxy && each.incarnation == wanted.incarnation;
-    });
-    return found == holders.end() ? nullptr : &*found;
-}
-
-bool hasDomain(const std::vector<GrantHolder> &holders, const FailureDomainId &domain)
-{
-    return std::any_of(holders.begin(), holders.end(),
-                       [&](const GrantHolder &each) { return each.failureDomain == domain; });
-}
-
-// The candidate to add; null when all are chosen.
-const GrantHolder *nextHolder(const GroupId &group, const std::vector<GrantHolder> &chosen,
-                              const std::vector<GrantHolder> &candidates)
-{
-    const GrantHolder *best = nullptr;
-    bool bestIsApart = false;
-    std::uint64_t bestScore = 0;
-    for (const GrantHolder &candidate : candidates) {
-        if (findRun(chosen, candidate) != nullptr)
-            continue;
-        const bool isApart = !hasDomain(chosen, candidate.failureDomain);
-        const std::uint64_t score = rendezvousScore(group, candidate.proxy);
-        const bool isBetter = isApart != bestIsApart ? isApart : score > bestScore;
-        if (best == nullptr || isBetter) {
-            best = &candidate;
-            bestIsApart = isApart;
-            bestScore = score;
-        }
->>>>>>> control
     }
     return best;
 }
 
-<<<<<<< HEAD
 void HolderChoice::noteLoad(const GroupId &group, const InstanceId &holder, const HolderLoad &load)
 {
     Known &entry = this->known[{group, holder}];
@@ -134,34 +86,6 @@
     const double reported = entry.load.queued + inUse + entry.sentSince;
     // An old report may be too low; what this proxy itself waits for is certain.
     return cost + std::max(reported, static_cast<double>(entry.outstanding)) / slots;
-=======
-} // namespace
-
-std::vector<GrantHolder> chooseHolders(const GroupId &group, std::size_t count,
-                                       const std::vector<GrantHolder> &present,
-                                       const std::vector<GrantHolder> &candidates)
-{
-    std::vector<GrantHolder> chosen;
-    for (const GrantHolder &holder : present) {
-        const GrantHolder *candidate = findRun(candidates, holder);
-        const bool isAnotherDomainOpen =
-            candidate != nullptr && hasDomain(chosen, candidate->failureDomain)
-            && std::any_of(candidates.begin(), candidates.end(), [&](const GrantHolder &each) {
-                   return !hasDomain(chosen, each.failureDomain);
-               });
-        if (candidate != nullptr && chosen.size() < count && !isAnotherDomainOpen)
-            chosen.push_back(*candidate);
-    }
-    while (chosen.size() < count) {
-        const GrantHolder *next = nextHolder(group, chosen, candidates);
-        if (next == nullptr)
-            break;
-        chosen.push_back(*next);
-    }
-    for (GrantHolder &holder : chosen)
-        holder.shares.clear();
-    return chosen;
->>>>>>> control
 }
 
 } // namespace rhubarbweir
