Read a peer's first request with its introduction

Cause: the hook that reads a peer's hello was replaced by posted work, so a request that came in the same read was taken for a second hello and the connection was closed. Ruled out: the node's choice of holder (requests entering at a holder all succeeded). One hook now reads both.

--- a/src/programs/proxy/peer_links.cpp
+++ b/src/programs/proxy/peer_links.cpp
@@ -32,26 +32,25 @@
 
 void PeerLinks::accept(const ConnectionPtr &connection)
 {
-    connection->onMessage = [this, raw = connection.get()](const Message &message) {
+    // The first message names the peer; requests may follow it at once.
+    auto peer = std::make_shared<InstanceId>();
+    connection->onMessage = [this, peer, raw = connection.get()](const Message &message) {
+        if (!peer->empty()) {
+            this->received(*peer, raw->shared_from_this(), message);
+            return;
+        }
         const auto *hello = std::get_if<PeerHello>(&message);
         if (hello == nullptr) {
             raw->close(CloseReason::UnexpectedMessage);
             return;
         }
-        const InstanceId peer = hello->instance;
-        const ConnectionPtr shared = raw->shared_from_this();
-        this->incoming[peer] = shared;
-        raw->onClosed = [this, peer, raw] {
-            const auto found = this->incoming.find(peer);
-            if (found != this->incoming.end() && found->second.get() == raw)
-                this->incoming.erase(found);
-        };
-        // Replaces the running hook, so nothing of it may be used afterwards.
-        this->loop.post([this, peer, shared] {
-            shared->onMessage = [this, peer, target = shared.get()](const Message &next) {
-                this->received(peer, target->shared_from_this(), next);
-            };
-        });
+        *peer = hello->instance;
+        this->incoming[*peer] = raw->shared_from_this();
+    };
+    connection->onClosed = [this, peer, raw = connection.get()] {
+        const auto found = this->incoming.find(*peer);
+        if (found != this->incoming.end() && found->second.get() == raw)
+            this->incoming.erase(found);
     };
 }
 
