--- a/tests/fakes/open_loop.hpp
+++ b/tests/fakes/open_loop.hpp
@@ -43,14 +43,20 @@
 public:
     using Make = std::function<void(CallerRequest &)>;
 
-    // One session for each name in `callers`, spread over the proxies.
-    OpenLoop(ProxyFixture &givenFixture, const std::vector<std::string> &callers)
+    // Requests whose latency and place of reading are recorded; all by default.
+    std::function<bool(const CallerRequest &)> measured = [](const CallerRequest &) {
+        return true;
+    };
+
+    // One session for each name in `callers`, spread over `entries` or over all proxies.
+    OpenLoop(ProxyFixture &givenFixture, const std::vector<std::string> &callers,
+             const std::vector<std::string> &entries = {})
         : fixture(givenFixture)
     {
         this->fixture.answered = [this](CallerConnectionId connection, const CallerReply &reply) {
             this->receive(connection, reply);
         };
-        const auto &names = this->fixture.settings.proxies;
+        const auto &names = entries.empty() ? this->fixture.settings.proxies : entries;
         for (std::size_t index = 0; index < callers.size(); ++index) {
             Caller caller;
             caller.name = CallerId(callers[index]);
@@ -85,7 +91,7 @@
     {
         TimePoint at;
         TimePoint deadline;
-        std::size_t caller = 0;
+        bool isMeasured = true;
     };
 
     void schedule(double rate, TimePoint end, const Make &make)
@@ -115,7 +121,7 @@
         request.maxAge = std::chrono::seconds(3);
         make(request);
         const TimePoint now = this->fixture.time.now();
-        this->asked[keyOf(request)] = {now, now + request.timeLeft, index};
+        this->asked[keyOf(request)] = {now, now + request.timeLeft, this->measured(request)};
         ++this->result.sent;
         this->fixture.callerSends(caller.proxy, index + 1, request);
     }
@@ -137,9 +143,11 @@
         if (answer->outcome == Outcome::Ok) {
             ++this->result.ok;
             ++this->result.okOf[caller.name];
-            this->result.replicaReads += answer->servedByReplica ? 1 : 0;
-            this->result.latencies.push_back(
-                std::chrono::duration_cast<Duration>(now - found->second.at));
+            if (found->second.isMeasured) {
+                this->result.replicaReads += answer->servedByReplica ? 1 : 0;
+                this->result.latencies.push_back(
+                    std::chrono::duration_cast<Duration>(now - found->second.at));
+            }
             for (const auto &[group, position] : answer->token.seen)
                 caller.token.observe(group, position);
         } else if (answer->outcome == Outcome::NotRun) {
