--- a/tests/fakes/fake_database.hpp
+++ b/tests/fakes/fake_database.hpp
@@ -16,7 +16,7 @@
 // A connection as the database knows it.
 using LinkId = std::pair<InstanceId, Generation>;
 
-struct LogEntry
+struct DatabaseEntry
 {
     std::uint64_t term = 0;
     // Requests whose effect the entry holds: one write, or a transaction's writes and commit.
@@ -42,7 +42,7 @@
     // A new entry stands at the end of the log.
     std::function<void()> appended;
     std::vector<std::string> breaches;
-    std::vector<LogEntry> log;
+    std::vector<DatabaseEntry> log;
     std::size_t applied = 0;
     std::uint64_t adoptedTerm = 1;
     TargetRole role = TargetRole::Replica;
@@ -199,7 +199,7 @@
         std::uint64_t number = 0;
         SessionId session;
         std::uint64_t transaction = 0;
-        LogEntry pending;
+        DatabaseEntry pending;
     };
 
     void apply(std::size_t length)
@@ -321,7 +321,7 @@
     std::optional<StatementResult> known(const RequestKey &key, StatementReply &reply) const
     {
         for (std::size_t index = 0; index < this->log.size(); ++index) {
-            const LogEntry &entry = this->log[index];
+            const DatabaseEntry &entry = this->log[index];
             if (std::find(entry.requests.begin(), entry.requests.end(), key)
                 == entry.requests.end())
                 continue;
@@ -331,7 +331,7 @@
         return std::nullopt;
     }
 
-    void append(LogEntry entry)
+    void append(DatabaseEntry entry)
     {
         this->log.push_back(std::move(entry));
         this->applied = this->log.size();
--- a/tests/fakes/workload.hpp
+++ b/tests/fakes/workload.hpp
@@ -67,7 +67,7 @@
         const auto &log = this->fixture.primary().log;
         std::map<RequestKey, int> runs;
         std::set<RequestKey> seals;
-        for (const LogEntry &entry : log) {
+        for (const DatabaseEntry &entry : log) {
             for (const RequestKey &key : entry.requests) {
                 if (entry.seals)
                     seals.insert(key);
--- a/tests/unit/proxy_traps.tests.cpp
+++ b/tests/unit/proxy_traps.tests.cpp
@@ -96,7 +96,7 @@
 {
     std::size_t runs = 0;
     const auto &log = fixture.databases.at(fixture.group.primary)->log;
-    for (const fakes::LogEntry &entry : log) {
+    for (const DatabaseEntry &entry : log) {
         for (const RequestKey &key : entry.requests)
             runs += !entry.seals && key == RequestKey{caller.session, request} ? 1 : 0;
     }
