--- a/tests/scenarios/scenario_runner.hpp
+++ b/tests/scenarios/scenario_runner.hpp
@@ -1,8 +1,8 @@
 // Runs a scenario's steps against a fixture, which maps verbs to actions and expectations.
 #pragma once
 
+#include "fakes/virtual_time.hpp"
 #include "scenarios/scenario.hpp"
-#include "scenarios/virtual_clock.hpp"
 
 #include <absl/status/status.h>
 
@@ -16,7 +16,10 @@
 using Verb = std::function<absl::Status(const Step &)>;
 using Verbs = std::map<std::string, Verb>;
 
+// The scenario's clock; asked before each step, because a step may replace the fixture.
+using ClockOf = std::function<fakes::VirtualTime &()>;
+
 // Reads and runs `file`. Errors: the first failing step, with file and line.
-absl::Status runScenarioFile(const std::string &file, VirtualClock &clock, const Verbs &verbs);
+absl::Status runScenarioFile(const std::string &file, const ClockOf &clockOf, const Verbs &verbs);
 
 } // namespace rhubarbweir::testing
