Add rhubarbctl: table, status, drain, plan, timeline, check

Questions go to one control instance after the other, follow the leader that an answer names and are resent byte for byte after a lost answer, so an edit keeps its request id. The time line merges event logs by clock without ever reordering one process's events, and comes as text, JSON lines or one HTML page. check compares the settings of a whole folder.

--- /dev/null
+++ b/src/programs/ctl/command.hpp
@@ -0,0 +1,61 @@
+// What the commands of rhubarbctl share.
+#pragma once
+
+#include "programs/ctl/control_client.hpp"
+#include "programs/support/command_line.hpp"
+#include "programs/support/ctl_program_settings.hpp"
+
+#include <absl/status/status.h>
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace rhubarbweir {
+
+struct CommandContext
+{
+    const CommandLine &commandLine;
+    // Operands behind the command's name.
+    std::vector<std::string> operands;
+    const CtlProgramSettings &settings;
+    // Asks control; connects on first use.
+    ControlClient &client;
+    std::ostream &out;
+    std::ostream &errors;
+
+    // Whether results are for programs.
+    bool json() const { return this->commandLine.has("json"); }
+};
+
+// Each command reports on `out` and `errors` and returns the exit code.
+ExitCode showTable(CommandContext &context);
+ExitCode setRow(CommandContext &context);
+ExitCode removeRow(CommandContext &context);
+ExitCode importTable(CommandContext &context);
+ExitCode exportTable(CommandContext &context);
+ExitCode waitInForce(CommandContext &context);
+ExitCode showStatus(CommandContext &context);
+ExitCode drainTarget(CommandContext &context);
+ExitCode drainProxy(CommandContext &context);
+ExitCode planChange(CommandContext &context);
+ExitCode showTimeline(CommandContext &context);
+ExitCode checkFolder(CommandContext &context);
+
+// Writes the body of `message` as JSON.
+void writeJson(const Message &message, std::ostream &out);
+// Reports a failed question and returns the exit code that fits.
+ExitCode reportFailure(CommandContext &context, const absl::Status &status);
+ExitCode reportUsage(CommandContext &context, const std::string &usage);
+// The id given by --request-id, or a random one.
+std::string requestIdFor(const CommandContext &context);
+
+// Sends one atomic edit and reports its result. `revision` receives the revision of an accepted
+// edit.
+ExitCode sendEdit(CommandContext &context, std::vector<RowChange> changes, std::uint64_t &revision);
+// The current version of a row; 0 when it is absent.
+absl::StatusOr<std::uint64_t> versionOf(CommandContext &context, const RowKey &key);
+// Waits until all proxies with a valid lease have `revision` in force.
+ExitCode awaitInForce(CommandContext &context, std::uint64_t revision);
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/programs/ctl/fleet_check.cpp
@@ -0,0 +1,186 @@
+// See fleet_check.hpp.
+#include "programs/ctl/fleet_check.hpp"
+
+#include "programs/ctl/table_csv.hpp"
+#include "programs/support/control_program_settings.hpp"
+#include "programs/support/ctl_program_settings.hpp"
+#include "programs/support/proxy_program_settings.hpp"
+#include "programs/support/settings_file.hpp"
+#include "programs/support/standin_program_settings.hpp"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <set>
+#include <sstream>
+
+namespace rhubarbweir {
+
+namespace {
+
+enum class Program {
+    Control,
+    Proxy,
+    Standin,
+    Ctl,
+};
+
+SettingsSchema schemaOf(Program program)
+{
+    switch (program) {
+    case Program::Control:
+        return controlSettingsSchema();
+    case Program::Proxy:
+        return proxySettingsSchema();
+    case Program::Standin:
+        return standinSettingsSchema();
+    case Program::Ctl:
+        break;
+    }
+    return ctlSettingsSchema();
+}
+
+// The program that a file is for, told by the section that only this program has.
+Program programOf(const SettingsFileContent &content)
+{
+    for (const SettingsSectionStart &start : content.sections) {
+        if (start.section == "quorum")
+            return Program::Control;
+        if (start.section == "target")
+            return Program::Standin;
+        if (start.section == "operator")
+            return Program::Ctl;
+    }
+    return Program::Proxy;
+}
+
+class FleetChecker
+{
+public:
+    FleetCheck check(const std::string &folder)
+    {
+        std::error_code error;
+        std::vector<std::string> files;
+        for (const auto &entry : std::filesystem::directory_iterator(folder, error)) {
+            if (entry.path().extension() == ".ini")
+                files.push_back(entry.path().string());
+        }
+        if (error || files.empty()) {
+            this->result.faults.push_back({folder, 0, "", "", "no settings files", "*.ini"});
+            return std::move(this->result);
+        }
+        std::sort(files.begin(), files.end());
+        for (const std::string &file : files)
+            this->checkFile(file);
+        for (const Reference &reference : this->references)
+            this->checkReference(reference);
+        this->checkTable(folder + "/table.csv");
+        return std::move(this->result);
+    }
+
+private:
+    // A value that has to be a control instance's listen address.
+    struct Reference
+    {
+        Settings settings;
+        std::string address;
+    };
+
+    void checkFile(const std::string &file)
+    {
+        std::ifstream stream(file);
+        std::ostringstream content;
+        content << stream.rdbuf();
+        const Program program = programOf(parseSettingsText(content.str(), file));
+        const LoadedSettings loaded = schemaOf(program).loadText(content.str(), file);
+        this->result.faults.insert(this->result.faults.end(), loaded.faults.begin(),
+                                   loaded.faults.end());
+        if (!loaded.faults.empty())
+            return;
+        this->checkAgainstOthers(program, loaded.settings);
+    }
+
+    void checkAgainstOthers(Program program, const Settings &settings)
+    {
+        if (program != Program::Control) {
+            for (const std::string &address : settings.list("control", "addresses"))
+                this->references.push_back({settings, address});
+        }
+        if (program == Program::Ctl)
+            return;
+        this->claim(settings, "instance", "id");
+        this->claim(settings, "listen", "address");
+        this->claim(settings, "log", "file");
+        this->agree(settings, "instance", "known_failure_domains");
+        if (program == Program::Control) {
+            ++this->result.controls;
+            this->controlAddresses.insert(settings.text("listen", "address"));
+            this->claim(settings, "storage", "data_folder");
+            this->agree(settings, "quorum", "voters");
+        } else if (program == Program::Proxy) {
+            ++this->result.proxies;
+        } else {
+            ++this->result.targets;
+            this->claim(settings, "files", "report");
+            this->claim(settings, "files", "journal");
+        }
+    }
+
+    // The value must be in one file only.
+    void claim(const Settings &settings, const std::string &section, const std::string &key)
+    {
+        const std::string value = settings.text(section, key);
+        if (value.empty())
+            return;
+        const auto [owner, added] = this->claims.insert({{key, value}, settings.file()});
+        if (!added)
+            this->result.faults.push_back(
+                faultAt(settings, section, key, "\"" + value + "\"",
+                        "a value of its own; " + owner->second + " has the same"));
+    }
+
+    // The value must be the same list in all files that have it.
+    void agree(const Settings &settings, const std::string &section, const std::string &key)
+    {
+        const std::vector<std::string> value = settings.list(section, key);
+        const auto [first, added] = this->agreed.insert({key, {value, settings.file()}});
+        if (!added && first->second.first != value)
+            this->result.faults.push_back(faultAt(settings, section, key, "another list",
+                                                  "the list of " + first->second.second));
+    }
+
+    void checkReference(const Reference &reference)
+    {
+        if (this->controlAddresses.count(reference.address) == 0)
+            this->result.faults.push_back(
+                faultAt(reference.settings, "control", "addresses", "\"" + reference.address + "\"",
+                        "the listen address of a control instance of this folder"));
+    }
+
+    void checkTable(const std::string &file)
+    {
+        std::ifstream stream(file);
+        if (!stream)
+            return;
+        for (const CsvFault &fault : readTableCsv(stream).faults)
+            this->result.faults.push_back({file, fault.line, "", "", fault.found, fault.expected});
+    }
+
+    FleetCheck result;
+    std::set<std::string> controlAddresses;
+    std::vector<Reference> references;
+    // Key and value to the file that has it.
+    std::map<std::pair<std::string, std::string>, std::string> claims;
+    // Key to the first list seen and its file.
+    std::map<std::string, std::pair<std::vector<std::string>, std::string>> agreed;
+};
+
+} // namespace
+
+FleetCheck checkFleet(const std::string &folder)
+{
+    return FleetChecker().check(folder);
+}
+
+} // namespace rhubarbweir
