Test failover under kills, cuts and changes of the control leader

1,000 seeds over one group of three databases, three control instances and two writing proxies: writes that a proxy would confirm stay in every promoted log, one target confirms in a term, and each run ends steady and writing. Found by the test and mended: a replica that restarted was not told again whom to follow when it already had an entry of the term, so writes stayed unconfirmed for ever (seeds 3 and 440); it is now told once on each connection.

--- a/src/rhubarbweir/coordination/failover_manager.cpp
+++ b/src/rhubarbweir/coordination/failover_manager.cpp
@@ -269,7 +269,8 @@
     this->order(chosen, message, work, this->context.settings.orderInterval, now);
 }
 
-// Tells every other member to follow `primary` until it shows an entry of the term.
+// Tells every other member to follow `primary`: once on each connection, as a restarted database
+// may have forgotten, and again until it shows an entry of the term.
 void FailoverManager::orderFollowers(const GroupId &group, const GroupRecord &record,
                                      const TargetId &primary, Progress &work, TimePoint now)
 {
@@ -285,10 +286,14 @@
         const bool isOutside =
             status.adoptedTerm < record.term || status.role == TargetRole::Primary;
         const bool isFollowing = !isOutside && status.received.term >= record.term;
-        if (isFollowing)
+        const bool isTold = work.followOrderedOn[target] == known->connection;
+        if (isFollowing && isTold)
             continue;
-        this->order(target, message, work,
-                    isOutside ? this->context.settings.orderInterval : FollowRepeatInterval, now);
+        const bool isUrgent = isOutside || !isTold;
+        if (this->order(target, message, work,
+                        isUrgent ? this->context.settings.orderInterval : FollowRepeatInterval,
+                        now))
+            work.followOrderedOn[target] = known->connection;
     }
 }
 
@@ -305,19 +310,19 @@
                                        now);
 }
 
-void FailoverManager::order(const TargetId &target, const TargetOrder &message, Progress &work,
+bool FailoverManager::order(const TargetId &target, const TargetOrder &message, Progress &work,
                             Duration interval, TimePoint now)
 {
     const RegisteredTarget *known = this->context.targets.find(target);
     if (known == nullptr || known->connection == 0)
-        return;
+        return false;
     TimePoint &next = work.nextOrderAt[target];
     if (now < next)
-        return;
+        return false;
     next = now + interval;
     this->context.hooks.sendToTarget(known->connection, message);
     if (!std::holds_alternative<FollowPrimary>(message))
-        return;
+        return true;
     ControlEvent event;
     event.kind = ControlEventKind::FollowOrdered;
     event.target = target;
@@ -327,6 +332,7 @@
                   + std::to_string(known->status.adoptedTerm) + " at "
                   + describe(known->status.received);
     this->context.hooks.event(event);
+    return true;
 }
 
 Reason FailoverManager::checkPlannedChange(const PlannedChange &request, TimePoint now) const
--- a/src/rhubarbweir/coordination/failover_manager.hpp
+++ b/src/rhubarbweir/coordination/failover_manager.hpp
@@ -34,6 +34,8 @@
         TimePoint since;
         // When an order to a target may be repeated.
         std::map<TargetId, TimePoint> nextOrderAt;
+        // Connection on which a target was last told to follow the primary.
+        std::map<TargetId, ConnectionId> followOrderedOn;
         // PlannedHold: when the hold was known to be in force; max() before.
         TimePoint heldSince = TimePoint::max();
         // Unassigned: when a majority had announced itself; max() before.
@@ -60,8 +62,9 @@
                                TimePoint now) const;
     void beginTerm(const GroupId &group, const GroupRecord &record, const TargetId &preferred,
                    std::string cause, TimePoint now);
-    // Sends unless the last order to the target is younger than `interval`.
-    void order(const TargetId &target, const TargetOrder &message, Progress &progress,
+    // Sends unless the target has no connection or the last order to it is younger than its
+    // interval. Returns whether it sent.
+    bool order(const TargetId &target, const TargetOrder &message, Progress &progress,
                Duration interval, TimePoint now);
     bool isHoldInForce(const GroupId &group, const Progress &progress, TimePoint now) const;
     bool isLeaving(const TargetId &target) const;
--- /dev/null
+++ b/tests/unit/promotion.tests.cpp
@@ -0,0 +1,94 @@
+// Property tests of failover: one group of three databases under kills, cuts and changes of the
+// control leader, in virtual time.
+#include "unit/group_fakes.hpp"
+
+using namespace rhubarbweir;
+using namespace rhubarbweir::fakes;
+
+namespace {
+
+// Heals everything, waits, and checks that the group works with every confirmed write in it.
+void checkRecovered(FakeGroup &group, std::uint64_t seed)
+{
+    for (const FakeTarget &target : group.targets) {
+        group.world.heal(target.id.value);
+        group.world.start(target.id.value);
+    }
+    for (FakeControls::Instance &control : group.controls.instances) {
+        group.world.heal(control.name);
+        group.controls.rejoin(control);
+    }
+    group.world.runFor(std::chrono::seconds(6));
+    cr_assert(group.isSteady(), "seed %lu does not end steady", seed);
+    const int primary = group.indexOf(group.record()->primary);
+    cr_assert(primary >= 0);
+    const FakeTarget &target = group.targets[primary];
+    cr_assert(target.role == TargetRole::Primary && target.adoptedTerm == group.record()->term);
+    group.checkHoldsConfirmed(target);
+    cr_assert(group.world.now() - group.lastConfirmed < std::chrono::seconds(1),
+              "seed %lu confirms no more writes", seed);
+}
+
+void disturb(FakeGroup &group)
+{
+    World &world = group.world;
+    const GroupRecord *record = group.record();
+    const int primary = record == nullptr ? -1 : group.indexOf(record->primary);
+    // The primary is hit more often than the others.
+    const std::size_t victim = primary >= 0 && world.pick(0, 1) == 0 ? primary : world.pick(0, 2);
+    const std::string target = group.targets[victim].id.value;
+    const Duration lasting = milliseconds(world.pick(50, 3000));
+    switch (world.pick(0, 3)) {
+    case 0:
+        group.stopTarget(victim);
+        world.after(lasting, [&world, target] { world.start(target); });
+        return;
+    case 1:
+        world.cutOff(target);
+        world.after(lasting, [&world, target] { world.heal(target); });
+        return;
+    case 2:
+        group.controls.replaceLeader();
+        return;
+    default:
+        if (FakeControls::Instance *leader = group.controls.leader()) {
+            const std::string name = leader->name;
+            world.cutOff(name);
+            group.controls.replaceLeader();
+            world.after(lasting, [&group, name] {
+                group.world.heal(name);
+                group.controls.rejoin(*group.controls.find(name));
+            });
+        }
+    }
+}
+
+// Runs the seeds from `first` to `last`; returns the number of terms begun.
+std::uint64_t runSeeds(std::uint64_t first, std::uint64_t last)
+{
+    std::uint64_t terms = 0;
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+        FakeGroup group(seed);
+        group.world.runFor(std::chrono::seconds(2));
+        for (int fault = 0; fault < 8; ++fault) {
+            disturb(group);
+            group.world.runFor(milliseconds(group.world.pick(5, 900)));
+        }
+        checkRecovered(group, seed);
+        terms += group.record()->term;
+    }
+    return terms;
+}
+
+} // namespace
+
+Test(promotion, random_faults_1,
+     .description = "seeds 1-500: confirmed writes kept, one primary a term, ends steady")
+{
+    cr_assert(runSeeds(1, 500) > 1000, "too few failovers to prove anything");
+}
+
+Test(promotion, random_faults_2, .description = "seeds 501-1,000 of the same")
+{
+    cr_assert(runSeeds(501, 1000) > 1000, "too few failovers to prove anything");
+}
