Release bootstrap promises and compare incarnations by their newest answer

Change: an instance in a cluster answers outsiders' joins, and a promise ends when an initial voter holds state; of two incarnations of an instance the one that answered the newest message lives.

--- a/src/rhubarbweir/coordination/quorum_bootstrap.cpp
+++ b/src/rhubarbweir/coordination/quorum_bootstrap.cpp
@@ -7,9 +7,12 @@
 // The first membership is written by the smallest initial voter, and only after all other initial
 // voters answered that they are empty, were told to bootstrap, and from now on follow this
 // incarnation of it alone. A wiped bootstrapper therefore starts no second cluster as long as one
-// initial voter kept its folder. When all initial voters lose their folders at once, nothing is
-// left that could tell, and a new empty cluster starts; so operators drop the flag after the first
-// start. A folder set back to an older copy is not detected either.
+// initial voter kept its folder. A promise ends when an initial voter is found to hold state: the
+// bootstrap that it was given for cannot complete any more.
+//
+// What remains unsafe: when all initial voters lose their folders at once, nothing is left that
+// could tell, and a new empty cluster starts, even if a spare holds the old one. So operators drop
+// the flag after the first start. A folder set back to an older copy is not detected either.
 #include "rhubarbweir/coordination/quorum_log.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -65,6 +68,17 @@
         this->sendAfterSync(peer.instance, QuorumJoin{this->header(0), this->settings.self});
 }
 
+// Tells an instance outside of any cluster that this one is in one, so that it gives up a promise.
+void QuorumLog::answerOutsider(const InstanceId &to, const QuorumHeader &received)
+{
+    if (this->hardState.clusterId == 0 || received.clusterId != 0)
+        return;
+    QuorumBootstrapAnswer answer;
+    answer.header = this->header(received.fromIncarnation);
+    answer.hasState = true;
+    this->sendAfterSync(to, answer);
+}
+
 void QuorumLog::handle(const InstanceId &from, const QuorumBootstrapQuery &query)
 {
     const std::uint64_t asking = query.header.fromIncarnation;
@@ -84,6 +98,15 @@
 
 void QuorumLog::handle(const InstanceId &from, const QuorumBootstrapAnswer &answer)
 {
+    const bool fromInitialVoter =
+        std::any_of(this->settings.initialVoters.begin(), this->settings.initialVoters.end(),
+                    [&from](const QuorumPeer &peer) { return peer.instance == from; });
+    if (!fromInitialVoter || this->hardState.clusterId != 0)
+        return;
+    if (answer.hasState && this->hardState.bootstrapPromise != 0) {
+        this->hardState.bootstrapPromise = 0;
+        this->saveHardState();
+    }
     if (!this->isBootstrapper())
         return;
     if (answer.hasState) {
@@ -121,21 +144,14 @@
                                        {"cause", "all_initial_voters_empty"}});
 }
 
-bool QuorumLog::acceptsCluster(const QuorumHeader &received)
+bool QuorumLog::acceptsCluster(const QuorumHeader &received) const
 {
     if (received.clusterId == 0)
         return true;
     if (this->hardState.clusterId != 0)
         return received.clusterId == this->hardState.clusterId;
     const std::uint64_t promise = this->hardState.bootstrapPromise;
-    if (promise == 0 || received.clusterId == promise)
-        return true;
-    // The instance that got the promise found an older cluster: the promise is void.
-    if (received.fromIncarnation != promise)
-        return false;
-    this->hardState.bootstrapPromise = 0;
-    this->saveHardState();
-    return true;
+    return promise == 0 || received.clusterId == promise;
 }
 
 void QuorumLog::bindCluster(std::uint64_t clusterId)
--- a/src/rhubarbweir/coordination/quorum_log.cpp
+++ b/src/rhubarbweir/coordination/quorum_log.cpp
@@ -55,7 +55,7 @@
     this->enter(time);
     const QuorumHeader &received =
         std::visit([](const auto &body) -> const QuorumHeader & { return body.header; }, message);
-    if (this->accepts(from, received)) {
+    if (this->accepts(from, message, received)) {
         this->adoptTerm(message, received);
         std::visit([this, &from](const auto &body) { this->handle(from, body); }, message);
     }
@@ -185,13 +185,14 @@
     return {this->hardState.clusterId, this->hardState.incarnation, toIncarnation, this->term()};
 }
 
-bool QuorumLog::accepts(const InstanceId &from, const QuorumHeader &received)
+bool QuorumLog::accepts(const InstanceId &from, const QuorumMessage &message,
+                        const QuorumHeader &received) const
 {
     if (from == this->settings.self.instance)
         return false;
     if (received.toIncarnation != 0 && received.toIncarnation != this->hardState.incarnation)
         return false;
-    return this->acceptsCluster(received);
+    return std::holds_alternative<QuorumBootstrapAnswer>(message) || this->acceptsCluster(received);
 }
 
 // A vote request raises the term only when the vote is not refused for a living leader's sake, and
--- a/src/rhubarbweir/coordination/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum_log.hpp
@@ -113,7 +113,8 @@
     void enter(TimePoint time);
     void leave();
     QuorumHeader header(std::uint64_t toIncarnation) const;
-    bool accepts(const InstanceId &from, const QuorumHeader &received);
+    bool accepts(const InstanceId &from, const QuorumMessage &message,
+                 const QuorumHeader &received) const;
     void adoptTerm(const QuorumMessage &message, const QuorumHeader &received);
     void sendAfterSync(const InstanceId &to, QuorumMessage message);
     void emit(const std::string &name, std::vector<QuorumEventField> fields) const;
@@ -206,7 +207,8 @@
     void handle(const InstanceId &from, const QuorumBootstrapQuery &query);
     void handle(const InstanceId &from, const QuorumBootstrapAnswer &answer);
     void bootstrapIfPromised();
-    bool acceptsCluster(const QuorumHeader &received);
+    void answerOutsider(const InstanceId &to, const QuorumHeader &received);
+    bool acceptsCluster(const QuorumHeader &received) const;
     void bindCluster(std::uint64_t clusterId);
 
     QuorumSettings settings;
--- a/src/rhubarbweir/coordination/quorum_membership.cpp
+++ b/src/rhubarbweir/coordination/quorum_membership.cpp
@@ -90,6 +90,7 @@
 
 void QuorumLog::handle(const InstanceId &from, const QuorumJoin &join)
 {
+    this->answerOutsider(from, join.header);
     if (!this->checkChange().ok() || join.peer.instance != from)
         return;
     const QuorumMembership &current = this->membership();
--- a/src/rhubarbweir/coordination/quorum_replication.cpp
+++ b/src/rhubarbweir/coordination/quorum_replication.cpp
@@ -118,8 +118,10 @@
     progress.answeredSequence = std::max(progress.answeredSequence, answered);
     // An instance has one incarnation at a time: the one that answered the newest message.
     for (auto &[key, other] : this->progresses) {
-        if (key.first == from && &other != &progress)
-            other.superseded = other.answeredSequence < progress.answeredSequence;
+        if (key.first != from || &other == &progress)
+            continue;
+        other.superseded = other.answeredSequence < progress.answeredSequence;
+        progress.superseded = !other.superseded;
     }
     return &progress;
 }
--- a/tests/unit/quorum_log.tests.cpp
+++ b/tests/unit/quorum_log.tests.cpp
@@ -167,6 +167,30 @@
     cr_assert(cluster.runUntil(seconds(5), [&] { return cluster.whole() && cluster.allEqual(); }));
 }
 
+Test(quorum_log, promise_ends,
+     .description = "a promise to a bootstrap that was declined binds no one")
+{
+    QuorumCluster cluster(13, 5);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    cluster.runFor(seconds(1));
+    // Instance 4 returns empty and reaches only instance 0, which is wiped too and asks for
+    // promises.
+    cluster.wipe(4);
+    cluster.wipe(0);
+    cluster.isolate(4);
+    cluster.start(4);
+    cluster.start(0);
+    cluster.healLinks();
+    for (std::size_t other = 1; other < 4; ++other) {
+        cluster.cut(other, 4);
+        cluster.cut(other, 0);
+    }
+    cluster.runFor(seconds(2));
+    cluster.healLinks();
+    cr_assert(cluster.runUntil(seconds(10), [&] { return cluster.whole() && cluster.allEqual(); }));
+}
+
 Test(quorum_log, spare, .description = "a spare takes the place of a silent voter by itself")
 {
     QuorumCluster cluster(9, 3, 1);
