--- a/bench/control_load.cpp
+++ b/bench/control_load.cpp
@@ -68,10 +68,11 @@
 class Peer : public std::enable_shared_from_this<Peer>
 {
 public:
-    Peer(EventLoop &eventLoop, Counters &shared, Message first)
+    // Connections of one target share its message, and so its state.
+    Peer(EventLoop &eventLoop, Counters &shared, std::shared_ptr<Message> announced)
         : loop(eventLoop)
         , counters(shared)
-        , message(std::move(first))
+        , message(std::move(announced))
     {
     }
 
@@ -99,28 +100,58 @@
 
     void send()
     {
-        if (auto *renew = std::get_if<RenewLease>(&this->message))
+        if (auto *renew = std::get_if<RenewLease>(this->message.get()))
             ++renew->sequence;
-        this->connection->send(this->message);
+        this->sendMessage(*this->message);
+    }
+
+    void sendMessage(const Message &sent)
+    {
+        this->connection->send(sent);
         ++this->counters.sent;
-        this->counters.sentBytes += encode(this->message).size();
+        this->counters.sentBytes += encode(sent).size();
     }
 
     void received(const Message &answer)
     {
         ++this->counters.received;
         this->counters.receivedBytes += encode(answer).size();
+        if (auto *renew = std::get_if<RenewLease>(this->message.get()))
+            this->receivedByProxy(*renew, answer);
+        else
+            this->receivedByTarget(std::get<Announcement>(*this->message).status, answer);
+    }
+
+    void receivedByProxy(RenewLease &renew, const Message &answer)
+    {
+        if (const auto *changed = std::get_if<ViewChanged>(&answer))
+            renew.revision = std::max(renew.revision, changed->delta.toRevision);
         const auto *granted = std::get_if<LeaseGranted>(&answer);
-        auto *renew = std::get_if<RenewLease>(&this->message);
-        if (granted == nullptr || renew == nullptr)
+        if (granted == nullptr)
             return;
         ++this->counters.leases;
-        renew->revision = std::max(renew->revision, granted->delta.toRevision);
+        renew.revision = std::max(renew.revision, granted->delta.toRevision);
+    }
+
+    void receivedByTarget(TargetStatus &status, const Message &answer)
+    {
+        if (const auto *fence = std::get_if<FenceTarget>(&answer)) {
+            status.adoptedTerm = std::max(status.adoptedTerm, fence->term);
+            status.role = TargetRole::Replica;
+            this->sendMessage(TargetFenced{status});
+        } else if (const auto *promote = std::get_if<PromoteTarget>(&answer)) {
+            status.role = TargetRole::Primary;
+            status.received = {promote->term, status.received.position + 1};
+            status.applied = status.received;
+            this->sendMessage(TargetPromoted{status});
+        } else if (const auto *follow = std::get_if<FollowPrimary>(&answer)) {
+            status.adoptedTerm = std::max(status.adoptedTerm, follow->term);
+        }
     }
 
     EventLoop &loop;
     Counters &counters;
-    Message message;
+    std::shared_ptr<Message> message;
     ConnectionPtr connection;
 };
 
@@ -192,18 +223,22 @@
     Counters counters;
     for (int group = 0; group < options.groups; ++group) {
         for (int member = 0; member < 3; ++member) {
+            const auto message = std::make_shared<Message>(targetMessage(group, member));
             for (const auto &control : options.controls)
-                std::make_shared<Peer>(loop, counters, targetMessage(group, member))
+                std::make_shared<Peer>(loop, counters, message)
                     ->start(client, control, AnnounceInterval);
         }
     }
-    for (int number = 0; number < options.proxies; ++number)
-        for (const auto &control : options.controls)
-            std::make_shared<Peer>(loop, counters,
-                                   proxyMessage(number, std::max(1, options.groups)))
-                ->start(client, control, RenewInterval);
+    // Every proxy asks every instance, of which only the leader grants.
+    for (int number = 0; number < options.proxies; ++number) {
+        for (const auto &control : options.controls) {
+            const auto message =
+                std::make_shared<Message>(proxyMessage(number, std::max(1, options.groups)));
+            std::make_shared<Peer>(loop, counters, message)->start(client, control, RenewInterval);
+        }
+    }
 
-    constexpr std::chrono::seconds warmUp{4};
+    constexpr std::chrono::seconds warmUp{6};
     std::vector<ProcessUse> before;
     Counters countersBefore;
     loop.schedule(EventLoop::now() + warmUp, [&] {
