--- a/tests/unit/control_fakes.hpp
+++ b/tests/unit/control_fakes.hpp
@@ -142,12 +142,12 @@
 
     static constexpr Duration QuorumLease = milliseconds(300);
 
-    FakeControls(World &virtualWorld, int count, ControlSettings base = {})
+    FakeControls(World &virtualWorld, int count, Duration tickInterval = milliseconds(20))
         : world(virtualWorld)
     {
         for (int index = 0; index < count; ++index)
-            this->add(index, base);
-        this->world.every(milliseconds(20), [this] { this->tick(); });
+            this->add(index, {});
+        this->world.every(tickInterval, [this] { this->tick(); });
         this->elect(0);
     }
 
