--- a/src/rhubarbweir/coordination/control_node.cpp
+++ b/src/rhubarbweir/coordination/control_node.cpp
@@ -15,6 +15,30 @@
 
 // Longest pause between two looks at what is due.
 constexpr Duration TickInterval = std::chrono::milliseconds(20);
+// A sweep over all groups takes at most so many ticks.
+constexpr std::size_t SweepTicks = 5;
+// Groups swept in one tick at least.
+constexpr std::size_t MinSweep = 64;
+
+std::set<GroupId> groupsIn(const std::vector<TargetObservation> &observations)
+{
+    std::set<GroupId> groups;
+    for (const TargetObservation &observation : observations)
+        groups.insert(observation.group);
+    return groups;
+}
+
+GroupId groupIn(const TargetReport &report)
+{
+    return std::visit(
+        [](const auto &body) {
+            if constexpr (std::is_same_v<std::decay_t<decltype(body)>, TargetStatus>)
+                return body.group;
+            else
+                return body.status.group;
+        },
+        report);
+}
 
 // An automatic action, as the log and StatusReport tell it.
 struct Action
@@ -92,7 +116,10 @@
     void registerMember(const Announcement &announcement, TimePoint now);
     void watchStates(TimePoint now);
     void reportToLeader(TimePoint now);
-    void decide(TimePoint now);
+    bool mayDecide(TimePoint now) const;
+    void decide(const GroupId &group, TimePoint now);
+    void decideAll(TimePoint now);
+    void sweep(TimePoint now);
 
     ControlSettings settings;
     QuorumPort quorum;
@@ -123,6 +150,7 @@
     std::set<TargetId> refused;
     TimePoint nextReportAt;
     TimePoint nextTickAt;
+    GroupId lastSwept;
 };
 
 void ControlNode::Parts::report(ControlEventKind kind, const TargetId &target, std::string cause)
@@ -254,13 +282,39 @@
     this->hooks.sendToControl(leader, message);
 }
 
-// Everything that a leader may have to do now.
-void ControlNode::Parts::decide(TimePoint now)
+bool ControlNode::Parts::mayDecide(TimePoint now) const
+{
+    return this->isInOffice && now < this->quorum.leaseEnd();
+}
+
+// Everything that a leader may have to do now for one group.
+void ControlNode::Parts::decide(const GroupId &group, TimePoint now)
 {
-    if (!this->isInOffice || now >= this->quorum.leaseEnd())
+    if (group.empty() || !this->mayDecide(now))
         return;
-    this->failover.advance(now);
-    this->grants.advance(now);
+    this->failover.advanceGroup(group, now);
+    this->grants.advanceGroup(group, now);
+}
+
+void ControlNode::Parts::decideAll(TimePoint now)
+{
+    for (const auto &[group, record] : this->state.groups())
+        this->decide(group, now);
+}
+
+// Decides the next groups in turn for what only time brings; all within SweepTicks ticks.
+void ControlNode::Parts::sweep(TimePoint now)
+{
+    const auto &groups = this->state.groups();
+    const std::size_t share = std::max(MinSweep, groups.size() / SweepTicks + 1);
+    auto next = groups.upper_bound(this->lastSwept);
+    for (std::size_t count = std::min(share, groups.size()); count > 0; --count) {
+        if (next == groups.end())
+            next = groups.begin();
+        this->lastSwept = next->first;
+        ++next;
+        this->decide(this->lastSwept, now);
+    }
 }
 
 ControlNode::ControlNode(ControlSettings settings, QuorumPort quorum, StateCodec codec,
@@ -276,10 +330,12 @@
                                    TimePoint now)
 {
     Parts &node = *this->parts;
-    if (node.isInOffice)
-        node.observations.receive(message, now);
+    const bool hasNews = node.isInOffice && node.observations.receive(message, now);
     node.views.renew(connection, message, node.isInOffice, now);
-    node.decide(now);
+    if (!hasNews)
+        return;
+    for (const GroupId &group : groupsIn(message.observations))
+        node.decide(group, now);
 }
 
 void ControlNode::receiveFromTarget(ConnectionId connection, const TargetReport &message,
@@ -291,7 +347,7 @@
     const auto *announcement = std::get_if<Announcement>(&message);
     if (announcement != nullptr && node.isInOffice)
         node.registerMember(*announcement, now);
-    node.decide(now);
+    node.decide(groupIn(message), now);
 }
 
 void ControlNode::receiveFromOperator(ConnectionId connection, const OperatorRequest &message,
@@ -304,10 +360,10 @@
                                      TimePoint now)
 {
     Parts &node = *this->parts;
-    if (!node.isInOffice)
+    if (!node.isInOffice || !node.observations.receive(message, now))
         return;
-    node.observations.receive(message, now);
-    node.decide(now);
+    for (const GroupId &group : groupsIn(message.observations))
+        node.decide(group, now);
 }
 
 void ControlNode::connectionClosed(ConnectionId connection, TimePoint now)
@@ -317,7 +373,7 @@
     node.leases.connectionClosed(connection);
     node.operators.connectionClosed(connection);
     node.watchStates(now);
-    node.decide(now);
+    node.decideAll(now);
 }
 
 void ControlNode::applied(std::uint64_t index, std::string_view payload, TimePoint now)
@@ -347,7 +403,10 @@
     }
     if (node.isInOffice && node.state.revision() != formerRevision)
         node.views.publish(now);
-    node.decide(now);
+    if (start != nullptr)
+        node.decideAll(now);
+    for (const GroupId &group : result.changedGroups)
+        node.decide(group, now);
 }
 
 void ControlNode::leadershipChanged(TimePoint now)
@@ -378,7 +437,7 @@
         return;
     node.views.advance(now);
     node.leases.forgetOld(now);
-    node.decide(now);
+    node.sweep(now);
 }
 
 TimePoint ControlNode::nextDeadline() const
--- a/src/rhubarbweir/coordination/failover_manager.cpp
+++ b/src/rhubarbweir/coordination/failover_manager.cpp
@@ -33,12 +33,6 @@
     this->nextMoveAt.clear();
 }
 
-void FailoverManager::advance(TimePoint now)
-{
-    for (const auto &[group, record] : this->context.state.groups())
-        this->advanceGroup(group, now);
-}
-
 void FailoverManager::advanceGroup(const GroupId &group, TimePoint now)
 {
     const GroupRecord *found = this->context.state.findGroup(group);
--- a/src/rhubarbweir/coordination/failover_manager.hpp
+++ b/src/rhubarbweir/coordination/failover_manager.hpp
@@ -17,7 +17,6 @@
 
     // Forgets what was ordered; the new leader orders again.
     void beginOffice();
-    void advance(TimePoint now);
     void advanceGroup(const GroupId &group, TimePoint now);
     // Reason::None when the change may be proposed.
     Reason checkPlannedChange(const PlannedChange &request, TimePoint now) const;
--- a/src/rhubarbweir/coordination/grant_manager.cpp
+++ b/src/rhubarbweir/coordination/grant_manager.cpp
@@ -4,6 +4,7 @@
 #include "rhubarbweir/coordination/holder_assignment.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace rhubarbweir {
@@ -43,6 +44,15 @@
     return text.empty() ? "none" : text;
 }
 
+// One slot cannot be shared.
+std::size_t holderCount(const TargetShares &limits)
+{
+    const bool isDivisible = std::any_of(limits.begin(), limits.end(), [](const auto &limit) {
+        return limit.second.slots >= MaxHolders;
+    });
+    return isDivisible ? MaxHolders : 1;
+}
+
 } // namespace
 
 GrantManager::GrantManager(const ControlContext &controlContext)
@@ -61,17 +71,13 @@
         this->former[group].push_back({revision, before.holders});
 }
 
-void GrantManager::advance(TimePoint now)
-{
-    for (const auto &[group, record] : this->context.state.groups())
-        this->advanceGroup(group, now);
-}
-
 void GrantManager::advanceGroup(const GroupId &group, TimePoint now)
 {
     const GroupGrants &committed = this->context.state.grantsOf(group);
     GrantInputs inputs;
     inputs.limits = this->limitsOf(group);
+    if (this->isSettled(group, inputs.limits, now))
+        return;
     inputs.desired = this->desiredFor(group, inputs.limits, now);
     inputs.committed = committed.holders;
     inputs.usable = this->usableIn(group, now);
@@ -87,6 +93,31 @@
                                        now);
 }
 
+bool GrantManager::isSettled(const GroupId &group, const TargetShares &limits, TimePoint now) const
+{
+    const std::vector<GrantHolder> &holders = this->context.state.grantsOf(group).holders;
+    const auto older = this->former.find(group);
+    if (holders.size() != holderCount(limits) || now < this->context.leases.graceEnd()
+        || (older != this->former.end() && !older->second.empty()))
+        return false;
+    std::set<FailureDomainId> domains;
+    for (std::size_t index = 0; index < holders.size(); ++index) {
+        const ProxyLease *lease = this->context.leases.find(runOf(holders[index]));
+        if (lease == nullptr || lease->isRetired || lease->draining || now >= lease->endsAt
+            || lease->address != holders[index].address
+            || holders[index].shares.size() != limits.size())
+            return false;
+        domains.insert(holders[index].failureDomain);
+        for (const auto &[target, limit] : limits) {
+            const auto share = holders[index].shares.find(target);
+            if (share == holders[index].shares.end()
+                || share->second != shareOf(limit, index, holders.size()))
+                return false;
+        }
+    }
+    return domains.size() == holders.size();
+}
+
 TargetShares GrantManager::limitsOf(const GroupId &group) const
 {
     TargetShares limits;
@@ -152,12 +183,8 @@
 std::vector<GrantHolder> GrantManager::desiredFor(const GroupId &group, const TargetShares &limits,
                                                   TimePoint now) const
 {
-    const bool isDivisible = std::any_of(limits.begin(), limits.end(), [](const auto &limit) {
-        return limit.second.slots >= MaxHolders;
-    });
-    const std::size_t count = isDivisible ? MaxHolders : 1;
     std::vector<GrantHolder> holders =
-        chooseHolders(group, count, this->context.state.grantsOf(group).holders,
+        chooseHolders(group, holderCount(limits), this->context.state.grantsOf(group).holders,
                       this->candidatesFor(group, limits, now));
     for (std::size_t index = 0; index < holders.size(); ++index) {
         for (const auto &[target, limit] : limits)
--- a/src/rhubarbweir/coordination/grant_manager.hpp
+++ b/src/rhubarbweir/coordination/grant_manager.hpp
@@ -20,7 +20,6 @@
     // The grants of `group` are replaced at `revision`, that is just being applied; `before` were
     // in force until then.
     void replaced(const GroupId &group, const GroupGrants &before, std::uint64_t revision);
-    void advance(TimePoint now);
     void advanceGroup(const GroupId &group, TimePoint now);
 
 private:
@@ -32,6 +31,9 @@
         std::vector<GrantHolder> holders;
     };
 
+    // Whether the group has its holders with their full shares, all live, and nothing of former
+    // grants is left. Nothing has to be planned then.
+    bool isSettled(const GroupId &group, const TargetShares &limits, TimePoint now) const;
     TargetShares limitsOf(const GroupId &group) const;
     std::vector<GrantHolder> candidatesFor(const GroupId &group, const TargetShares &limits,
                                            TimePoint now) const;
--- a/src/rhubarbweir/coordination/observation_book.cpp
+++ b/src/rhubarbweir/coordination/observation_book.cpp
@@ -62,43 +62,61 @@
 {
 }
 
-void ObservationBook::receive(const RenewLease &report, TimePoint now)
+bool ObservationBook::receive(const RenewLease &report, TimePoint now)
 {
     Observer observer;
     observer.failureDomain = report.failureDomain;
     observer.isProxy = true;
-    this->receive(report.proxy, std::move(observer), report.observations, now);
+    return this->receive(report.proxy, std::move(observer), report.observations, now);
 }
 
-void ObservationBook::receive(const ObserverReport &report, TimePoint now)
+bool ObservationBook::receive(const ObserverReport &report, TimePoint now)
 {
     Observer observer;
     observer.failureDomain = report.failureDomain;
-    this->receive(report.instance, std::move(observer), report.observations, now);
+    return this->receive(report.instance, std::move(observer), report.observations, now);
 }
 
-void ObservationBook::receive(const InstanceId &instance, Observer observer,
+bool ObservationBook::receive(const InstanceId &instance, Observer observer,
                               const std::vector<TargetObservation> &observations, TimePoint now)
 {
     observer.expiresAt = now + this->settings.observationLifetime;
     for (const TargetObservation &observation : observations)
         observer.states[observation.target] = observation.state;
-    this->observers[instance] = std::move(observer);
+    if (!observer.isProxy)
+        this->controlObservers.insert(instance);
+    Observer &present = this->observers[instance];
+    const bool isChanged = present.states != observer.states;
+    if (isChanged && observer.isProxy) {
+        for (const auto &[target, state] : present.states)
+            this->proxiesByTarget[target].erase(instance);
+        for (const auto &[target, state] : observer.states)
+            this->proxiesByTarget[target].insert(instance);
+    }
+    present = std::move(observer);
+    return isChanged;
 }
 
 void ObservationBook::clear()
 {
     this->observers.clear();
+    this->controlObservers.clear();
+    this->proxiesByTarget.clear();
 }
 
 std::vector<Sighting> ObservationBook::sightingsOf(const TargetId &target, TimePoint now) const
 {
+    std::set<InstanceId> witnesses = this->controlObservers;
+    const auto proxies = this->proxiesByTarget.find(target);
+    if (proxies != this->proxiesByTarget.end())
+        witnesses.insert(proxies->second.begin(), proxies->second.end());
     std::vector<Sighting> sightings;
-    for (const auto &[instance, observer] : this->observers) {
+    for (const InstanceId &instance : witnesses) {
+        const Observer &observer = this->observers.at(instance);
+        if (now >= observer.expiresAt)
+            continue;
         const auto state = observer.states.find(target);
         const bool isNamed = state != observer.states.end();
-        if (now >= observer.expiresAt || (observer.isProxy && !isNamed))
-            continue;
         sightings.push_back({instance, observer.failureDomain,
                              isNamed ? state->second : ObservedState::Alive, observer.isProxy});
     }
--- a/src/rhubarbweir/coordination/observation_book.hpp
+++ b/src/rhubarbweir/coordination/observation_book.hpp
@@ -4,6 +4,7 @@
 #include "rhubarbweir/coordination/control_settings.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -38,8 +39,9 @@
 public:
     explicit ObservationBook(const ControlSettings &controlSettings);
 
-    void receive(const RenewLease &report, TimePoint now);
-    void receive(const ObserverReport &report, TimePoint now);
+    // Whether the observer says something else than in its last report.
+    bool receive(const RenewLease &report, TimePoint now);
+    bool receive(const ObserverReport &report, TimePoint now);
     void clear();
 
     // Of observers whose last report is fresh.
@@ -58,11 +60,15 @@
         std::map<TargetId, ObservedState> states;
     };
 
-    void receive(const InstanceId &instance, Observer observer,
+    bool receive(const InstanceId &instance, Observer observer,
                  const std::vector<TargetObservation> &observations, TimePoint now);
 
     const ControlSettings &settings;
     std::map<InstanceId, Observer> observers;
+    // Derived from `observers`: who may say something of a target. Control instances of all,
+    // proxies of what they name.
+    std::set<InstanceId> controlObservers;
+    std::map<TargetId, std::set<InstanceId>> proxiesByTarget;
 };
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/view_publisher.cpp
+++ b/src/rhubarbweir/coordination/view_publisher.cpp
@@ -74,12 +74,11 @@
     ViewDelta delta;
     delta.fromRevision = lease.revision;
     delta.toRevision = state.revision();
-    for (const auto &[group, record] : state.groups()) {
-        const bool isChanged = state.revisionOf(group) > lease.revision;
+    for (const GroupId &group : state.groupsChangedSince(lease.revision)) {
         // A returning proxy may have views of groups that it no longer asks for, with grants
         // that it lost: it gets every change since its revision.
         const bool isReturning = !lease.hasView && lease.revision != 0;
-        if (!isChanged || (!isReturning && !this->isWanted(lease, group)))
+        if (!isReturning && !this->isWanted(lease, group))
             continue;
         lease.shownGroups.insert(group);
         delta.groups.push_back(this->viewFor(lease, group));
--- a/src/rhubarbweir/state/replicated_state.cpp
+++ b/src/rhubarbweir/state/replicated_state.cpp
@@ -2,7 +2,6 @@
 #include "rhubarbweir/state/replicated_state.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace rhubarbweir {
 
@@ -145,7 +144,15 @@
 void ReplicatedState::touch(const std::vector<GroupId> &groups, std::uint64_t index)
 {
     for (const GroupId &group : groups) {
-        this->groupRevisions[group] = index;
+        std::uint64_t &revision = this->groupRevisions[group];
+        const auto former = this->groupsByRevision.find(revision);
+        if (former != this->groupsByRevision.end()) {
+            former->second.erase(group);
+            if (former->second.empty())
+                this->groupsByRevision.erase(former);
+        }
+        revision = index;
+        this->groupsByRevision[index].insert(group);
         this->currentRevision = index;
     }
 }
@@ -182,6 +189,15 @@
     return found == this->groupRevisions.end() ? 0 : found->second;
 }
 
+std::set<GroupId> ReplicatedState::groupsChangedSince(std::uint64_t revision) const
+{
+    std::set<GroupId> changed;
+    for (auto entry = this->groupsByRevision.upper_bound(revision);
+         entry != this->groupsByRevision.end(); ++entry)
+        changed.insert(entry->second.begin(), entry->second.end());
+    return changed;
+}
+
 std::uint32_t ReplicatedState::sizeOf(const GroupId &group) const
 {
     const GroupRecord *record = this->findGroup(group);
@@ -218,6 +234,8 @@
     this->groupRecords = snapshot.groups;
     this->grantBook = snapshot.grants;
     this->groupRevisions = snapshot.groupRevisions;
+    for (const auto &[group, revision] : this->groupRevisions)
+        this->groupsByRevision[revision].insert(group);
     for (const auto &[group, record] : this->groupRecords) {
         for (const auto &[target, member] : record.members)
             this->groupByTarget[target] = group;
--- a/src/rhubarbweir/state/replicated_state.hpp
+++ b/src/rhubarbweir/state/replicated_state.hpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace rhubarbweir {
@@ -51,6 +52,8 @@
     const GroupGrants &grantsOf(const GroupId &group) const;
     // Revision of the last change of the group.
     std::uint64_t revisionOf(const GroupId &group) const;
+    // Groups with a revision above `revision`, in the order of their names.
+    std::set<GroupId> groupsChangedSince(std::uint64_t revision) const;
     // The record's size once fixed, else the table's.
     std::uint32_t sizeOf(const GroupId &group) const;
     // Empty for a target that no group has.
@@ -84,6 +87,8 @@
     std::map<GroupId, GroupRecord> groupRecords;
     GrantBook grantBook;
     std::map<GroupId, std::uint64_t> groupRevisions;
+    // Derived from groupRevisions.
+    std::map<std::uint64_t, std::set<GroupId>> groupsByRevision;
     // Derived from groupRecords.
     std::map<TargetId, GroupId> groupByTarget;
 };
