Send each view change once on a connection

Cause: a change was sent from the revision that the proxy had reported, up to 400 ms old, so in a burst of changes every message repeated the ones before. Renewals still heal from the reported revision.

--- a/src/rhubarbweir/coordination/lease_book.hpp
+++ b/src/rhubarbweir/coordination/lease_book.hpp
@@ -42,6 +42,8 @@
     ConnectionId connection = 0;
     // Revision that the proxy reported last; it has no older one in force.
     std::uint64_t revision = 0;
+    // Revision of the last view or change sent on the connection.
+    std::uint64_t sentRevision = 0;
     std::vector<GroupId> subscription;
     // The first view on the connection was sent.
     bool hasView = false;
--- a/src/rhubarbweir/coordination/view_publisher.cpp
+++ b/src/rhubarbweir/coordination/view_publisher.cpp
@@ -33,7 +33,7 @@
     LeaseGranted answer;
     answer.sequence = message.sequence;
     answer.leaseFor = this->context.settings.leaseFor;
-    answer.delta = this->deltaFor(*lease);
+    answer.delta = this->deltaFor(*lease, lease->revision);
     this->context.leases.grant(*lease, answer.delta.toRevision, now);
     this->context.hooks.sendToProxy(connection, answer);
     if (!this->leased.insert(lease->run).second)
@@ -63,18 +63,20 @@
     for (auto &[run, lease] : this->context.leases.all()) {
         if (lease.connection == 0 || lease.isRetired || !lease.hasView)
             continue;
-        this->context.hooks.sendToProxy(lease.connection, ViewChanged{this->deltaFor(lease)});
+        this->context.hooks.sendToProxy(lease.connection,
+                                        ViewChanged{this->deltaFor(lease, lease.sentRevision)});
     }
 }
 
-// From the revision that the proxy reported, so that it fits whatever was lost on the way.
-ViewDelta ViewPublisher::deltaFor(ProxyLease &lease) const
+// A renewal's answer starts from the revision that the proxy reported, so that it fits whatever
+// was lost on the way; changes in between start from what was sent last.
+ViewDelta ViewPublisher::deltaFor(ProxyLease &lease, std::uint64_t fromRevision) const
 {
     const ReplicatedState &state = this->context.state;
     ViewDelta delta;
-    delta.fromRevision = lease.revision;
+    delta.fromRevision = fromRevision;
     delta.toRevision = state.revision();
-    for (const GroupId &group : state.groupsChangedSince(lease.revision)) {
+    for (const GroupId &group : state.groupsChangedSince(fromRevision)) {
         // A returning proxy may have views of groups that it no longer asks for, with grants
         // that it lost: it gets every change since its revision.
         const bool isReturning = !lease.hasView && lease.revision != 0;
@@ -83,6 +85,7 @@
         lease.shownGroups.insert(group);
         delta.groups.push_back(this->viewFor(lease, group));
     }
+    lease.sentRevision = delta.toRevision;
     return delta;
 }
 
--- a/src/rhubarbweir/coordination/view_publisher.hpp
+++ b/src/rhubarbweir/coordination/view_publisher.hpp
@@ -21,7 +21,7 @@
 
 private:
     void refuse(ConnectionId connection, const RenewLease &message, std::string cause);
-    ViewDelta deltaFor(ProxyLease &lease) const;
+    ViewDelta deltaFor(ProxyLease &lease, std::uint64_t fromRevision) const;
     bool isWanted(const ProxyLease &lease, const GroupId &group) const;
     // A grant of an earlier run of the proxy is not shown to it.
     GroupView viewFor(const ProxyLease &lease, const GroupId &group) const;
