--- a/src/rhubarbweir/coordination/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum_log.hpp
@@ -75,8 +75,9 @@
     // AlreadyExists for a member.
     absl::Status addLearner(const QuorumPeer &peer, TimePoint now);
     // Removes a voter for good; a learner that caught up takes its place.
-    // Errors: as addLearner; NotFound for no voter, FailedPrecondition for the last voter or the
-    // leader itself, which has to hand over first.
+    // Errors: as addLearner; Unavailable too when the others have no living majority; NotFound for
+    // no voter, FailedPrecondition for the last voter or the leader itself, which has to hand over
+    // first.
     absl::Status removeVoter(const InstanceId &instance, TimePoint now);
     // Hands the leadership to the voter with the most entries: the lease is no longer extended, no
     // proposal is taken, and once the lease has ended the other voter starts an election.
--- a/src/rhubarbweir/coordination/quorum_membership.cpp
+++ b/src/rhubarbweir/coordination/quorum_membership.cpp
@@ -139,6 +139,11 @@
         return absl::NotFoundError("the instance is no voter");
     if (next.voters.size() == 1 || instance == this->settings.self.instance)
         return absl::FailedPreconditionError("the leader and the last voter cannot be removed");
+    const auto removed = std::find_if(
+        next.voters.begin(), next.voters.end(),
+        [&instance](const QuorumMember &voter) { return voter.peer.instance == instance; });
+    if (!this->majorityWithout(*removed))
+        return absl::UnavailableError("the remaining voters have no living majority");
     removeInstance(next.voters, instance);
     next.barred.push_back(instance);
     this->proposeMembership(std::move(next), "quorum_voter_removed",
--- a/tests/unit/quorum_log.tests.cpp
+++ b/tests/unit/quorum_log.tests.cpp
@@ -25,8 +25,101 @@
     return (leader + 1 + skipped) % cluster.nodes.size();
 }
 
+// One log by hand: three voters with incarnations 1 to 3, entries of term 2 that are not committed.
+struct SingleLog
+{
+    SingleLog()
+        : log(this->settings(), this->hooks(), std::mt19937_64(1))
+    {
+        RecoveredState recovered;
+        recovered.hardState = QuorumHardState{1, 9, 0, 2, {}, 0};
+        QuorumEntry first{1, 2, EntryKind::Membership, {}, {}};
+        for (std::uint64_t number = 1; number <= 3; ++number)
+            first.membership.voters.push_back({this->peer(number), number});
+        first.membership.voterTarget = 3;
+        recovered.entries = {first, QuorumEntry{2, 2, EntryKind::Payload, OpaqueBytes("x"), {}}};
+        this->log.start(recovered, this->now);
+    }
+
+    static QuorumPeer peer(std::uint64_t number)
+    {
+        return {InstanceId("control-" + std::to_string(number)), {}, {}};
+    }
+    static QuorumSettings settings()
+    {
+        QuorumSettings result;
+        result.self = peer(1);
+        return result;
+    }
+    QuorumHooks hooks()
+    {
+        QuorumHooks result;
+        result.send = [this](const InstanceId &, const QuorumMessage &message) {
+            this->sent.push_back(message);
+        };
+        result.persist = [this](const PersistBatch &batch) {
+            this->log.persisted(batch.token, this->now);
+        };
+        result.apply = [](std::uint64_t, const std::string &) {
+        };
+        return result;
+    }
+    void vote(VotePhase phase)
+    {
+        QuorumVoteAnswer answer;
+        answer.header = {9, 2, 1, this->log.term()};
+        answer.phase = phase;
+        answer.electionTerm = phase == VotePhase::Vote ? this->log.term() : this->log.term() + 1;
+        answer.granted = true;
+        this->log.receive(this->peer(2).instance, answer, this->now);
+    }
+    void lead()
+    {
+        this->now += seconds(1);
+        this->log.advance(this->now);
+        this->vote(VotePhase::PreVote);
+        this->vote(VotePhase::Vote);
+    }
+    void acknowledge(std::uint64_t incarnation, std::uint64_t index)
+    {
+        QuorumAppendAnswer answer;
+        answer.header = {9, incarnation, 1, this->log.term()};
+        answer.sequence = std::get<QuorumAppend>(this->sent.back()).sequence;
+        answer.accepted = true;
+        answer.matchIndex = index;
+        this->log.receive(this->peer(2).instance, answer, this->now);
+    }
+
+    TimePoint now = VirtualStart;
+    std::vector<QuorumMessage> sent;
+    QuorumLog log;
+};
+
 } // namespace
 
+Test(quorum_log, older_terms, .description = "entries of older terms are committed by the own term")
+{
+    SingleLog single;
+    single.lead();
+    cr_assert(single.log.isLeader());
+    cr_assert_eq(single.log.term(), 3);
+    single.acknowledge(2, 2);
+    cr_assert_eq(single.log.commitIndex(), 0, "a majority has entry 2, but it may still be lost");
+    cr_assert_not(single.log.leaseValid(single.now));
+    single.acknowledge(2, 3);
+    cr_assert_eq(single.log.commitIndex(), 3);
+    cr_assert(single.log.leaseValid(single.now));
+}
+
+Test(quorum_log, other_incarnation, .description = "answers of another incarnation do not count")
+{
+    SingleLog single;
+    single.lead();
+    single.acknowledge(7, 3);
+    cr_assert_eq(single.log.commitIndex(), 0);
+    cr_assert_not(single.log.leaseValid(single.now));
+}
+
 Test(quorum_log, elects_and_commits, .description = "a new cluster elects a leader and commits")
 {
     QuorumCluster cluster(1);
@@ -63,6 +156,45 @@
                  "the return disturbs no leader");
 }
 
+Test(quorum_log, clock_drift, .description = "a slow leader's lease ends before fast voters elect")
+{
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        QuorumCluster cluster(seed);
+        cluster.settings.electionTimeoutMax =
+            cluster.settings.electionTimeoutMin + milliseconds(20);
+        cluster.greatestDelay = Duration(100);
+        cluster.greatestSync = Duration(100);
+        for (QuorumNode &node : cluster.nodes)
+            node.clockRate = 1.025;
+        cluster.startAll();
+        cr_assert(cluster.commitOne());
+        const std::size_t old = *cluster.leader();
+        cluster.setClockRate(old, 0.975);
+        cluster.runFor(milliseconds(200));
+        cluster.isolate(old);
+        // The cluster checks that leases do not overlap.
+        cr_assert(
+            cluster.runUntil(seconds(5), [&] { return cluster.leader().value_or(old) != old; }));
+    }
+}
+
+Test(quorum_log, restart, .description = "a restarted voter still protects the leader's lease")
+{
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        QuorumCluster cluster(seed);
+        cluster.startAll();
+        cr_assert(cluster.commitOne());
+        const std::size_t leader = *cluster.leader();
+        const std::size_t voter = follower(cluster);
+        cluster.cut(leader, follower(cluster, 1));
+        cluster.runFor(milliseconds(700 + seed));
+        cluster.crash(voter);
+        cluster.start(voter);
+        cluster.runFor(milliseconds(300));
+        cr_assert_eq(*cluster.leader(), leader);
+    }
+}
+
 Test(quorum_log, second_disk_lost,
      .description = "a lost disk is repaired, a second is lost at once")
 {
