--- a/src/rhubarbweir/coordination/quorum_log.cpp
+++ b/src/rhubarbweir/coordination/quorum_log.cpp
@@ -213,7 +213,7 @@
         [this, to, kept = std::move(message)] { this->hooks.send(to, kept); });
 }
 
-void QuorumLog::emit(const std::string &name, std::vector<QuorumEventField> fields) const
+void QuorumLog::emit(const std::string &name, const std::vector<QuorumEventField> &fields) const
 {
     if (this->hooks.event)
         this->hooks.event(name, fields);
@@ -250,6 +250,7 @@
         found[member.peer.instance] = member.peer;
     found.erase(this->settings.self.instance);
     std::vector<QuorumPeer> result;
+    result.reserve(found.size());
     for (const auto &[instance, peer] : found)
         result.push_back(peer);
     return result;
--- a/src/rhubarbweir/coordination/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum_log.hpp
@@ -118,7 +118,7 @@
                  const QuorumHeader &received) const;
     void adoptTerm(const QuorumMessage &message, const QuorumHeader &received);
     void sendAfterSync(const InstanceId &to, QuorumMessage message);
-    void emit(const std::string &name, std::vector<QuorumEventField> fields) const;
+    void emit(const std::string &name, const std::vector<QuorumEventField> &fields) const;
     void stop(const std::string &cause);
     bool isVoter() const;
     std::vector<QuorumPeer> knownPeers() const;
@@ -190,7 +190,7 @@
     // quorum_membership.cpp
     void rebuildProgress();
     absl::Status checkChange() const;
-    void proposeMembership(QuorumMembership next, const std::string &event,
+    void proposeMembership(const QuorumMembership &next, const std::string &event,
                            std::vector<QuorumEventField> fields);
     void handle(const InstanceId &from, const QuorumJoin &join);
     void maintainMembership();
--- a/src/rhubarbweir/coordination/quorum_membership.cpp
+++ b/src/rhubarbweir/coordination/quorum_membership.cpp
@@ -78,13 +78,13 @@
     return absl::OkStatus();
 }
 
-void QuorumLog::proposeMembership(QuorumMembership next, const std::string &event,
+void QuorumLog::proposeMembership(const QuorumMembership &next, const std::string &event,
                                   std::vector<QuorumEventField> fields)
 {
     const std::uint64_t index = this->appendLocally(EntryKind::Membership, {}, next);
     fields.push_back({"index", absl::StrCat(index)});
     fields.push_back({"voters", absl::StrCat(next.voters.size())});
-    this->emit(event, std::move(fields));
+    this->emit(event, fields);
     this->replicate();
 }
 
@@ -105,7 +105,7 @@
     QuorumMembership next = current;
     removeInstance(next.learners, from);
     next.learners.push_back(member);
-    this->proposeMembership(std::move(next), "quorum_learner_added",
+    this->proposeMembership(next, "quorum_learner_added",
                             {{"instance", from.value},
                              {"incarnation", absl::StrCat(member.incarnation)},
                              {"cause", "asked_to_join"}});
@@ -114,7 +114,7 @@
 absl::Status QuorumLog::addLearner(const QuorumPeer &peer, TimePoint time)
 {
     this->enter(time);
-    if (const absl::Status allowed = this->checkChange(); !allowed.ok())
+    if (absl::Status allowed = this->checkChange(); !allowed.ok())
         return allowed;
     QuorumMembership next = this->membership();
     if (names(next.voters, peer.instance) || names(next.learners, peer.instance))
@@ -123,7 +123,7 @@
                       next.barred.end());
     if (!names(next.admitted, peer.instance))
         next.admitted.push_back(peer);
-    this->proposeMembership(std::move(next), "quorum_learner_admitted",
+    this->proposeMembership(next, "quorum_learner_admitted",
                             {{"instance", peer.instance.value}, {"cause", "requested"}});
     this->leave();
     return absl::OkStatus();
@@ -132,7 +132,7 @@
 absl::Status QuorumLog::removeVoter(const InstanceId &instance, TimePoint time)
 {
     this->enter(time);
-    if (const absl::Status allowed = this->checkChange(); !allowed.ok())
+    if (absl::Status allowed = this->checkChange(); !allowed.ok())
         return allowed;
     QuorumMembership next = this->membership();
     if (!names(next.voters, instance))
@@ -146,7 +146,7 @@
         return absl::UnavailableError("the remaining voters have no living majority");
     removeInstance(next.voters, instance);
     next.barred.push_back(instance);
-    this->proposeMembership(std::move(next), "quorum_voter_removed",
+    this->proposeMembership(next, "quorum_voter_removed",
                             {{"instance", instance.value}, {"cause", "requested"}});
     this->leave();
     return absl::OkStatus();
@@ -239,7 +239,7 @@
 {
     QuorumMembership next = this->membership();
     removeMember(next.voters, lost);
-    this->proposeMembership(std::move(next), "quorum_voter_removed",
+    this->proposeMembership(next, "quorum_voter_removed",
                             {{"instance", lost.peer.instance.value}, {"cause", cause}});
 }
 
@@ -248,7 +248,7 @@
     QuorumMembership next = this->membership();
     removeMember(next.learners, learner);
     next.voters.push_back(learner);
-    this->proposeMembership(std::move(next), "quorum_voter_added",
+    this->proposeMembership(next, "quorum_voter_added",
                             {{"instance", learner.peer.instance.value},
                              {"cause", "voter_missing_and_learner_caught_up"}});
 }
--- a/src/rhubarbweir/transport/file_storage.cpp
+++ b/src/rhubarbweir/transport/file_storage.cpp
@@ -98,7 +98,7 @@
 
 absl::Status FileStorage::append(const std::string &name, std::string_view bytes)
 {
-    if (const absl::Status opened = this->openForAppend(name); !opened.ok())
+    if (absl::Status opened = this->openForAppend(name); !opened.ok())
         return opened;
     while (!bytes.empty()) {
         const ssize_t count = ::write(this->appendedDescriptor, bytes.data(), bytes.size());
@@ -113,7 +113,7 @@
 
 absl::Status FileStorage::sync(const std::string &name)
 {
-    if (const absl::Status opened = this->openForAppend(name); !opened.ok())
+    if (absl::Status opened = this->openForAppend(name); !opened.ok())
         return opened;
     if (::fdatasync(this->appendedDescriptor) != 0)
         return lastError("sync", name);
@@ -122,7 +122,7 @@
 
 absl::Status FileStorage::truncate(const std::string &name, std::uint64_t size)
 {
-    if (const absl::Status opened = this->openForAppend(name); !opened.ok())
+    if (absl::Status opened = this->openForAppend(name); !opened.ok())
         return opened;
     if (::ftruncate(this->appendedDescriptor, static_cast<off_t>(size)) != 0)
         return lastError("truncate", name);
--- a/src/rhubarbweir/transport/quorum_store.cpp
+++ b/src/rhubarbweir/transport/quorum_store.cpp
@@ -90,7 +90,7 @@
         auto recovered = this->loadGeneration();
         if (!recovered.ok())
             return recovered;
-        if (const absl::Status removed = this->removeOthers(); !removed.ok())
+        if (absl::Status removed = this->removeOthers(); !removed.ok())
             return removed;
         return recovered;
     } catch (const std::exception &error) {
@@ -124,7 +124,7 @@
         this->snapshotIndex = state.snapshot->index;
     }
     for (std::size_t number = 1; number < scan->bodies.size(); ++number) {
-        const absl::Status replayed = replay(json::from_cbor(scan->bodies[number]), state);
+        absl::Status replayed = replay(json::from_cbor(scan->bodies[number]), state);
         if (!replayed.ok())
             return replayed;
     }
@@ -148,8 +148,7 @@
     if (this->failed)
         return absl::FailedPreconditionError("an earlier write failed");
     const bool newGeneration = this->generation == 0 || batch.snapshot;
-    const absl::Status written =
-        newGeneration ? this->startGeneration(batch) : this->appendBatch(batch);
+    absl::Status written = newGeneration ? this->startGeneration(batch) : this->appendBatch(batch);
     this->failed = !written.ok();
     return written;
 }
@@ -165,7 +164,7 @@
     this->updateTail(batch);
     for (std::size_t number = this->tail.size() - before; number < this->tail.size(); ++number)
         appendRecord(bytes, this->tail[number].second);
-    const absl::Status appended = this->folder->append(this->logName(), bytes);
+    absl::Status appended = this->folder->append(this->logName(), bytes);
     return appended.ok() ? this->folder->sync(this->logName()) : appended;
 }
 
@@ -180,7 +179,7 @@
             this->tail.clear();
         std::string bytes;
         appendRecord(bytes, encodeRecord(SnapshotRecord, *batch.snapshot));
-        const absl::Status saved = this->writeWhole(this->snapshotName(), bytes);
+        absl::Status saved = this->writeWhole(this->snapshotName(), bytes);
         if (!saved.ok())
             return saved;
     }
@@ -190,7 +189,7 @@
     appendRecord(bytes, encodeRecord(HardStateRecord, this->hardState));
     for (const auto &[index, record] : this->tail)
         appendRecord(bytes, record);
-    const absl::Status written = this->writeWhole(this->logName(), bytes);
+    absl::Status written = this->writeWhole(this->logName(), bytes);
     return written.ok() ? this->removeOthers() : written;
 }
 
@@ -234,7 +233,7 @@
             absl::StartsWith(name, LogPrefix) || absl::StartsWith(name, SnapshotPrefix);
         if (current || !own)
             continue;
-        const absl::Status removed = this->folder->remove(name);
+        absl::Status removed = this->folder->remove(name);
         if (!removed.ok())
             return removed;
     }
@@ -249,7 +248,7 @@
     for (const std::string &name : *names) {
         if (!absl::StartsWith(name, LogPrefix) && !absl::StartsWith(name, SnapshotPrefix))
             continue;
-        const absl::Status removed = this->folder->remove(name);
+        absl::Status removed = this->folder->remove(name);
         if (!removed.ok())
             return removed;
     }
--- a/tests/unit/quorum_log.tests.cpp
+++ b/tests/unit/quorum_log.tests.cpp
@@ -388,3 +388,16 @@
     cluster.runFor(seconds(2));
     cr_assert_eq(leading().log->membership().learners.size(), 1);
 }
+
+Test(quorum_log, removal_refused, .description = "no removal that leaves voters without a majority")
+{
+    QuorumCluster cluster(14);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    cluster.crash(follower(cluster));
+    cluster.runFor(seconds(1));
+    QuorumNode &leading = cluster.nodes[*cluster.leader()];
+    const InstanceId alive = cluster.nodes[follower(cluster, 1)].peer.instance;
+    cr_assert(absl::IsUnavailable(leading.log->removeVoter(alive, cluster.local(leading))));
+    cr_assert(cluster.commitOne());
+}
--- a/tests/unit/support/quorum_cluster.hpp
+++ b/tests/unit/support/quorum_cluster.hpp
@@ -4,9 +4,7 @@
 // bound.
 #pragma once
 
-#include "rhubarbweir/coordination/quorum_log.hpp"
-#include "rhubarbweir/transport/quorum_store.hpp"
-#include "unit/support/fake_folder.hpp"
+#include "unit/support/quorum_node.hpp"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -26,27 +24,6 @@
 
 namespace rhubarbweir {
 
-inline constexpr TimePoint VirtualStart{std::chrono::hours(1)};
-
-struct QuorumNode
-{
-    QuorumPeer peer;
-    bool spare = false;
-    std::shared_ptr<FakeFolder> folder = std::make_shared<FakeFolder>();
-    std::unique_ptr<QuorumStore> store;
-    std::unique_ptr<QuorumLog> log;
-    // Raised with every start and crash: events of an earlier life are dropped.
-    std::uint64_t life = 0;
-    std::optional<PersistBatch> writing;
-    double clockRate = 1;
-    // The instance's clock showed `clockBase` at virtual time `rateSince`.
-    TimePoint clockBase = VirtualStart;
-    TimePoint rateSince = VirtualStart;
-    TimePoint wakeAt = TimePoint::max();
-    std::map<std::uint64_t, std::string> applied;
-    std::uint64_t lastIncarnation = 0;
-};
-
 class QuorumCluster
 {
 public:
--- /dev/null
+++ b/tests/unit/support/quorum_node.hpp
@@ -0,0 +1,37 @@
+// One instance of a QuorumCluster: its log, fake disk and drifting clock.
+#pragma once
+
+#include "rhubarbweir/coordination/quorum_log.hpp"
+#include "rhubarbweir/transport/quorum_store.hpp"
+#include "unit/support/fake_folder.hpp"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace rhubarbweir {
+
+inline constexpr TimePoint VirtualStart{std::chrono::hours(1)};
+
+struct QuorumNode
+{
+    QuorumPeer peer;
+    bool spare = false;
+    std::shared_ptr<FakeFolder> folder = std::make_shared<FakeFolder>();
+    std::unique_ptr<QuorumStore> store;
+    std::unique_ptr<QuorumLog> log;
+    // Raised with every start and crash: events of an earlier life are dropped.
+    std::uint64_t life = 0;
+    std::optional<PersistBatch> writing;
+    double clockRate = 1;
+    // The instance's clock showed `clockBase` at virtual time `rateSince`.
+    TimePoint clockBase = VirtualStart;
+    TimePoint rateSince = VirtualStart;
+    TimePoint wakeAt = TimePoint::max();
+    std::map<std::uint64_t, std::string> applied;
+    std::uint64_t lastIncarnation = 0;
+};
+
+} // namespace rhubarbweir
