--- a/src/rhubarbweir/coordination/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum_log.hpp
@@ -75,8 +75,9 @@
     // AlreadyExists for a member.
     absl::Status addLearner(const QuorumPeer &peer, TimePoint now);
     // Removes a voter for good; a learner that caught up takes its place.
-    // Errors: as addLearner; NotFound for no voter, FailedPrecondition for the last voter or the
-    // leader itself, which has to hand over first.
+    // Errors: as addLearner; Unavailable too when the others have no living majority; NotFound for
+    // no voter, FailedPrecondition for the last voter or the leader itself, which has to hand over
+    // first.
     absl::Status removeVoter(const InstanceId &instance, TimePoint now);
     // Hands the leadership to the voter with the most entries: the lease is no longer extended, no
     // proposal is taken, and once the lease has ended the other voter starts an election.
@@ -117,7 +118,7 @@
                  const QuorumHeader &received) const;
     void adoptTerm(const QuorumMessage &message, const QuorumHeader &received);
     void sendAfterSync(const InstanceId &to, QuorumMessage message);
-    void emit(const std::string &name, std::vector<QuorumEventField> fields) const;
+    void emit(const std::string &name, const std::vector<QuorumEventField> &fields) const;
     void stop(const std::string &cause);
     bool isVoter() const;
     std::vector<QuorumPeer> knownPeers() const;
@@ -189,7 +190,7 @@
     // quorum_membership.cpp
     void rebuildProgress();
     absl::Status checkChange() const;
-    void proposeMembership(QuorumMembership next, const std::string &event,
+    void proposeMembership(const QuorumMembership &next, const std::string &event,
                            std::vector<QuorumEventField> fields);
     void handle(const InstanceId &from, const QuorumJoin &join);
     void maintainMembership();
