Let grant tests rest on leases alone in half of the runs, and split control leaders

Half of the seeds now report no uses, and a leader may be split from the others while the proxies still reach it.

--- a/tests/unit/control_fakes.hpp
+++ b/tests/unit/control_fakes.hpp
@@ -138,6 +138,8 @@
         TimePoint leadershipStart;
         TimePoint leaseEnd;
         std::size_t applied = 0;
+        // Hears nothing of the other control instances; proxies may still reach it.
+        bool isSplit = false;
     };
 
     static constexpr Duration QuorumLease = milliseconds(300);
@@ -175,14 +177,17 @@
             return;
         Instance &old = this->instances[this->leaderIndex];
         old.leaseEnd = this->world.now() + QuorumLease;
-        const int next = static_cast<int>((this->leaderIndex + 1) % this->instances.size());
+        int next = this->leaderIndex;
+        do {
+            next = static_cast<int>((next + 1) % this->instances.size());
+        } while (this->instances[next].isSplit && next != this->leaderIndex);
         this->leaderIndex = -1;
         // What was under way may be committed by the next leader or lost.
         if (this->world.pick(0, 1) == 0)
             this->pending.clear();
         this->world.after(QuorumLease + milliseconds(this->world.pick(10, 300)), [this, next] {
             for (Instance &instance : this->instances) {
-                const bool knows = !this->world.isCut(instance.name);
+                const bool knows = !this->world.isCut(instance.name) && !instance.isSplit;
                 if (instance.believesToLead && knows)
                     this->stepDown(instance);
             }
@@ -196,9 +201,21 @@
         instance.node->leadershipChanged(this->world.now());
     }
 
-    // After a cut: learns who leads, and what it missed.
+    // Splits the leader from the others, who elect another.
+    Instance *splitLeader()
+    {
+        Instance *old = this->leader();
+        if (old == nullptr)
+            return nullptr;
+        old->isSplit = true;
+        this->replaceLeader();
+        return old;
+    }
+
+    // After a cut or split: learns who leads, and what it missed.
     void rejoin(Instance &instance)
     {
+        instance.isSplit = false;
         if (instance.believesToLead && !this->leads(instance))
             this->stepDown(instance);
         this->deliver(instance);
@@ -300,7 +317,7 @@
     {
         if (instance.believesToLead)
             return instance.name;
-        if (this->leaderIndex < 0 || this->world.isCut(instance.name))
+        if (this->leaderIndex < 0 || this->world.isCut(instance.name) || instance.isSplit)
             return "";
         return this->instances[this->leaderIndex].name;
     }
@@ -333,7 +350,8 @@
 
     void deliver(Instance &instance)
     {
-        if (this->world.isCut(instance.name) || !this->world.isUp(instance.name))
+        if (this->world.isCut(instance.name) || !this->world.isUp(instance.name)
+            || instance.isSplit)
             return;
         while (instance.applied < this->committed.size()) {
             const std::size_t index = ++instance.applied;
--- a/tests/unit/grants.tests.cpp
+++ b/tests/unit/grants.tests.cpp
@@ -53,6 +53,7 @@
     explicit GrantRun(std::uint64_t seed)
         : world(seed)
         , controls(world, 3, milliseconds(50))
+        , reportsUses(seed % 2 == 0)
     {
         this->controls.toProxy = [this](FakeControls::Instance &, ConnectionId connection,
                                         const ProxyReply &reply) {
@@ -70,7 +71,7 @@
         Holder &holder = this->holders[this->world.pick(0, this->holders.size() - 1)];
         Holder *victim = &holder;
         const Duration lasting = milliseconds(this->world.pick(50, 5000));
-        switch (this->world.pick(0, 5)) {
+        switch (this->world.pick(0, 6)) {
         case 0:
             victim->isFrozen = true;
             this->world.after(lasting, [this, victim] { this->wake(*victim); });
@@ -88,13 +89,29 @@
         case 4:
             this->editLimits();
             return;
-        default:
+        case 5:
             this->controls.replaceLeader();
+            return;
+        default:
+            this->splitLeader(lasting);
         }
     }
 
+    // The old leader goes on as if nothing had happened, and the proxies still reach it.
+    void splitLeader(Duration lasting)
+    {
+        const bool isSplit =
+            std::any_of(this->controls.instances.begin(), this->controls.instances.end(),
+                        [](const auto &instance) { return instance.isSplit; });
+        FakeControls::Instance *old = isSplit ? nullptr : this->controls.splitLeader();
+        if (old != nullptr)
+            this->world.after(lasting, [this, old] { this->controls.rejoin(*old); });
+    }
+
     void recover()
     {
+        for (FakeControls::Instance &instance : this->controls.instances)
+            this->controls.rejoin(instance);
         for (Holder &holder : this->holders) {
             this->wake(holder);
             holder.isDraining = false;
@@ -278,7 +295,7 @@
         message.address = targetName(index);
         for (const Holder &holder : this->holders) {
             const TargetShare use = this->useOf(holder, targetName(index));
-            if (use.connections != 0)
+            if (use.connections != 0 && this->reportsUses)
                 message.uses.push_back({InstanceId(holder.name), use.connections, use.slots});
         }
         for (FakeControls::Instance &control : this->controls.instances) {
@@ -389,7 +406,9 @@
                     granted.slots += share->second.slots;
                     granted.connections += share->second.connections;
                 }
-                open.connections += useOf(holder, targetName(index)).connections;
+                // What databases do not report cannot be waited for.
+                if (this->reportsUses)
+                    open.connections += useOf(holder, targetName(index)).connections;
             }
             cr_assert(granted.slots <= limit.slots, "%u slots exceed %u", granted.slots,
                       limit.slots);
@@ -419,6 +438,8 @@
         }
     }
 
+    // In half of the runs only the leases protect the limits.
+    bool reportsUses;
     std::vector<Holder> holders;
     ConnectionId lastConnection = 100;
     std::uint64_t edits = 0;
