--- a/src/rhubarbweir/coordination/group_holder.cpp
+++ b/src/rhubarbweir/coordination/group_holder.cpp
@@ -203,6 +203,10 @@
     else {
         this->dispatchWrites(now);
         this->dispatchReads(now);
+        if (this->isRefusing && this->queued() == 0) {
+            this->isRefusing = false;
+            this->report(ProxyEventKind::RefusalsEnded);
+        }
         if (this->readIndex.isDue(now)) {
             const std::uint64_t probeId = this->hooks.nextProbeId();
             this->readIndex.start(probeId, now);
@@ -216,6 +220,7 @@
     Duration retryAfter{0};
     const Reason refusal = this->refusalOf(work, now, retryAfter);
     if (refusal != Reason::None) {
+        this->noteRefusal(refusal);
         this->finish(work, Outcome::NotRun, refusal, now, retryAfter);
         return;
     }
@@ -225,6 +230,8 @@
     if (pushed.evicted)
         this->finish(this->works.at(*pushed.evicted), Outcome::NotRun, Reason::Overloaded, now,
                      wait);
+    if (!pushed.accepted || pushed.evicted)
+        this->noteRefusal(Reason::Overloaded);
     if (!pushed.accepted) {
         this->finish(work, Outcome::NotRun, Reason::Overloaded, now, wait);
         return;
@@ -233,6 +240,13 @@
         this->readIndex.want();
 }
 
+void GroupHolder::noteRefusal(Reason reason)
+{
+    if (!this->isRefusing)
+        this->report(ProxyEventKind::RequestRefused, {}, reason);
+    this->isRefusing = true;
+}
+
 Reason GroupHolder::refusalOf(const HolderWork &work, TimePoint now, Duration &retryAfter) const
 {
     const Duration wait =
@@ -360,6 +374,7 @@
     }
     open->waiting.pop_front();
     open->running = work.ticket;
+    open->idleUntil = TimePoint::max();
     work.stage = WorkStage::Running;
     work.generation = open->generation;
     work.term = open->term;
@@ -436,6 +451,16 @@
     this->hooks.answer(entry, message);
 }
 
+void GroupHolder::report(ProxyEventKind kind, const RequestKey &request, Reason reason)
+{
+    ProxyEvent event;
+    event.kind = kind;
+    event.group = this->view.group;
+    event.request = request;
+    event.reason = reason;
+    this->hooks.targets.event(event);
+}
+
 AdmissionQueue &GroupHolder::queueOf(const HolderWork &work)
 {
     return work.isRead() ? this->reads : this->writes;
--- a/src/rhubarbweir/coordination/group_holder.hpp
+++ b/src/rhubarbweir/coordination/group_holder.hpp
@@ -54,6 +54,7 @@
     void settle(TimePoint now);
     void admit(HolderWork &work, TimePoint now);
     Reason refusalOf(const HolderWork &work, TimePoint now, Duration &retryAfter) const;
+    void noteRefusal(Reason reason);
     void joinTransaction(HolderWork &work, TimePoint now);
 
     void dispatchWrites(TimePoint now);
@@ -87,6 +88,8 @@
                 Duration retryAfter = Duration{0});
     void finish(HolderWork &work, CallerAnswer answer, TimePoint now);
 
+    void report(ProxyEventKind kind, const RequestKey &request = {}, Reason reason = Reason::None);
+
     AdmissionQueue &queueOf(const HolderWork &work);
     const AdmissionQueue &queueOf(const HolderWork &work) const;
     std::size_t slotsFor(const HolderWork &work) const;
@@ -108,6 +111,8 @@
     // The statement in flight on a connection; one at a time.
     std::map<Generation, Ticket> running;
     Ticket lastTicket = 0;
+    // Requests were refused since the queues were last empty.
+    bool isRefusing = false;
     // When queued work may become runnable without any event.
     TimePoint wakeAt = TimePoint::max();
     TimePoint lastSettled;
--- a/src/rhubarbweir/coordination/internal/group_holder_replies.cpp
+++ b/src/rhubarbweir/coordination/internal/group_holder_replies.cpp
@@ -134,6 +134,7 @@
     open.generation = message.generation;
     open.term = work.term;
     open.deadline = now + this->settings.transactionLimit;
+    open.idleUntil = now + this->settings.transactionIdleLimit;
     this->transactions.open(key, std::move(open));
     CallerAnswer answer = makeAnswer(work.request, Outcome::Ok, Reason::None);
     answer.servedBy = message.status.target;
@@ -145,6 +146,7 @@
     const RequestKey key = work.transactionKey();
     OpenTransaction *open = this->transactions.find(key);
     open->running = 0;
+    open->idleUntil = now + this->settings.transactionIdleLimit;
     const RequestKind kind = work.request.kind;
     const bool isOk = message.result == StatementResult::Ok;
     if (isOk && (kind == RequestKind::Commit || kind == RequestKind::Rollback)) {
@@ -232,8 +234,10 @@
     const bool isSameStatement = work.isRead() || kind == RequestKind::Begin
                                  || kind == RequestKind::AskOutcome
                                  || (work.request.repeatable && !work.isInTransaction());
-    if (!isSameStatement)
+    if (!isSameStatement) {
         work.asksOutcome = true;
+        this->report(ProxyEventKind::OutcomeAsked, keyOf(work.request), Reason::ConnectionLost);
+    }
     this->requeue(work);
     if (work.isRead() && work.attempts >= MaxReadAttempts)
         this->finish(work, Outcome::OutcomeUnknown, Reason::ConnectionLost, now);
@@ -259,11 +263,7 @@
     this->running.erase(open.generation);
     for (const Ticket ticket : open.waiting)
         this->finish(this->works.at(ticket), Outcome::NotRun, Reason::TransactionEnded, now);
-    ProxyEvent event;
-    event.kind = ProxyEventKind::TransactionEnded;
-    event.group = this->view.group;
-    event.request = key;
-    this->hooks.targets.event(event);
+    this->report(ProxyEventKind::TransactionEnded, key);
     if (open.running == 0)
         return;
     HolderWork &work = this->works.at(open.running);
--- a/src/rhubarbweir/coordination/proxy_node.cpp
+++ b/src/rhubarbweir/coordination/proxy_node.cpp
@@ -225,7 +225,7 @@
 
 void ProxyNode::viewChanged(ProxyViewPtr view, TimePoint now)
 {
-    this->parts->view = view;
+    const ProxyViewPtr former = std::exchange(this->parts->view, view);
     this->parts->router.setView(view);
     for (const auto &[name, holder] : this->parts->holders) {
         if (view->groups.count(name) > 0)
@@ -236,7 +236,9 @@
     }
     for (const auto &[name, group] : view->groups) {
         const auto grants = this->parts->grantsOf(group);
-        if (grants.empty() && this->parts->find(name) == nullptr)
+        const auto old = former->groups.find(name);
+        const bool isSame = old != former->groups.end() && old->second.revision == group.revision;
+        if (isSame || (grants.empty() && this->parts->find(name) == nullptr))
             continue;
         GroupHolder &holder = this->parts->findOrCreate(name);
         holder.setLease(this->parts->leaseEnd, now);
--- a/src/rhubarbweir/coordination/proxy_settings.hpp
+++ b/src/rhubarbweir/coordination/proxy_settings.hpp
@@ -42,6 +42,8 @@
 
     // Longest life of a transaction; it pins a connection and a slot.
     Duration transactionLimit = std::chrono::seconds(10);
+    // Longest time that a transaction may wait for its caller's next statement.
+    Duration transactionIdleLimit = std::chrono::seconds(3);
     // Longest time left that a request may claim.
     Duration longestDeadline = std::chrono::seconds(60);
     // Requests in flight for callers of this proxy; more are refused as overloaded.
@@ -73,9 +75,11 @@
     ConnectionFailed,
     TargetStateChanged,
     TransactionEnded,
+    // The first refusal since the queues were last empty.
     RequestRefused,
+    // The queues are empty again.
+    RefusalsEnded,
     OutcomeAsked,
-    HolderRetried,
     DrainStarted,
     Drained,
 };
@@ -90,8 +94,8 @@
                                                  "target_state_changed",
                                                  "transaction_ended",
                                                  "request_refused",
+                                                 "refusals_ended",
                                                  "outcome_asked",
-                                                 "holder_retried",
                                                  "drain_started",
                                                  "drained"};
 };
--- a/src/rhubarbweir/coordination/request_router.cpp
+++ b/src/rhubarbweir/coordination/request_router.cpp
@@ -230,8 +230,15 @@
         return;
     }
     routed.mayHaveRun = true;
-    if (!isRepeatable(routed.request))
+    if (!isRepeatable(routed.request)) {
         routed.asksOutcome = true;
+        ProxyEvent event;
+        event.kind = ProxyEventKind::OutcomeAsked;
+        event.group = routed.request.group;
+        event.request = key;
+        event.reason = Reason::HolderUnreachable;
+        this->hooks.event(event);
+    }
     this->retryLater(routed, now);
 }
 
--- a/src/rhubarbweir/coordination/target_connections.cpp
+++ b/src/rhubarbweir/coordination/target_connections.cpp
@@ -26,6 +26,7 @@
 
 void TargetConnections::setDemand(const std::vector<TargetDemand> &demands)
 {
+    this->maintainAt = TimePoint();
     for (auto &[target, endpoint] : this->endpoints) {
         endpoint.demand.limit = 0;
         endpoint.demand.desired = 0;
@@ -36,6 +37,8 @@
 
 void TargetConnections::maintain(TimePoint now)
 {
+    if (now < this->maintainAt)
+        return;
     for (const Generation generation : this->all()) {
         const Entry &entry = this->entries.at(generation);
         if (entry.state != State::Opening || now < entry.openBy)
@@ -47,6 +50,7 @@
         this->closeSurplus(target, endpoint.demand.desired);
         this->openMissing(endpoint, now);
     }
+    this->maintainAt = this->nextDeadline(now);
 }
 
 TimePoint TargetConnections::nextDeadline(TimePoint now) const
@@ -70,6 +74,7 @@
     if (found == this->entries.end() || found->second.state != State::Opening)
         return false;
     found->second.state = State::Idle;
+    this->maintainAt = TimePoint();
     this->endpoints[found->second.target].failures = 0;
     return true;
 }
@@ -81,6 +86,7 @@
         return;
     this->backOff(found->second.target, now);
     this->entries.erase(found);
+    this->maintainAt = TimePoint();
 }
 
 std::optional<TargetConnections::Entry> TargetConnections::gone(Generation generation,
@@ -90,6 +96,7 @@
     if (found == this->entries.end())
         return std::nullopt;
     const Entry entry = found->second;
+    this->maintainAt = TimePoint();
     this->entries.erase(found);
     if (entry.state != State::Closing)
         this->backOff(entry.target, now);
@@ -115,6 +122,7 @@
 void TargetConnections::giveBack(Generation generation)
 {
     const auto found = this->entries.find(generation);
+    this->maintainAt = TimePoint();
     if (found != this->entries.end() && found->second.state == State::Busy)
         found->second.state = State::Idle;
 }
@@ -124,6 +132,7 @@
     const auto found = this->entries.find(generation);
     if (found == this->entries.end() || found->second.state == State::Closing)
         return;
+    this->maintainAt = TimePoint();
     found->second.state = State::Closing;
     this->hooks.close(generation);
 }
--- a/src/rhubarbweir/coordination/target_connections.hpp
+++ b/src/rhubarbweir/coordination/target_connections.hpp
@@ -95,6 +95,8 @@
     std::mt19937_64 &random;
     std::map<TargetId, Endpoint> endpoints;
     std::map<Generation, Entry> entries;
+    // maintain() has nothing to do before, unless something changed.
+    TimePoint maintainAt;
 };
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/transaction_table.cpp
+++ b/src/rhubarbweir/coordination/transaction_table.cpp
@@ -18,7 +18,9 @@
 
 std::vector<RequestKey> TransactionTable::expired(TimePoint now) const
 {
-    return this->select([&](const OpenTransaction &each) { return each.deadline <= now; });
+    return this->select([&](const OpenTransaction &each) {
+        return std::min(each.deadline, each.idleUntil) <= now;
+    });
 }
 
 std::vector<RequestKey> TransactionTable::begunThrough(const InstanceId &entry) const
@@ -40,7 +42,7 @@
 {
     TimePoint next = TimePoint::max();
     for (const auto &[key, transaction] : this->transactions)
-        next = std::min(next, transaction.deadline);
+        next = std::min({next, transaction.deadline, transaction.idleUntil});
     return next;
 }
 
--- a/src/rhubarbweir/coordination/transaction_table.hpp
+++ b/src/rhubarbweir/coordination/transaction_table.hpp
@@ -17,6 +17,8 @@
     // Term in which it was begun; it cannot commit in another.
     std::uint64_t term = 0;
     TimePoint deadline;
+    // When it ends for want of a statement; max() while one runs.
+    TimePoint idleUntil = TimePoint::max();
     // The statement in flight; 0 when none is.
     Ticket running = 0;
     // Statements that wait for it, in the caller's order.
--- a/tests/fakes/fake_database.hpp
+++ b/tests/fakes/fake_database.hpp
@@ -47,9 +47,13 @@
     std::uint64_t adoptedTerm = 1;
     TargetRole role = TargetRole::Replica;
     bool frozen = false;
+    // Added to the service time of every statement.
+    Duration extraService{0};
     // Statements that arrived, by kind and by the proxy that sent them.
     std::map<StatementKind, std::uint64_t> kinds;
     std::map<InstanceId, std::uint64_t> senders;
+    // Most reads outside transactions that ran at one time.
+    std::size_t mostReads = 0;
 
     FakeDatabase(VirtualTime &givenTime, std::mt19937_64 &givenRandom, TargetId givenName,
                  Limits givenLimits)
@@ -99,7 +103,6 @@
 
     void closeAll() { this->links.clear(); }
     bool hasLink(const LinkId &link) const { return this->links.count(link) > 0; }
-    std::size_t linkCount() const { return this->links.size(); }
 
     void receive(const LinkId &id, const TargetRequest &request)
     {
@@ -117,6 +120,7 @@
         link.statement = std::get<Statement>(request);
         ++this->kinds[link.statement.kind];
         ++this->senders[id.first];
+        this->mostReads = std::max(this->mostReads, this->runningReads());
         if (this->running() > this->limits.slots)
             this->breach("slot over limit");
         const std::uint64_t number = ++this->lastNumber;
@@ -183,11 +187,22 @@
         return 0;
     }
 
-    std::size_t running() const
+    // Slots in use, by one proxy or by all.
+    std::size_t running(const InstanceId &proxy = {}) const
+    {
+        std::size_t count = 0;
+        for (const auto &[id, link] : this->links) {
+            const bool matches = proxy.empty() || id.first == proxy;
+            count += matches && (link.isBusy || link.transaction != 0) ? 1 : 0;
+        }
+        return count;
+    }
+
+    std::size_t runningReads() const
     {
         std::size_t count = 0;
         for (const auto &[id, link] : this->links)
-            count += link.isBusy || link.transaction != 0 ? 1 : 0;
+            count += link.isBusy && link.statement.kind == StatementKind::Read ? 1 : 0;
         return count;
     }
 
@@ -222,7 +237,7 @@
     {
         std::exponential_distribution<double> spread(1.0);
         const double micros = spread(this->random) * this->limits.meanService.count();
-        return Duration(static_cast<std::int64_t>(micros) + 1);
+        return Duration(static_cast<std::int64_t>(micros) + 1) + this->extraService;
     }
 
     void done(const LinkId &id, std::uint64_t number)
--- a/tests/fakes/proxy_fixture.hpp
+++ b/tests/fakes/proxy_fixture.hpp
@@ -105,6 +105,22 @@
         }
     }
 
+    // Takes the grants of `from`, and gives them to `to` after `delay`, once no target reports a
+    // slot in use by `from`.
+    void moveGrants(const std::string &from, const std::string &to, Duration delay)
+    {
+        auto &holders = this->group.holders;
+        const auto old = std::find_if(holders.begin(), holders.end(), [&](const HolderView &each) {
+            return each.proxy.value == from;
+        });
+        if (old == holders.end())
+            return;
+        const std::uint32_t slots = old->grants.front().slots;
+        holders.erase(old);
+        this->publish();
+        this->time.after(delay, [this, from, to, slots] { this->grantWhenFree(from, to, slots); });
+    }
+
     // Fences a majority, promotes its best member, and publishes after `delay`.
     void failOver(Duration delay)
     {
@@ -232,6 +248,23 @@
     }
 
 private:
+    void grantWhenFree(const std::string &from, const std::string &to, std::uint32_t slots)
+    {
+        const bool isHolder =
+            std::any_of(this->group.holders.begin(), this->group.holders.end(),
+                        [&](const HolderView &each) { return each.proxy.value == to; });
+        std::size_t used = 0;
+        for (const auto &[name, database] : this->databases)
+            used += database->running(InstanceId(from));
+        if (used > 0 || isHolder) {
+            this->time.after(std::chrono::milliseconds(20),
+                             [this, from, to, slots] { this->grantWhenFree(from, to, slots); });
+            return;
+        }
+        this->group.holders.push_back(this->holder(to, slots));
+        this->publish();
+    }
+
     void addDatabase(const std::string &text)
     {
         const TargetId name(text);
@@ -320,7 +353,7 @@
                 proxy.node->leaseChanged(sentAt + this->settings.leaseFor, this->time.now());
             });
         }
-        this->time.after(std::chrono::milliseconds(400), [this] { this->renewLeases(); });
+        this->time.after(this->settings.leaseFor / 4, [this] { this->renewLeases(); });
     }
 
     void toPeer(const std::string &from, const InstanceId &to, const PeerMessage &message)
@@ -419,10 +452,14 @@
     void replicateFrom(const TargetId &source)
     {
         for (const auto &[name, database] : this->databases) {
-            if (name != source)
-                this->time.after(this->settings.lag, [this, source, target = name] {
-                    this->replicateStep(source, target);
-                });
+            if (name == source)
+                continue;
+            // Replicas are seldom equally far behind.
+            const auto spread = static_cast<std::uint64_t>(this->settings.lag.count());
+            const Duration lag(
+                static_cast<std::int64_t>(spread / 2 + this->random() % (spread + 1)));
+            this->time.after(
+                lag, [this, source, target = name] { this->replicateStep(source, target); });
         }
     }
 
--- a/tests/fakes/workload.hpp
+++ b/tests/fakes/workload.hpp
@@ -8,6 +8,8 @@
 struct WorkloadMix
 {
     std::size_t callers = 8;
+    // Proxies that callers use; all when empty.
+    std::vector<std::string> entries;
     Duration meanPause = std::chrono::milliseconds(20);
     Duration timeLeft = std::chrono::milliseconds(800);
     Duration maxAge = std::chrono::seconds(3);
@@ -107,7 +109,8 @@
     void connect(std::size_t index)
     {
         Caller &caller = this->callers[index];
-        const auto &names = this->fixture.settings.proxies;
+        const auto &names =
+            this->mix.entries.empty() ? this->fixture.settings.proxies : this->mix.entries;
         if (caller.connection != 0)
             this->fixture.callerClosed(caller.proxy, caller.connection);
         caller.proxy = names[this->fixture.random() % names.size()];
--- a/tests/unit/proxy_overload.tests.cpp
+++ b/tests/unit/proxy_overload.tests.cpp
@@ -66,6 +66,7 @@
     });
     cr_assert(result.unanswered == 0 && result.late == 0);
     // Every session wrote, so its reads need the primary, which keeps most slots for writes.
+    cr_assert(fixture.database("d1").mostReads <= 2);
     const auto &kinds = fixture.database("d1").kinds;
     const double reads = kinds.at(StatementKind::Read);
     const double writes = kinds.at(StatementKind::Write);
--- a/tests/unit/proxy_traps.tests.cpp
+++ b/tests/unit/proxy_traps.tests.cpp
@@ -193,22 +193,29 @@
 
 Test(proxy_traps, late_answer, .description = "trap 5: a late answer belongs to nobody")
 {
-    FixtureSettings settings;
-    settings.adjust = [](ProxySettings &each) {
-        each.silentAfter = std::chrono::seconds(10);
-    };
-    ProxyFixture fixture(5, settings);
+    ProxyFixture fixture(5);
     TestCaller caller(fixture, "p1", 1);
-    fixture.targetDelay = milliseconds(396);
-    const std::uint64_t late =
-        caller.send(RequestKind::Read, [](CallerRequest &request) { request.key = "late"; });
-    fixture.time.runFor(milliseconds(400));
-    fixture.targetDelay = Duration{0};
-    const CallerAnswer next =
-        caller.ask(RequestKind::Read, [](CallerRequest &request) { request.key = "next"; });
-    cr_assert(caller.answer(late).outcome == Outcome::OutcomeUnknown);
-    cr_assert(next.outcome == Outcome::Ok && next.key == "next");
-    cr_assert(fixture.breaches().empty());
+    for (auto &[name, database] : fixture.databases)
+        database->extraService = milliseconds(500);
+    const auto keyed = [](const char *key) {
+        return [key](CallerRequest &request) {
+            request.key = key;
+        };
+    };
+    // Enough to have every slot of p1 busy.
+    std::vector<std::uint64_t> late;
+    for (int count = 0; count < 4; ++count)
+        late.push_back(caller.send(RequestKind::Read, keyed("late")));
+    fixture.time.runFor(milliseconds(402));
+    for (auto &[name, database] : fixture.databases)
+        database->extraService = Duration{0};
+    for (int count = 0; count < 4; ++count) {
+        const CallerAnswer next = caller.ask(RequestKind::Read, keyed("next"));
+        cr_assert(next.outcome == Outcome::Ok && next.key == "next");
+    }
+    for (const std::uint64_t request : late)
+        cr_assert(caller.answer(request).outcome == Outcome::OutcomeUnknown);
+    cr_assert(fixture.breaches().empty(), "%s", fixture.breaches().front().c_str());
 }
 
 Test(proxy_traps, frozen_holder,
@@ -239,7 +246,11 @@
 Test(proxy_traps, leaving_target,
      .description = "trap 11: a leaving target ends its transactions and gets nothing new")
 {
-    ProxyFixture fixture(7);
+    FixtureSettings settings;
+    settings.adjust = [](ProxySettings &each) {
+        each.transactionIdleLimit = milliseconds(9000);
+    };
+    ProxyFixture fixture(7, settings);
     TestCaller caller(fixture, "p1", 1);
     TestCaller reader(fixture, "p1", 2);
     TestCaller other(fixture, "p2", 3);
@@ -343,3 +354,44 @@
     cr_assert(again.answer(write).outcome == Outcome::Ok);
     cr_assert(runsOf(fixture, caller, write) == 1);
 }
+
+Test(proxy_traps, observed_states,
+     .description = "a lost target is reported broken at once, a silent one within 700 ms")
+{
+    ProxyFixture fixture(13);
+    const auto stateOf = [&](const std::string &target) {
+        for (const TargetObservation &seen : fixture.proxy("p1").node->observations()) {
+            if (seen.target.value == target)
+                return seen.state;
+        }
+        return ObservedState::Alive;
+    };
+    fixture.resetLink("p1");
+    fixture.time.runFor(milliseconds(600));
+    for (const char *target : {"d1", "d2", "d3"})
+        cr_assert(stateOf(target) == ObservedState::Alive);
+    fixture.kill(TargetId("d1"));
+    fixture.time.runFor(milliseconds(5));
+    cr_assert(stateOf("d1") == ObservedState::Broken);
+    fixture.cuts.insert({"p1", "d2"});
+    fixture.time.runFor(milliseconds(700));
+    cr_assert(stateOf("d2") == ObservedState::Silent);
+    cr_assert(stateOf("d3") == ObservedState::Alive);
+    // A proxy that stood still itself accuses nobody.
+    fixture.freeze("p2");
+    fixture.time.runFor(milliseconds(900));
+    fixture.thaw("p2");
+    for (const TargetObservation &seen : fixture.proxy("p2").node->observations())
+        cr_assert(seen.target.value == "d1" || seen.state == ObservedState::Alive);
+}
+
+Test(proxy_traps, idle_transaction,
+     .description = "a transaction whose caller is silent gives its slot back")
+{
+    ProxyFixture fixture(14);
+    TestCaller caller(fixture, "p1", 1);
+    cr_assert(caller.ask(RequestKind::Begin).outcome == Outcome::Ok);
+    fixture.time.runFor(milliseconds(3100));
+    cr_assert(fixture.primary().running() == 0);
+    cr_assert(caller.ask(RequestKind::Write).reason == Reason::TransactionEnded);
+}
