--- a/src/rhubarbweir/coordination/internal/request_router_admission.cpp
+++ b/src/rhubarbweir/coordination/internal/request_router_admission.cpp
@@ -8,12 +8,13 @@
 
 namespace {
 
+constexpr std::string_view HexadecimalDigits = "0123456789abcdef";
+
 std::string hexadecimal(std::uint64_t value)
 {
-    static constexpr char Digits[] = "0123456789abcdef";
     std::string text;
     for (int shift = 60; shift >= 0; shift -= 4)
-        text.push_back(Digits[(value >> shift) & 0xf]);
+        text.push_back(HexadecimalDigits[(value >> shift) & 0xfU]);
     return text;
 }
 
--- a/src/rhubarbweir/coordination/proxy_node.cpp
+++ b/src/rhubarbweir/coordination/proxy_node.cpp
@@ -225,16 +225,17 @@
 
 void ProxyNode::viewChanged(ProxyViewPtr view, TimePoint now)
 {
-    const ProxyViewPtr former = std::exchange(this->parts->view, view);
-    this->parts->router.setView(view);
+    const ProxyViewPtr former = std::exchange(this->parts->view, std::move(view));
+    const ProxyView &current = *this->parts->view;
+    this->parts->router.setView(this->parts->view);
     for (const auto &[name, holder] : this->parts->holders) {
-        if (view->groups.count(name) > 0)
+        if (current.groups.count(name) > 0)
             continue;
         GroupView removed;
         removed.group = name;
         holder->setView(removed, {}, now);
     }
-    for (const auto &[name, group] : view->groups) {
+    for (const auto &[name, group] : current.groups) {
         const auto grants = this->parts->grantsOf(group);
         const auto old = former->groups.find(name);
         const bool isSame = old != former->groups.end() && old->second.revision == group.revision;
