Repeat final reads until they are answered Ok

Cause: a run of 200 sessions at 1500 operations a second ended with 8 final reads that were neither Ok nor NotRun, so keys stayed unchecked and the exit code was 1. Change: any other outcome of a final read is counted by reason and tried again until the time to settle is over.

--- a/src/programs/load/session_driver.cpp
+++ b/src/programs/load/session_driver.cpp
@@ -164,7 +164,13 @@
 void SessionDriver::readAnswered(const Pending &entry, const CallerAnswer &answer)
 {
     const OperationPtr &operation = entry.operation;
-    if (answer.outcome == Outcome::NotRun) {
+    const bool isRepeated = operation->isFinalRead && answer.outcome != Outcome::Ok;
+    if (isRepeated) {
+        this->run.measurements.count(absl::StrCat("final_read_",
+                                                  std::string(nameOf(answer.outcome)), "_",
+                                                  std::string(nameOf(answer.reason))));
+    }
+    if (answer.outcome == Outcome::NotRun || isRepeated) {
         this->retryOrEnd(operation, answer.outcome, answer.reason, answer.retryAfter);
         return;
     }
