Resend at once over a new replication link; keep counts across a restart

Cause: a message that was lost with its link waited 400 ms for its resend, and a restarted stand-in overwrote the counts of its earlier process. A write gap also tells the time since the last confirmed write. Ruled out: reporting only the time between two confirmed writes, which at few writes a second measures the load and not the outage.

--- a/src/programs/load/load_runner.cpp
+++ b/src/programs/load/load_runner.cpp
@@ -45,7 +45,7 @@
 
 } // namespace
 
-LoadRunner::LoadRunner(LoadSettings loadSettings)
+LoadRunner::LoadRunner(const LoadSettings &loadSettings)
     : client(this->loop)
     , shared{
           loadSettings,    Workload(mixFor(loadSettings), loadSettings.groups, loadSettings.seed),
--- a/src/programs/load/load_runner.hpp
+++ b/src/programs/load/load_runner.hpp
@@ -13,7 +13,7 @@
 class LoadRunner
 {
 public:
-    explicit LoadRunner(LoadSettings loadSettings);
+    explicit LoadRunner(const LoadSettings &loadSettings);
 
     // Returns when the checks are done.
     ExitCode run();
--- a/src/programs/load/measurements.cpp
+++ b/src/programs/load/measurements.cpp
@@ -77,7 +77,9 @@
 
 void Measurements::writeConfirmed(const GroupId &group, TimePoint now)
 {
-    this->endGap(group, this->groups[group], now);
+    GroupWrites &writes = this->groups[group];
+    this->endGap(group, writes, now);
+    writes.lastConfirmedAt = now;
 }
 
 void Measurements::finish(TimePoint now)
@@ -94,6 +96,8 @@
     WriteGap gap;
     gap.group = group;
     gap.begin = std::chrono::duration_cast<Duration>(writes.gapBegan - this->startedAt);
+    gap.sinceLastConfirmed = std::chrono::duration_cast<Duration>(
+        now - std::max(writes.lastConfirmedAt, this->startedAt));
     gap.length = std::chrono::duration_cast<Duration>(now - writes.gapBegan);
     if (gap.length > this->longest.length)
         this->longest = gap;
--- a/src/programs/load/measurements.hpp
+++ b/src/programs/load/measurements.hpp
@@ -38,6 +38,8 @@
     // Since the start of the run.
     Duration begin{0};
     Duration length{0};
+    // From the group's last confirmed write before the gap; includes time without any write.
+    Duration sinceLastConfirmed{0};
 };
 
 class Measurements
@@ -76,6 +78,8 @@
         bool waiting = false;
         // When the present gap began; valid while `waiting`.
         TimePoint gapBegan{};
+        // The start of the run until a write was confirmed.
+        TimePoint lastConfirmedAt{};
     };
 
     void endGap(const GroupId &group, GroupWrites &writes, TimePoint now);
--- a/src/programs/load/report.cpp
+++ b/src/programs/load/report.cpp
@@ -49,7 +49,8 @@
     const WriteGap longest = measurements.longestGap();
     out << "longest time without a confirmed write while writes were sent: "
         << milliseconds(longest.length) << " ms, group " << longest.group << ", at "
-        << milliseconds(longest.begin) << " ms\n";
+        << milliseconds(longest.begin) << " ms, " << milliseconds(longest.sinceLastConfirmed)
+        << " ms after the last confirmed one\n";
     for (const WriteGap &gap : measurements.gaps()) {
         out << "  gap above " << Measurements::GapThreshold.count() << " ms: group " << gap.group
             << " at " << milliseconds(gap.begin) << " ms for " << milliseconds(gap.length)
@@ -147,9 +148,11 @@
     report["counts"] = measurements.otherCounts();
     report["gaps"] = nlohmann::json::array();
     for (const WriteGap &gap : measurements.gaps()) {
-        report["gaps"].push_back({{"group", gap.group.value},
-                                  {"begin_ms", milliseconds(gap.begin)},
-                                  {"length_ms", milliseconds(gap.length)}});
+        report["gaps"].push_back(
+            {{"group", gap.group.value},
+             {"begin_ms", milliseconds(gap.begin)},
+             {"length_ms", milliseconds(gap.length)},
+             {"since_last_confirmed_ms", milliseconds(gap.sinceLastConfirmed)}});
     }
     for (const auto &[kind, latency] : measurements.latencies())
         report["latency"][text(nameOf(kind))] = latencyJson(latency);
--- a/src/programs/load/session_driver.cpp
+++ b/src/programs/load/session_driver.cpp
@@ -69,7 +69,7 @@
     this->startAttempt(operation);
 }
 
-void SessionDriver::checkFinally(Done done)
+void SessionDriver::checkFinally(const Done &done)
 {
     this->finalRead(this->run.checker.allKeysOf(this->session), done);
 }
--- a/src/programs/load/session_driver.hpp
+++ b/src/programs/load/session_driver.hpp
@@ -42,7 +42,7 @@
     // Starts one operation; `done` runs when it has ended, with any outcome.
     void perform(const PlannedOperation &planned, Done done);
     // Reads every key of the session and checks the final values.
-    void checkFinally(Done done);
+    void checkFinally(const Done &done);
     void close();
 
     bool isOpen() const { return !this->session.empty(); }
--- a/src/programs/standin/database.hpp
+++ b/src/programs/standin/database.hpp
@@ -79,6 +79,9 @@
     void receive(const ReplicateEntries &entries, TimePoint now);
     void receive(const ReplicateAnswer &answer, TimePoint now);
 
+    // There is a new connection to another database of the group.
+    void memberConnected(const TargetId &member, TimePoint now);
+
     // Runs everything that is due.
     void advance(TimePoint now);
     // When advance() has something to do; TimePoint::max() when nothing is planned.
--- a/src/programs/standin/database_terms.cpp
+++ b/src/programs/standin/database_terms.cpp
@@ -68,6 +68,12 @@
     this->advance(now);
 }
 
+void Database::memberConnected(const TargetId &member, TimePoint now)
+{
+    this->progress.reconnected(member, now);
+    this->advance(now);
+}
+
 void Database::advance(TimePoint now)
 {
     while (!this->openings.empty() && this->openings.begin()->first <= now) {
--- a/src/programs/standin/replication.cpp
+++ b/src/programs/standin/replication.cpp
@@ -64,6 +64,15 @@
     this->replicas[member] = Member{lastPosition + 1, 0, now};
 }
 
+void ReplicaProgress::reconnected(const TargetId &member, TimePoint now)
+{
+    const auto found = this->replicas.find(member);
+    if (found == this->replicas.end())
+        return;
+    found->second.awaited = 0;
+    found->second.sendAt = now;
+}
+
 std::optional<ReplicateEntries> ReplicaProgress::nextFor(const TargetId &member,
                                                          const ReplicatedLog &log, TimePoint now)
 {
--- a/src/programs/standin/replication.hpp
+++ b/src/programs/standin/replication.hpp
@@ -34,9 +34,12 @@
     // Forgets everything; replicas are expected to hold the log up to `lastPosition`.
     void start(const std::vector<TargetId> &members, std::uint64_t lastPosition, TimePoint now);
     void stop();
-    // A replica that was not named at the start, or whose connection is new.
+    // A replica that introduced itself; it may not have been named at the start.
     void connected(const TargetId &member, std::uint64_t lastPosition, TimePoint now);
 
+    // A replica's connection is new: what was under way to it is lost.
+    void reconnected(const TargetId &member, TimePoint now);
+
     // The next message for `member`, when one is due.
     std::optional<ReplicateEntries> nextFor(const TargetId &member, const ReplicatedLog &log,
                                             TimePoint now);
--- a/src/programs/standin/standin_server.cpp
+++ b/src/programs/standin/standin_server.cpp
@@ -6,6 +6,7 @@
 #include "rhubarbweir/protocol/internal/json_messages.hpp"
 
 #include <algorithm>
+#include <filesystem>
 #include <utility>
 
 namespace rhubarbweir {
@@ -45,6 +46,22 @@
     return database;
 }
 
+// Keeps the counts of the database's earlier process, for the load tool's checks.
+void keepEarlierReport(const std::string &file)
+{
+    const std::filesystem::path path(file);
+    std::error_code error;
+    if (!std::filesystem::exists(path, error))
+        return;
+    std::filesystem::path kept;
+    int number = 0;
+    do {
+        kept = path;
+        kept.replace_extension("." + std::to_string(++number) + path.extension().string());
+    } while (std::filesystem::exists(kept, error));
+    std::filesystem::rename(path, kept, error);
+}
+
 } // namespace
 
 StandinServer::StandinServer(EventLoop &eventLoop, StandinProgramSettings standinSettings)
@@ -77,12 +94,15 @@
 
 absl::Status StandinServer::start()
 {
-    const absl::Status opened =
+    absl::Status opened =
         this->journal.open(this->settings.journalFile,
                            [this](const JournalRecord &record) { this->database.restore(record); });
     if (!opened.ok())
         return opened;
-    const absl::Status listening = this->server.listen();
+    const bool isContinued = this->database.log().received() != LogPosition{};
+    if (isContinued && !this->settings.reportFile.empty())
+        keepEarlierReport(this->settings.reportFile);
+    absl::Status listening = this->server.listen();
     if (!listening.ok())
         return listening;
     for (const std::string &address : this->settings.controlAddresses) {
@@ -226,6 +246,7 @@
                              peer.connection->onMessage = [this](const Message &message) {
                                  this->receiveFromMember(message);
                              };
+                             this->database.memberConnected(member, EventLoop::now());
                              this->settle();
                          });
 }
--- a/tests/unit/load_checker.tests.cpp
+++ b/tests/unit/load_checker.tests.cpp
@@ -241,6 +241,7 @@
     measurements.writeSent(Group, start + seconds(11));
     measurements.writeConfirmed(Group, start + seconds(12));
     cr_assert(measurements.longestGap().length == seconds(2));
+    cr_assert(measurements.longestGap().sinceLastConfirmed == milliseconds(10'995));
     cr_assert(measurements.gaps().size() == 1);
     measurements.writeSent(Group, start + seconds(20));
     measurements.finish(start + seconds(25));
