Measure write gaps with probes; mend a false doubled count

Cause: a run with a frozen proxy counted one write as run after NotRun. An operation that was given up noted the session's newest request as not run, which was another operation's. Ruled out: a fault of the proxy; the log held the request once. Change: each operation keeps the id of its own newest request. A session whose request got no answer goes on through another proxy. probe_interval adds one writer a group, so that the gap is known to within that interval.

--- a/src/programs/load/load_runner.cpp
+++ b/src/programs/load/load_runner.cpp
@@ -66,7 +66,10 @@
 
 void LoadRunner::openSessions()
 {
-    for (std::size_t number = 0; number < this->shared.settings.sessions; ++number) {
+    const LoadSettings &settings = this->shared.settings;
+    const bool isProbing = settings.probeInterval > Duration::zero();
+    const std::size_t count = settings.sessions + (isProbing ? settings.groups.size() : 0);
+    for (std::size_t number = 0; number < count; ++number) {
         this->sessions.push_back(std::make_shared<SessionDriver>(this->shared, number));
         this->sessions.back()->open([this] {
             if (++this->openSessionCount == this->sessions.size())
@@ -93,15 +96,30 @@
         if (this->shared.settleBy == TimePoint::max() && EventLoop::now() >= this->loadEndsAt)
             this->startSettling();
     });
+    this->startProbes();
     if (this->shared.settings.rate > 0) {
         this->nextArrivalAt = now;
         this->planArrival();
         return;
     }
-    for (std::size_t number = 0; number < this->sessions.size(); ++number)
+    for (std::size_t number = 0; number < this->shared.settings.sessions; ++number)
         this->continueSession(number);
 }
 
+void LoadRunner::startProbes()
+{
+    const LoadSettings &settings = this->shared.settings;
+    for (std::size_t number = settings.sessions; number < this->sessions.size(); ++number) {
+        PlannedOperation planned;
+        planned.kind = OperationKind::Write;
+        planned.group = settings.groups[number - settings.sessions];
+        this->loop.every(settings.probeInterval, [this, number, planned] {
+            if (EventLoop::now() < this->loadEndsAt)
+                this->sessions[number]->perform(planned, [] {});
+        });
+    }
+}
+
 void LoadRunner::continueSession(std::size_t number)
 {
     const TimePoint now = EventLoop::now();
@@ -123,7 +141,7 @@
     this->loop.schedule(this->nextArrivalAt, [this] {
         if (EventLoop::now() >= this->loadEndsAt)
             return;
-        const std::size_t number = this->shared.workload.pick(this->sessions.size());
+        const std::size_t number = this->shared.workload.pick(this->shared.settings.sessions);
         this->sessions[number]->perform(this->shared.workload.next(), [] {});
         this->planArrival();
     });
--- a/src/programs/load/load_runner.hpp
+++ b/src/programs/load/load_runner.hpp
@@ -26,6 +26,8 @@
     // Open loop: operations arrive at the rate, whatever is still unanswered.
     void planArrival();
     double rateNow() const;
+    // The sessions after those of the load each write to one group.
+    void startProbes();
     void startSettling();
     void waitUntilIdle();
     void startFinalReads();
--- a/src/programs/load/load_settings.cpp
+++ b/src/programs/load/load_settings.cpp
@@ -107,6 +107,7 @@
     settings.peakAfter = values.duration(Section, "peak_after");
     settings.peakFor = values.duration(Section, "peak_for");
     settings.peakFactor = static_cast<double>(values.integer(Section, "peak_factor"));
+    settings.probeInterval = values.duration(Section, "probe_interval");
     settings.deadline = values.duration(Section, "deadline");
     settings.grace = values.duration(Section, "grace");
     settings.settleFor = values.duration(Section, "settle_for");
@@ -136,6 +137,9 @@
     schema.add(span("peak_after", "0s", "Start of the peak."));
     schema.add(span("peak_for", "0s", "Length of the peak; 0s for none."));
     schema.add(number("peak_factor", 1, 1000, "10", "The peak's multiple of the rate."));
+    schema.add(span("probe_interval", "0ms",
+                    "Interval of one further writer a group, which makes the failover gap "
+                    "precise; 0ms for none."));
     schema.add(span("deadline", "1s", "Time that a caller gives one operation."));
     schema.add(
         span("grace", "500ms", "Time after the deadline before an answer counts as missing."));
--- a/src/programs/load/load_settings.hpp
+++ b/src/programs/load/load_settings.hpp
@@ -27,6 +27,9 @@
     Duration peakAfter{0};
     Duration peakFor{0};
     double peakFactor = 10;
+    // One further session a group writes at this interval, so that a write gap is measured
+    // finely; none when 0.
+    Duration probeInterval{0};
     // Time that a caller gives one operation, retries included.
     Duration deadline = std::chrono::milliseconds(1000);
     // Time after the deadline in which an answer is not yet counted as missing.
--- a/src/programs/load/session_connections.cpp
+++ b/src/programs/load/session_connections.cpp
@@ -33,6 +33,7 @@
     request.requestId = ++this->lastRequestId;
     request.session = this->session;
     const std::uint64_t id = request.requestId;
+    operation->lastRequestId = id;
     Pending entry;
     entry.request = std::move(request);
     entry.operation = operation;
@@ -84,6 +85,9 @@
     if (entry.sent) {
         this->run.checker.noteSilent();
         this->run.measurements.count("silent");
+        // The proxy may be frozen.
+        if (entry.link == this->current)
+            this->moveToOtherProxy();
     } else {
         this->run.measurements.count("never_sent");
     }
--- a/src/programs/load/session_driver.cpp
+++ b/src/programs/load/session_driver.cpp
@@ -301,7 +301,7 @@
     if (operation->resolved)
         operation->resolved(Effect::Unresolved);
     else if (!operation->writes.empty())
-        this->endWrites(operation, this->lastRequestId, Effect::None);
+        this->endWrites(operation, operation->lastRequestId, Effect::None);
     this->end(operation, outcome, reason);
 }
 
--- a/src/programs/load/session_driver.hpp
+++ b/src/programs/load/session_driver.hpp
@@ -70,6 +70,8 @@
         std::uint64_t asked = 0;
         std::function<void(Effect)> resolved;
         std::uint32_t attempts = 0;
+        // Id of the newest request of this operation.
+        std::uint64_t lastRequestId = 0;
     };
     using OperationPtr = std::shared_ptr<Operation>;
 
