--- a/src/programs/load/session_driver.cpp
+++ b/src/programs/load/session_driver.cpp
@@ -69,7 +69,7 @@
     this->startAttempt(operation);
 }
 
-void SessionDriver::checkFinally(Done done)
+void SessionDriver::checkFinally(const Done &done)
 {
     this->finalRead(this->run.checker.allKeysOf(this->session), done);
 }
@@ -164,7 +164,13 @@
 void SessionDriver::readAnswered(const Pending &entry, const CallerAnswer &answer)
 {
     const OperationPtr &operation = entry.operation;
-    if (answer.outcome == Outcome::NotRun) {
+    const bool isRepeated = operation->isFinalRead && answer.outcome != Outcome::Ok;
+    if (isRepeated) {
+        this->run.measurements.count(absl::StrCat("final_read_",
+                                                  std::string(nameOf(answer.outcome)), "_",
+                                                  std::string(nameOf(answer.reason))));
+    }
+    if (answer.outcome == Outcome::NotRun || isRepeated) {
         this->retryOrEnd(operation, answer.outcome, answer.reason, answer.retryAfter);
         return;
     }
@@ -295,7 +301,7 @@
     if (operation->resolved)
         operation->resolved(Effect::Unresolved);
     else if (!operation->writes.empty())
-        this->endWrites(operation, this->lastRequestId, Effect::None);
+        this->endWrites(operation, operation->lastRequestId, Effect::None);
     this->end(operation, outcome, reason);
 }
 
--- a/src/programs/load/session_driver.hpp
+++ b/src/programs/load/session_driver.hpp
@@ -42,7 +42,7 @@
     // Starts one operation; `done` runs when it has ended, with any outcome.
     void perform(const PlannedOperation &planned, Done done);
     // Reads every key of the session and checks the final values.
-    void checkFinally(Done done);
+    void checkFinally(const Done &done);
     void close();
 
     bool isOpen() const { return !this->session.empty(); }
@@ -70,6 +70,8 @@
         std::uint64_t asked = 0;
         std::function<void(Effect)> resolved;
         std::uint32_t attempts = 0;
+        // Id of the newest request of this operation.
+        std::uint64_t lastRequestId = 0;
     };
     using OperationPtr = std::shared_ptr<Operation>;
 
