--- a/src/programs/ctl/fleet_check.cpp
+++ b/src/programs/ctl/fleet_check.cpp
@@ -2,6 +2,7 @@
 #include "programs/ctl/fleet_check.hpp"
 
 #include "programs/ctl/table_csv.hpp"
+#include "programs/load/load_settings.hpp"
 #include "programs/support/control_program_settings.hpp"
 #include "programs/support/ctl_program_settings.hpp"
 #include "programs/support/proxy_program_settings.hpp"
@@ -24,6 +25,7 @@
     Proxy,
     Standin,
     Ctl,
+    Load,
 };
 
 SettingsSchema schemaOf(Program program)
@@ -36,9 +38,11 @@
     case Program::Standin:
         return standinSettingsSchema();
     case Program::Ctl:
+        return ctlSettingsSchema();
+    case Program::Load:
         break;
     }
-    return ctlSettingsSchema();
+    return loadSettingsSchema();
 }
 
 // The program that a file is for, told by the section that only this program has.
@@ -51,6 +55,8 @@
             return Program::Standin;
         if (start.section == "operator")
             return Program::Ctl;
+        if (start.section == "load")
+            return Program::Load;
     }
     return Program::Proxy;
 }
@@ -96,7 +102,7 @@
         const LoadedSettings loaded = schemaOf(program).loadText(content.str(), file);
         this->result.faults.insert(this->result.faults.end(), loaded.faults.begin(),
                                    loaded.faults.end());
-        if (!loaded.faults.empty())
+        if (!loaded.faults.empty() || program == Program::Load)
             return;
         this->checkAgainstOthers(program, loaded.settings);
     }
--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -91,6 +91,52 @@
     return absl::UnimplementedError(absl::StrCat("unknown message type ", name));
 }
 
+// Deepest nesting of maps and lists accepted; no message needs half of it.
+constexpr std::size_t MaxDepth = 32;
+// A message of this many bytes cannot nest deep enough to exhaust a thread's stack.
+constexpr std::size_t DepthCheckedAbove = 1024;
+
+// Follows a parse without building values and stops it at MaxDepth.
+class DepthChecker : public json::json_sax_t
+{
+public:
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, const string_t &) override { return true; }
+    bool string(string_t &) override { return true; }
+    bool binary(binary_t &) override { return true; }
+    bool key(string_t &) override { return true; }
+    bool start_object(std::size_t) override { return ++this->depth <= MaxDepth; }
+    bool end_object() override { return this->leave(); }
+    bool start_array(std::size_t) override { return ++this->depth <= MaxDepth; }
+    bool end_array() override { return this->leave(); }
+    bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override
+    {
+        return false;
+    }
+
+private:
+    bool leave()
+    {
+        --this->depth;
+        return true;
+    }
+
+    std::size_t depth = 0;
+};
+
+bool isShallow(std::string_view bytes, Encoding encoding)
+{
+    if (bytes.size() <= DepthCheckedAbove)
+        return true;
+    DepthChecker checker;
+    const auto format =
+        encoding == Encoding::Cbor ? json::input_format_t::cbor : json::input_format_t::json;
+    return json::sax_parse(bytes, &checker, format);
+}
+
 json parse(std::string_view bytes, Encoding encoding)
 {
     return encoding == Encoding::Cbor ? json::from_cbor(bytes) : json::parse(bytes);
@@ -115,6 +161,8 @@
 {
     if (bytes.size() > MaxMessageBytes)
         return absl::ResourceExhaustedError(absl::StrCat("message of ", bytes.size(), " bytes"));
+    if (!isShallow(bytes, encoding))
+        return absl::InvalidArgumentError("malformed or too deeply nested");
     try {
         const json envelope = parse(bytes, encoding);
         const auto version = envelope.at("v").get<unsigned>();
--- a/src/rhubarbweir/transport/connection.hpp
+++ b/src/rhubarbweir/transport/connection.hpp
@@ -33,6 +33,8 @@
     UnsupportedVersion,
     UnexpectedMessage,
     SlowReader,
+    // A handshake or a frame did not end in time.
+    SlowSender,
     Overloaded,
     GoingAway,
 };
@@ -46,6 +48,7 @@
                                                  "unsupported_version",
                                                  "unexpected_message",
                                                  "slow_reader",
+                                                 "slow_sender",
                                                  "overloaded",
                                                  "going_away"};
 };
--- a/src/rhubarbweir/transport/web_socket.cpp
+++ b/src/rhubarbweir/transport/web_socket.cpp
@@ -12,6 +12,7 @@
 #include <websocketpp/server.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace rhubarbweir {
@@ -23,8 +24,6 @@
 
 // Bytes queued towards one peer before it counts as a slow reader.
 constexpr std::size_t MaxQueuedBytes = 4 << 20;
-// Time that a peer has for its opening handshake.
-constexpr std::chrono::milliseconds HandshakeTimeout{3000};
 
 CloseReason closeReasonFor(const absl::Status &status)
 {
@@ -46,6 +45,7 @@
         return websocketpp::close::status::message_too_big;
     case CloseReason::Overloaded:
     case CloseReason::SlowReader:
+    case CloseReason::SlowSender:
         return websocketpp::close::status::try_again_later;
     case CloseReason::MalformedMessage:
     case CloseReason::UnsupportedVersion:
@@ -55,6 +55,32 @@
     return websocketpp::close::status::policy_violation;
 }
 
+// The fault behind a close that the library began by itself, or behind a failed handshake.
+// Absent for a peer that went away and for what was reported already.
+std::optional<CloseReason> faultBehind(const websocketpp::lib::error_code &error)
+{
+    using websocketpp::error::value;
+    if (error == value::open_handshake_timeout || error == value::close_handshake_timeout)
+        return CloseReason::SlowSender;
+    if (error == value::rejected || error == value::http_connection_ended)
+        return std::nullopt;
+    if (error.category() == websocketpp::error::get_category()
+        || error.category() == websocketpp::processor::error::get_processor_category())
+        return CloseReason::MalformedMessage;
+    return std::nullopt;
+}
+
+std::optional<CloseReason> faultBehind(websocketpp::close::status::value code)
+{
+    if (code == websocketpp::close::status::message_too_big)
+        return CloseReason::MessageTooLarge;
+    if (code == websocketpp::close::status::protocol_error
+        || code == websocketpp::close::status::invalid_payload
+        || code == websocketpp::close::status::internal_endpoint_error)
+        return CloseReason::MalformedMessage;
+    return std::nullopt;
+}
+
 using Fault = std::function<void(CloseReason, const std::string &, const std::string &)>;
 
 // A connection of either endpoint type.
@@ -112,6 +138,19 @@
         this->raw->set_fail_handler([self](const auto &) { self->closed(); });
     }
 
+    // Pings the peer on an interval and closes the connection when an answer is missing.
+    void keepAlive(EventLoop &loop, Duration interval, Duration pongTimeout)
+    {
+        this->raw->set_pong_timeout(
+            std::chrono::duration_cast<std::chrono::milliseconds>(pongTimeout).count());
+        std::weak_ptr<Connection> weak = this->weak_from_this();
+        this->raw->set_pong_timeout_handler([weak](const auto &, const std::string &) {
+            if (const auto self = std::static_pointer_cast<WebSocketConnection>(weak.lock()))
+                self->fail(CloseReason::SlowSender, "no answer to a ping");
+        });
+        this->schedulePing(loop, interval);
+    }
+
 private:
     void received(websocketpp::frame::opcode::value opcode, const std::string &payload)
     {
@@ -130,8 +169,22 @@
             this->onMessage(*std::move(message));
     }
 
+    void schedulePing(EventLoop &loop, Duration interval)
+    {
+        std::weak_ptr<Connection> weak = this->weak_from_this();
+        loop.schedule(EventLoop::now() + interval, [weak, &loop, interval] {
+            const auto self = std::static_pointer_cast<WebSocketConnection>(weak.lock());
+            if (!self || !self->isOpen())
+                return;
+            websocketpp::lib::error_code ignored;
+            self->raw->ping("", ignored);
+            self->schedulePing(loop, interval);
+        });
+    }
+
     void fail(CloseReason reason, const std::string &detail)
     {
+        this->faultReported = true;
         if (this->fault)
             this->fault(reason, this->peerAddress(), detail);
         this->close(reason);
@@ -139,6 +192,10 @@
 
     void closed()
     {
+        const auto code = this->raw->get_local_close_code();
+        const std::optional<CloseReason> reason = faultBehind(code);
+        if (reason && this->fault && !this->faultReported)
+            this->fault(*reason, this->peerAddress(), this->raw->get_local_close_reason());
         if (this->onClosed)
             this->onClosed();
         if (this->released)
@@ -153,6 +210,8 @@
     Fault fault;
     // Answers use the encoding of the last message received.
     Encoding encoding = Encoding::Cbor;
+    // A fault is reported once.
+    bool faultReported = false;
 };
 
 template<typename Raw>
@@ -164,13 +223,15 @@
 }
 
 template<typename Endpoint>
-void quiet(Endpoint &endpoint)
+void quiet(Endpoint &endpoint, Duration handshakeTimeout)
 {
+    const auto timeout =
+        std::chrono::duration_cast<std::chrono::milliseconds>(handshakeTimeout).count();
     endpoint.clear_access_channels(websocketpp::log::alevel::all);
     endpoint.clear_error_channels(websocketpp::log::elevel::all);
     endpoint.set_max_message_size(MaxMessageBytes);
-    endpoint.set_open_handshake_timeout(HandshakeTimeout.count());
-    endpoint.set_close_handshake_timeout(HandshakeTimeout.count());
+    endpoint.set_open_handshake_timeout(timeout);
+    endpoint.set_close_handshake_timeout(timeout);
 }
 
 struct HostPort
@@ -194,12 +255,14 @@
 struct WebSocketServer::Parts
 {
     Parts(EventLoop &eventLoop, std::string listenAddress, std::vector<Subprotocol> subprotocols,
-          std::size_t connectionLimit, ServerHooks serverHooks)
+          std::size_t connectionLimit, ServerHooks serverHooks,
+          ConnectionTimeouts connectionTimeouts)
         : loop(eventLoop)
         , address(std::move(listenAddress))
         , accepted(std::move(subprotocols))
         , maxConnections(connectionLimit)
         , hooks(std::move(serverHooks))
+        , timeouts(connectionTimeouts)
     {
     }
 
@@ -208,6 +271,7 @@
     std::vector<Subprotocol> accepted;
     std::size_t maxConnections;
     ServerHooks hooks;
+    ConnectionTimeouts timeouts;
     ServerEndpoint endpoint;
     std::size_t openConnections = 0;
 
@@ -237,6 +301,7 @@
         auto connection = std::make_shared<WebSocketConnection<ServerEndpoint>>(
             raw, subprotocol.value_or(Subprotocol::Caller), this->hooks.fault);
         connection->attach();
+        connection->keepAlive(this->loop, this->timeouts.pingInterval, this->timeouts.pongTimeout);
         ++this->openConnections;
         connection->released = [this] {
             --this->openConnections;
@@ -253,6 +318,12 @@
         connection->set_body(reply.body);
     }
 
+    void handshakeFailed(const ServerEndpoint::connection_ptr &connection)
+    {
+        if (const std::optional<CloseReason> reason = faultBehind(connection->get_ec()))
+            this->report(*reason, connection, connection->get_ec().message());
+    }
+
     void report(CloseReason reason, const ServerEndpoint::connection_ptr &connection,
                 const std::string &detail)
     {
@@ -263,9 +334,9 @@
 
 WebSocketServer::WebSocketServer(EventLoop &loop, std::string address,
                                  std::vector<Subprotocol> accepted, std::size_t maxConnections,
-                                 ServerHooks hooks)
+                                 ServerHooks hooks, ConnectionTimeouts timeouts)
     : parts(std::make_shared<Parts>(loop, std::move(address), std::move(accepted), maxConnections,
-                                    std::move(hooks)))
+                                    std::move(hooks), timeouts))
 {
 }
 
@@ -281,7 +352,7 @@
     if (!hostPort.ok())
         return hostPort.status();
     websocketpp::lib::error_code error;
-    quiet(p.endpoint);
+    quiet(p.endpoint, p.timeouts.handshake);
     p.endpoint.init_asio(&p.loop.context(), error);
     if (error)
         return absl::InternalError(error.message());
@@ -292,6 +363,8 @@
         [&p](const auto &handle) { return p.validate(p.endpoint.get_con_from_hdl(handle)); });
     p.endpoint.set_open_handler(
         [&p](const auto &handle) { p.opened(p.endpoint.get_con_from_hdl(handle)); });
+    p.endpoint.set_fail_handler(
+        [&p](const auto &handle) { p.handshakeFailed(p.endpoint.get_con_from_hdl(handle)); });
     p.endpoint.set_http_handler(
         [&p](const auto &handle) { p.answerGet(p.endpoint.get_con_from_hdl(handle)); });
     p.endpoint.listen(hostPort->host, std::to_string(hostPort->port), error);
@@ -314,7 +387,7 @@
     explicit Parts(EventLoop &eventLoop)
         : loop(eventLoop)
     {
-        quiet(this->endpoint);
+        quiet(this->endpoint, ConnectionTimeouts{}.handshake);
         this->endpoint.init_asio(&eventLoop.context());
         this->endpoint.set_tcp_post_init_handler(
             [this](const auto &handle) { disableNagle(this->endpoint.get_con_from_hdl(handle)); });
--- a/src/rhubarbweir/transport/web_socket.hpp
+++ b/src/rhubarbweir/transport/web_socket.hpp
@@ -34,12 +34,23 @@
     std::function<void(CloseReason, const std::string &peer, const std::string &detail)> fault;
 };
 
+// How long a server waits for its peers.
+struct ConnectionTimeouts
+{
+    // For the opening and for the closing handshake.
+    Duration handshake = std::chrono::seconds(3);
+    // A peer that does not answer a ping, such as one that never ends a frame, is cut off.
+    Duration pingInterval = std::chrono::seconds(15);
+    Duration pongTimeout = std::chrono::seconds(10);
+};
+
 class WebSocketServer
 {
 public:
     // `address` is host:port with a numeric host. Connections above `maxConnections` are refused.
     WebSocketServer(EventLoop &loop, std::string address, std::vector<Subprotocol> accepted,
-                    std::size_t maxConnections, ServerHooks hooks);
+                    std::size_t maxConnections, ServerHooks hooks,
+                    ConnectionTimeouts timeouts = {});
     ~WebSocketServer();
 
     // Errors: InvalidArgument for a bad address, Unavailable when the port cannot be bound.
