--- a/src/programs/ctl/local_command.cpp
+++ b/src/programs/ctl/local_command.cpp
@@ -58,11 +58,12 @@
     return filter;
 }
 
-ExitCode writeHtmlFile(CommandContext &context, const std::vector<TimelineEvent> &events)
+ExitCode writeHtmlFile(CommandContext &context, const std::vector<TimelineEvent> &events,
+                       std::int64_t start)
 {
     const std::string name = context.commandLine.value("html");
     std::ofstream file(name);
-    writeTimelineHtml(events, file);
+    writeTimelineHtml(events, start, file);
     file.close();
     if (!file) {
         context.errors << "rhubarbctl: cannot write " << name << "\n";
@@ -93,13 +94,15 @@
                            << " lines are no events\n";
         files.push_back(std::move(file.events));
     }
-    const std::vector<TimelineEvent> events = filterEvents(mergeEvents(std::move(files)), *filter);
+    const std::vector<TimelineEvent> all = mergeEvents(std::move(files));
+    const std::int64_t start = all.empty() ? 0 : all.front().clock;
+    const std::vector<TimelineEvent> events = filterEvents(all, *filter);
     if (context.commandLine.has("html"))
-        return writeHtmlFile(context, events);
+        return writeHtmlFile(context, events, start);
     if (context.json())
         writeTimelineJson(events, context.out);
     else
-        writeTimelineText(events, context.out);
+        writeTimelineText(events, start, context.out);
     return ExitCode::Success;
 }
 
--- a/src/programs/ctl/timeline.cpp
+++ b/src/programs/ctl/timeline.cpp
@@ -115,13 +115,14 @@
     return ordered;
 }
 
-void writeTimelineText(const std::vector<TimelineEvent> &events, std::ostream &out)
+void writeTimelineText(const std::vector<TimelineEvent> &events, std::int64_t start,
+                       std::ostream &out)
 {
     std::size_t width = 0;
     for (const TimelineEvent &event : events)
         width = std::max(width, event.instance.size());
     for (const TimelineEvent &event : events) {
-        const double seconds = static_cast<double>(event.clock - events.front().clock) / 1e6;
+        const double seconds = static_cast<double>(event.clock - start) / 1e6;
         out << '+' << std::fixed << std::setprecision(6) << std::setw(11) << std::right << seconds
             << "s  " << std::left << std::setw(static_cast<int>(width)) << event.instance << "  "
             << event.event;
--- a/src/programs/ctl/timeline.hpp
+++ b/src/programs/ctl/timeline.hpp
@@ -33,10 +33,12 @@
 // Instances in the order of their names; numbers within names count as numbers.
 std::vector<std::string> instancesOf(const std::vector<TimelineEvent> &events);
 
-// One line an event: seconds since the first one, instance, event, fields and cause.
-void writeTimelineText(const std::vector<TimelineEvent> &events, std::ostream &out);
+// One line an event: seconds since `start` (a clock value), instance, event, fields and cause.
+void writeTimelineText(const std::vector<TimelineEvent> &events, std::int64_t start,
+                       std::ostream &out);
 // One HTML page without outside parts: a lane for each instance, causes beside the events.
-void writeTimelineHtml(const std::vector<TimelineEvent> &events, std::ostream &out);
+void writeTimelineHtml(const std::vector<TimelineEvent> &events, std::int64_t start,
+                       std::ostream &out);
 // One JSON object a line.
 void writeTimelineJson(const std::vector<TimelineEvent> &events, std::ostream &out);
 
--- a/src/programs/ctl/timeline_html.cpp
+++ b/src/programs/ctl/timeline_html.cpp
@@ -70,14 +70,15 @@
 class HtmlWriter
 {
 public:
-    HtmlWriter(const std::vector<TimelineEvent> &timeline, std::ostream &stream)
+    HtmlWriter(const std::vector<TimelineEvent> &timeline, std::int64_t startClock,
+               std::ostream &stream)
         : events(timeline)
         , out(stream)
+        , start(startClock)
+        , end(startClock)
     {
-        for (const TimelineEvent &event : timeline) {
-            this->start = std::min(this->start == 0 ? event.clock : this->start, event.clock);
+        for (const TimelineEvent &event : timeline)
             this->end = std::max(this->end, event.clock);
-        }
     }
 
     void write()
@@ -155,15 +156,17 @@
 
     const std::vector<TimelineEvent> &events;
     std::ostream &out;
-    std::int64_t start = 0;
-    std::int64_t end = 0;
+    // Clock values at the left and the right end of the lanes.
+    std::int64_t start;
+    std::int64_t end;
 };
 
 } // namespace
 
-void writeTimelineHtml(const std::vector<TimelineEvent> &events, std::ostream &out)
+void writeTimelineHtml(const std::vector<TimelineEvent> &events, std::int64_t start,
+                       std::ostream &out)
 {
-    HtmlWriter(events, out).write();
+    HtmlWriter(events, start, out).write();
 }
 
 } // namespace rhubarbweir
--- a/tests/unit/timeline.tests.cpp
+++ b/tests/unit/timeline.tests.cpp
@@ -99,8 +99,8 @@
 Test(timeline, text, .description = "text shows the offset, the fields and the cause")
 {
     std::ostringstream out;
-    writeTimelineText(mergedLogs(), out);
-    cr_assert(out.str().find("0.000100s  control-1  fence group=windlog-1  <- 2 observers")
+    writeTimelineText(mergedLogs(), 1000000, out);
+    cr_assert(out.str().find("0.000200s  control-1  fence group=windlog-1  <- 2 observers")
                   != std::string::npos,
               "%s", out.str().c_str());
 }
@@ -110,7 +110,7 @@
     std::ostringstream out;
     std::vector<TimelineEvent> events = mergedLogs();
     events[0].fields.emplace_back("value", "<script>alert(1)</script>");
-    writeTimelineHtml(events, out);
+    writeTimelineHtml(events, events.front().clock, out);
     const std::string page = out.str();
     cr_assert(page.find("<span class=\"name\">proxy-10</span>") != std::string::npos);
     cr_assert(page.find("<span class=\"name\">control-1</span>") != std::string::npos);
