--- a/tests/unit/ctl.tests.cpp
+++ b/tests/unit/ctl.tests.cpp
@@ -2,6 +2,11 @@
 #include "programs/ctl/control_client.hpp"
 #include "programs/ctl/fleet_check.hpp"
 #include "programs/ctl/table_csv.hpp"
+#include "programs/load/load_settings.hpp"
+#include "programs/support/control_program_settings.hpp"
+#include "programs/support/ctl_program_settings.hpp"
+#include "programs/support/proxy_program_settings.hpp"
+#include "programs/support/standin_program_settings.hpp"
 
 #include <criterion/criterion.h>
 
@@ -157,6 +162,20 @@
                   faults.c_str());
 }
 
+Test(settings_page, current, .description = "docs/SETTINGS.md says what the programs check")
+{
+    std::ostringstream page;
+    page << std::ifstream(fs::path(RHUBARBWEIR_EXAMPLES) / "../docs/SETTINGS.md").rdbuf();
+    for (const SettingsSchema &schema :
+         {controlSettingsSchema(), proxySettingsSchema(), standinSettingsSchema(),
+          ctlSettingsSchema(), loadSettingsSchema()}) {
+        std::ostringstream reference;
+        writeSettingsReference(schema, reference);
+        cr_assert(page.str().find(reference.str()) != std::string::npos,
+                  "run tools/update-settings-page: %s differs", schema.program().c_str());
+    }
+}
+
 Test(control_client, follows_leader,
      .description = "an edit follows the leader and is resent with its id after a lost answer")
 {
