--- /dev/null
+++ b/tests/scenarios/group_scenario.cpp
@@ -0,0 +1,162 @@
+// See group_scenario.hpp.
+#include "scenarios/group_scenario.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbweir::testing {
+
+namespace {
+
+absl::Status met(bool isMet, const std::string &otherwise)
+{
+    return isMet ? absl::OkStatus() : absl::FailedPreconditionError(otherwise);
+}
+
+} // namespace
+
+absl::Status GroupScenario::run(const std::string &file)
+{
+    return runScenarioFile(
+        file,
+        [this](Duration at) {
+            if (this->group)
+                this->group->world.runFor(std::chrono::duration_cast<Duration>(
+                    this->start + at - this->group->world.now()));
+        },
+        this->verbs());
+}
+
+Verbs GroupScenario::verbs()
+{
+    const auto onNode = [this](std::function<void(const std::string &)> action) -> Verb {
+        return [this, action = std::move(action)](const Step &step) {
+            action(this->node(step.word(0)));
+            return absl::OkStatus();
+        };
+    };
+    Verbs verbs;
+    verbs["group"] = [this](const Step &step) {
+        return this->setUp(step);
+    };
+    verbs["name"] = [this](const Step &step) {
+        this->names[step.value("as")] = this->node(step.word(0));
+        return absl::OkStatus();
+    };
+    verbs["kill"] = onNode([this](const std::string &name) {
+        const int index = this->group->indexOf(TargetId(name));
+        if (index >= 0)
+            this->group->stopTarget(static_cast<std::size_t>(index));
+        else
+            this->group->world.stop(name);
+    });
+    verbs["start"] = onNode([this](const std::string &name) { this->group->world.start(name); });
+    verbs["cut"] = onNode([this](const std::string &name) { this->group->world.cutOff(name); });
+    verbs["heal"] = onNode([this](const std::string &name) { this->group->world.heal(name); });
+    verbs["replace_leader"] = [this](const Step &) {
+        this->group->controls.replaceLeader();
+        return absl::OkStatus();
+    };
+    verbs["edit"] = [this](const Step &step) {
+        return this->edit(step);
+    };
+    verbs["expect"] = [this](const Step &step) {
+        return this->expect(step);
+    };
+    return verbs;
+}
+
+absl::Status GroupScenario::setUp(const Step &step)
+{
+    this->group =
+        std::make_unique<fakes::FakeGroup>(static_cast<std::uint64_t>(step.number("seed", 1)));
+    this->start = this->group->world.now();
+    this->group->controls.toOperator = [this](fakes::FakeControls::Instance &, ConnectionId,
+                                              const OperatorReply &reply) {
+        if (const auto *result = std::get_if<TableEditResult>(&reply))
+            this->edits[result->requestId].push_back(*result);
+    };
+    return absl::OkStatus();
+}
+
+absl::Status GroupScenario::edit(const Step &step)
+{
+    fakes::FakeControls::Instance *leader = this->group->controls.leader();
+    if (leader == nullptr)
+        return absl::UnavailableError("no control instance leads");
+    const RowKey key{RowScope::Group, "g", step.value("field", "queue_limit")};
+    const RowChange change{key, static_cast<std::uint64_t>(step.number("version", 0)),
+                           step.value("value"), false};
+    leader->node->receiveFromOperator(
+        1, TableEdit{step.word(0), step.value("by", "anna"), {change}}, this->group->world.now());
+    return absl::OkStatus();
+}
+
+absl::Status GroupScenario::expect(const Step &step)
+{
+    const std::string what = step.word(0);
+    if (what == "steady")
+        return met(this->group->isSteady(), "the group is not steady");
+    if (what == "edit")
+        return this->expectEdit(step);
+    if (what == "primary_is" || what == "primary_is_not") {
+        const bool isIt = this->group->record()->primary.value == this->node(step.word(1));
+        return met(isIt == (what == "primary_is"),
+                   "the primary is " + this->group->record()->primary.value);
+    }
+    if (what == "term") {
+        const std::uint64_t term = this->group->record()->term;
+        return met(absl::StrCat(term) == step.word(1), absl::StrCat("the term is ", term));
+    }
+    if (what == "confirmed_within") {
+        const Duration gap = std::chrono::duration_cast<Duration>(this->group->world.now()
+                                                                  - this->group->lastConfirmed);
+        return met(gap <= parseDuration(step.word(1)).value_or(Duration{0}),
+                   absl::StrCat("no write was confirmed for ", gap.count(), " us"));
+    }
+    if (what == "confirmed_kept") {
+        const int primary = this->group->indexOf(this->group->record()->primary);
+        if (primary < 0)
+            return met(false, "there is no primary");
+        const auto &log = this->group->targets[static_cast<std::size_t>(primary)].log;
+        for (const auto &[write, term] : this->group->confirmed) {
+            const auto copies =
+                std::count_if(log.begin(), log.end(),
+                              [id = write](const auto &entry) { return entry.write == id; });
+            if (copies != 1)
+                return met(false, absl::StrCat("write ", write, " stands ", copies, " times"));
+        }
+        return absl::OkStatus();
+    }
+    return absl::InvalidArgumentError(absl::StrCat("unknown expectation ", what));
+}
+
+absl::Status GroupScenario::expectEdit(const Step &step) const
+{
+    const auto found = this->edits.find(step.word(1));
+    if (found == this->edits.end())
+        return met(step.word(2) == "none", "no answer");
+    const TableEditResult &last = found->second.back();
+    if (nameOf(last.outcome) != step.word(2))
+        return met(false, std::string(nameOf(last.outcome)));
+    const std::string other = step.value("same_revision_as");
+    if (other.empty())
+        return absl::OkStatus();
+    const auto compared = this->edits.find(other);
+    return met(compared != this->edits.end() && compared->second.front().revision == last.revision,
+               "another revision");
+}
+
+std::string GroupScenario::node(const std::string &word)
+{
+    const auto named = this->names.find(word);
+    if (named != this->names.end())
+        return named->second;
+    if (word == "primary" && this->group->record() != nullptr)
+        return this->group->record()->primary.value;
+    return word;
+}
+
+} // namespace rhubarbweir::testing
--- a/tests/scenarios/scenario_runner.hpp
+++ b/tests/scenarios/scenario_runner.hpp
@@ -1,7 +1,6 @@
 // Runs a scenario's steps against a fixture, which maps verbs to actions and expectations.
 #pragma once
 
-#include "fakes/virtual_time.hpp"
 #include "scenarios/scenario.hpp"
 
 #include <absl/status/status.h>
@@ -16,10 +15,10 @@
 using Verb = std::function<absl::Status(const Step &)>;
 using Verbs = std::map<std::string, Verb>;
 
-// The scenario's clock; asked before each step, because a step may replace the fixture.
-using ClockOf = std::function<fakes::VirtualTime &()>;
+// Runs the fixture up to a virtual time since the scenario's start.
+using RunTo = std::function<void(Duration sinceStart)>;
 
 // Reads and runs `file`. Errors: the first failing step, with file and line.
-absl::Status runScenarioFile(const std::string &file, const ClockOf &clockOf, const Verbs &verbs);
+absl::Status runScenarioFile(const std::string &file, const RunTo &runTo, const Verbs &verbs);
 
 } // namespace rhubarbweir::testing
--- a/tests/scenarios/traffic_scenario.cpp
+++ b/tests/scenarios/traffic_scenario.cpp
@@ -31,12 +31,12 @@
 
 absl::Status TrafficScenario::run(const std::string &file)
 {
-    Step defaults;
-    const absl::Status ready = this->setUp(defaults);
+    const absl::Status ready = this->setUp(Step());
     if (!ready.ok())
         return ready;
     return runScenarioFile(
-        file, [this]() -> fakes::VirtualTime & { return this->fixture->time; }, this->verbs());
+        file, [this](Duration at) { this->fixture->time.runUntil(this->start + at); },
+        this->verbs());
 }
 
 Verbs TrafficScenario::verbs()
@@ -116,6 +116,7 @@
     this->fixture->answered = [this](CallerConnectionId connection, const CallerReply &reply) {
         this->received(connection, reply);
     };
+    this->start = this->fixture->time.now();
     return absl::OkStatus();
 }
 
@@ -132,6 +133,7 @@
     this->fixture->callerOpened(session.proxy, session.connection, CallerId(step.word(0)),
                                 session.id);
     this->fixture->time.runFor(std::chrono::milliseconds(1));
+    this->start = std::max(this->start, this->fixture->time.now() - step.at);
     return absl::OkStatus();
 }
 
--- a/tests/scenarios/traffic_scenario.hpp
+++ b/tests/scenarios/traffic_scenario.hpp
@@ -48,6 +48,8 @@
     std::uint64_t runsOf(const RequestKey &key) const;
 
     std::unique_ptr<fakes::ProxyFixture> fixture;
+    // Virtual time at which the scenario's times start.
+    TimePoint start;
     std::map<std::string, Session> sessions;
     std::map<std::string, Request> requests;
     // Statements that each proxy had sent at the step `remember`.
