--- a/src/rhubarbweir/coordination/control_node.cpp
+++ b/src/rhubarbweir/coordination/control_node.cpp
@@ -1,6 +1,7 @@
 // See control_node.hpp.
 #include "rhubarbweir/coordination/control_node.hpp"
 
+#include "rhubarbweir/coordination/control_actions.hpp"
 #include "rhubarbweir/coordination/control_context.hpp"
 #include "rhubarbweir/coordination/failover_manager.hpp"
 #include "rhubarbweir/coordination/grant_manager.hpp"
@@ -40,60 +41,6 @@
         report);
 }
 
-// An automatic action, as the log and StatusReport tell it.
-struct Action
-{
-    ControlEventKind kind;
-    GroupId group;
-    TargetId target;
-    std::uint64_t term = 0;
-    std::string cause;
-};
-
-std::optional<Action> actionOf(const RegisterMember &command, const ReplicatedState &)
-{
-    return Action{ControlEventKind::TargetRegistered, command.group, command.target, 0,
-                  "announced from " + command.member.address};
-}
-std::optional<Action> actionOf(const BeginTerm &command, const ReplicatedState &)
-{
-    return Action{ControlEventKind::TermBegun, command.group, command.preferred, command.newTerm,
-                  command.cause};
-}
-std::optional<Action> actionOf(const ChoosePrimary &command, const ReplicatedState &)
-{
-    return Action{ControlEventKind::PrimaryChosen, command.group, command.target, command.term,
-                  command.cause};
-}
-std::optional<Action> actionOf(const ConfirmPrimary &command, const ReplicatedState &state)
-{
-    return Action{ControlEventKind::PrimaryConfirmed, command.group,
-                  state.findGroup(command.group)->primary, command.term, "promoted"};
-}
-std::optional<Action> actionOf(const HoldWrites &command, const ReplicatedState &)
-{
-    return Action{ControlEventKind::WritesHeld, command.group, command.target, command.term,
-                  command.cause};
-}
-std::optional<Action> actionOf(const ReleaseWrites &command, const ReplicatedState &)
-{
-    return Action{ControlEventKind::WritesReleased, command.group, TargetId(), command.term,
-                  command.cause};
-}
-std::optional<Action> actionOf(const SetGrants &command, const ReplicatedState &)
-{
-    return Action{ControlEventKind::GrantsChanged, command.group, TargetId(), 0, command.cause};
-}
-std::optional<Action> actionOf(const EditTable &command, const ReplicatedState &)
-{
-    return Action{ControlEventKind::TableEdited, GroupId(), TargetId(), 0,
-                  "edit " + command.requestId + " by " + command.editor};
-}
-std::optional<Action> actionOf(const StartLeadership &, const ReplicatedState &)
-{
-    return std::nullopt;
-}
-
 } // namespace
 
 struct ControlNode::Parts
@@ -167,23 +114,16 @@
 
 void ControlNode::Parts::noteAction(const CommandBody &body, std::uint64_t index)
 {
-    const auto action =
-        std::visit([this](const auto &command) { return actionOf(command, this->state); }, body);
-    if (!action)
+    std::optional<ControlEvent> event = describeAction(body, this->state);
+    if (!event)
         return;
-    ControlEvent event;
-    event.kind = action->kind;
-    event.group = action->group;
-    event.target = action->target;
-    event.instance = this->settings.instance;
-    event.term = action->term;
-    event.revision = index;
-    event.cause = action->cause;
-    this->hooks.event(event);
-    const std::string subject = action->target.empty()
-                                    ? action->group.value
-                                    : action->group.value + "/" + action->target.value;
-    this->operators.record({index, subject, std::string(nameOf(action->kind)), action->cause});
+    event->instance = this->settings.instance;
+    event->revision = index;
+    this->hooks.event(*event);
+    std::string subject = event->group.value;
+    if (!event->target.empty())
+        subject += "/" + event->target.value;
+    this->operators.record({index, subject, std::string(nameOf(event->kind)), event->cause});
 }
 
 void ControlNode::Parts::beginOffice(TimePoint now)
@@ -456,7 +396,7 @@
     if (!decoded.ok())
         return decoded.status();
     this->parts->state.restore(*decoded);
-    this->advance(now);
+    this->parts->nextTickAt = now;
     return absl::OkStatus();
 }
 
