--- a/src/rhubarbweir/coordination/proxy_settings.hpp
+++ b/src/rhubarbweir/coordination/proxy_settings.hpp
@@ -43,7 +43,7 @@
     // Longest life of a transaction; it pins a connection and a slot.
     Duration transactionLimit = std::chrono::seconds(10);
     // Longest time that a transaction may wait for its caller's next statement.
-    Duration transactionIdleLimit = std::chrono::seconds(3);
+    Duration transactionIdleLimit = std::chrono::seconds(5);
     // Longest time left that a request may claim.
     Duration longestDeadline = std::chrono::seconds(60);
     // Requests in flight for callers of this proxy; more are refused as overloaded.
