--- a/src/rhubarbweir/coordination/quorum_settings.hpp
+++ b/src/rhubarbweir/coordination/quorum_settings.hpp
@@ -63,8 +63,8 @@
     // persistFailed() when any step failed. May answer from within the call. The log hands out one
     // batch at a time; what is proposed meanwhile goes into the next one.
     std::function<void(const PersistBatch &)> persist;
-    // Called for committed payloads in order, once for each index of this process's life or
-    // covered by restoreSnapshot.
+    // Called for committed payloads in index order, once for each index after the last
+    // restoreSnapshot(). After a restart all entries behind the snapshot are applied again.
     std::function<void(std::uint64_t index, const std::string &payload)> apply;
     // The whole state machine after the last applied entry.
     std::function<std::string()> makeSnapshot;
