--- a/src/programs/load/session_driver.cpp
+++ b/src/programs/load/session_driver.cpp
@@ -179,6 +179,7 @@
     } else if (answer.outcome == Outcome::Ok) {
         this->run.checker.checkRead(entry.request, answer, entry.expectation);
         this->run.measurements.readServed(answer.servedByReplica);
+        this->run.measurements.count(absl::StrCat("reads_by ", answer.servedBy.value));
     }
     this->end(operation, answer.outcome, answer.reason);
 }
