--- a/src/programs/load/load_runner.cpp
+++ b/src/programs/load/load_runner.cpp
@@ -219,7 +219,8 @@
         else if (report.contains("entries"))
             reports.push_back(std::move(report));
     }
-    if (!this->shared.settings.reports.empty())
+    result.hasReports = !this->shared.settings.reports.empty();
+    if (result.hasReports)
         result.unchecked = this->shared.checker.checkReports(reports);
     result.violations = this->shared.checker.violations();
     result.details = this->shared.checker.details();
--- a/src/programs/load/report.cpp
+++ b/src/programs/load/report.cpp
@@ -128,6 +128,8 @@
         << found.mixedTransactions << ", unresolved outcomes " << found.unresolved << "\n";
     for (const GroupId &group : result.unchecked)
         out << "log of group " << group << " was not checked: no report of a primary\n";
+    if (!result.hasReports)
+        out << "the databases' logs were not checked: no reports were given\n";
     for (const std::string &line : result.details)
         out << line << "\n";
     out << resultLine(measurements, result) << "\n";
--- a/src/programs/load/report.hpp
+++ b/src/programs/load/report.hpp
@@ -19,6 +19,8 @@
     std::uint64_t confirmedWrites = 0;
     // Groups whose primary wrote no report, so that their log was not checked.
     std::vector<GroupId> unchecked;
+    // Whether reports of the databases were given.
+    bool hasReports = false;
     Duration ranFor{0};
 };
 
