Encode only new log entries into a stand-in's report

Cause: every second the whole log was encoded on the event loop, so a long run paused the database longer and longer and would have shown as latency of the system. Change: encoded entries are kept while they are in the log; repeated requests are counted as entries come and go. A commit whose part ran by itself is refused instead of answered Ok. Ruled out: a second thread for the report, which would need a copy of the log.

--- a/src/programs/standin/database.cpp
+++ b/src/programs/standin/database.cpp
@@ -215,8 +215,12 @@
     for (const Statement &part : transaction.statements)
         requests.push_back(part.request);
     for (const RequestKey &request : requests) {
-        if (this->answerFromLog(request, reply))
-            return;
+        if (!this->answerFromLog(request, reply))
+            continue;
+        // A part of the transaction that ran by itself must not run again.
+        if (reply.result == StatementResult::Ok && request != statement.request)
+            reply.result = StatementResult::Refused;
+        return;
     }
     Evaluation evaluation = this->evaluate(transaction.statements);
     if (!evaluation.valid) {
--- a/src/programs/standin/database_report.cpp
+++ b/src/programs/standin/database_report.cpp
@@ -3,38 +3,22 @@
 
 #include "rhubarbweir/protocol/internal/json_messages.hpp"
 
-#include <map>
-
 namespace rhubarbweir {
 
 namespace {
 
-bool runsRequests(const LogEntry &entry)
-{
-    return entry.kind == LogEntryKind::Write || entry.kind == LogEntryKind::Transaction;
-}
-
-// Requests that stand in more than one entry that ran them.
-std::vector<RequestKey> doubledIn(const ReplicatedLog &log)
+std::string encodeEntry(const LogEntry &entry)
 {
-    std::map<RequestKey, int> runs;
-    for (const LogEntry &entry : log.entries()) {
-        if (!runsRequests(entry))
-            continue;
-        for (const RequestKey &request : entry.requests)
-            ++runs[request];
-    }
-    std::vector<RequestKey> result;
-    for (const auto &[request, count] : runs) {
-        if (count > 1)
-            result.push_back(request);
-    }
-    return result;
+    const nlohmann::json encoded{{"term", entry.at.term},
+                                 {"position", entry.at.position},
+                                 {"kind", entry.kind},
+                                 {"requests", entry.requests}};
+    return encoded.dump();
 }
 
 } // namespace
 
-nlohmann::json reportOf(const Database &database)
+nlohmann::json countsOf(const Database &database)
 {
     const TargetStatus status = database.status();
     nlohmann::json report;
@@ -48,15 +32,34 @@
     report["max_connections"] = database.usage().maxConnections();
     report["max_slots"] = database.usage().maxSlots();
     report["mixed_transactions"] = database.mixedTransactions();
-    report["doubled"] = doubledIn(database.log());
-    report["entries"] = nlohmann::json::array();
-    for (const LogEntry &entry : database.log().entries()) {
-        report["entries"].push_back({{"term", entry.at.term},
-                                     {"position", entry.at.position},
-                                     {"kind", entry.kind},
-                                     {"requests", entry.requests}});
-    }
+    report["doubled"] = nlohmann::json::array();
+    for (const auto &[request, extraRuns] : database.log().repeatedRequests())
+        report["doubled"].push_back(request);
     return report;
 }
 
+std::string DatabaseReport::text(const Database &database)
+{
+    const std::vector<LogEntry> &entries = database.log().entries();
+    // Logs that agree on an entry's term and position agree on everything before it.
+    while (!this->encoded.empty()
+           && (this->encoded.size() > entries.size()
+               || this->encoded.back().at != entries[this->encoded.size() - 1].at))
+        this->encoded.pop_back();
+    while (this->encoded.size() < entries.size()) {
+        const LogEntry &entry = entries[this->encoded.size()];
+        this->encoded.push_back(EncodedEntry{entry.at, encodeEntry(entry)});
+    }
+    std::string text = countsOf(database).dump();
+    text.pop_back();
+    text += ",\"entries\":[";
+    for (const EncodedEntry &entry : this->encoded) {
+        if (text.back() == '}')
+            text += ',';
+        text += entry.text;
+    }
+    text += "]}\n";
+    return text;
+}
+
 } // namespace rhubarbweir
--- a/src/programs/standin/replicated_log.cpp
+++ b/src/programs/standin/replicated_log.cpp
@@ -43,8 +43,10 @@
 
 void ReplicatedLog::append(LogEntry entry)
 {
-    for (const RequestKey &request : entry.requests)
-        this->positions.emplace(request, entry.at.position);
+    for (const RequestKey &request : entry.requests) {
+        if (!this->positions.emplace(request, entry.at.position).second)
+            ++this->repeated[request];
+    }
     this->log.push_back(std::move(entry));
 }
 
@@ -55,6 +57,8 @@
             const auto found = this->positions.find(request);
             if (found != this->positions.end() && found->second == this->log.size())
                 this->positions.erase(found);
+            else if (--this->repeated[request] == 0)
+                this->repeated.erase(request);
         }
         this->log.pop_back();
     }
--- a/src/programs/standin/replicated_log.hpp
+++ b/src/programs/standin/replicated_log.hpp
@@ -25,6 +25,9 @@
     const LogEntry *entryOf(const RequestKey &request) const;
     const std::vector<LogEntry> &entries() const { return this->log; }
 
+    // Requests that stand in more than one entry, with the number of entries after the first.
+    const std::map<RequestKey, std::uint32_t> &repeatedRequests() const { return this->repeated; }
+
     // Value under `key` in the applied state; empty when it was never written.
     std::string valueOf(const std::string &key) const;
 
@@ -44,6 +47,8 @@
     std::map<std::string, std::string> values;
     // Position of the first entry of each request in the log.
     std::map<RequestKey, std::uint64_t> positions;
+    // Each count is at least 1.
+    std::map<RequestKey, std::uint32_t> repeated;
 };
 
 } // namespace rhubarbweir
--- a/src/programs/standin/standin_server.cpp
+++ b/src/programs/standin/standin_server.cpp
@@ -1,7 +1,6 @@
 // See standin_server.hpp.
 #include "programs/standin/standin_server.hpp"
 
-#include "programs/standin/database_report.hpp"
 #include "programs/support/atomic_file.hpp"
 #include "rhubarbweir/protocol/internal/json_messages.hpp"
 
@@ -161,12 +160,12 @@
     this->settle();
 }
 
-HttpReply StandinServer::answerGet(const std::string &path) const
+HttpReply StandinServer::answerGet(const std::string &path)
 {
     if (path == "/health")
         return HttpReply{200, "text/plain", "ready\n"};
     if (path == "/report")
-        return HttpReply{200, "application/json", reportOf(this->database).dump() + "\n"};
+        return HttpReply{200, "application/json", this->report.text(this->database)};
     return HttpReply{};
 }
 
@@ -316,12 +315,12 @@
     }
 }
 
-void StandinServer::writeReport() const
+void StandinServer::writeReport()
 {
     if (this->settings.reportFile.empty())
         return;
     const absl::Status written =
-        replaceFile(this->settings.reportFile, reportOf(this->database).dump() + "\n");
+        replaceFile(this->settings.reportFile, this->report.text(this->database));
     if (!written.ok())
         logEvent(LogLevel::Error, "report_not_written",
                  {EventField("cause", std::string(written.message()))});
--- a/src/programs/standin/standin_server.hpp
+++ b/src/programs/standin/standin_server.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "programs/standin/database.hpp"
+#include "programs/standin/database_report.hpp"
 #include "programs/standin/journal.hpp"
 #include "programs/support/standin_program_settings.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
@@ -37,7 +38,7 @@
     void accepted(const ConnectionPtr &connection);
     void receiveOnTargetPort(std::uint64_t number, const ConnectionPtr &connection,
                              const Message &message);
-    HttpReply answerGet(const std::string &path) const;
+    HttpReply answerGet(const std::string &path);
 
     void dialControl(std::size_t index);
     void receiveFromControl(const ConnectionPtr &connection, const Message &message);
@@ -51,12 +52,13 @@
     // Runs what is due, publishes a changed status and plans the next wake-up.
     void settle();
     void pushStatus();
-    void writeReport() const;
+    void writeReport();
 
     EventLoop &loop;
     StandinProgramSettings settings;
     Journal journal;
     Database database;
+    DatabaseReport report;
     WebSocketServer server;
     WebSocketClient client;
     std::map<std::uint64_t, ConnectionPtr> connections;
--- a/tests/unit/database.tests.cpp
+++ b/tests/unit/database.tests.cpp
@@ -232,7 +232,7 @@
     group.start("b", 2);
     const StatementReply third = group.reply("b", add(1, 2, "k"));
     cr_assert(third.position == first.position && third.value == "1");
-    cr_assert(reportOf(group.at("b"))["doubled"].empty());
+    cr_assert(countsOf(group.at("b"))["doubled"].empty());
     cr_assert(group.reply("b", readOf("k")).value == "2");
 }
 
@@ -400,6 +400,41 @@
     }
 }
 
+Test(database, report, .description = "a report follows the log, also when its tail is dropped")
+{
+    ThreeDatabases group;
+    DatabaseReport report;
+    group.start("a", 1);
+    group.cut.insert(TargetId("a"));
+    group.reply("a", add(1, 1, "k"));
+    group.reply("a", add(2, 1, "k"));
+    cr_assert(nlohmann::json::parse(report.text(group.at("a")))["entries"].size() == 3);
+    group.fence("b", 2);
+    group.fence("c", 2);
+    group.promote("b", 2);
+    group.cut.clear();
+    group.run(milliseconds(1000));
+    const auto entries = nlohmann::json::parse(report.text(group.at("a")))["entries"];
+    cr_assert(entries.size() == 2);
+    cr_assert(entries[1]["term"] == 2 && entries[1]["kind"] == "no_op");
+}
+
+Test(database, repeated, .description = "a request in two entries is reported until it is dropped")
+{
+    ReplicatedLog log;
+    const RequestKey request{SessionId("s"), 1};
+    log.append(LogEntry{{1, 1}, LogEntryKind::Write, {request}, {}});
+    cr_assert(log.repeatedRequests().empty());
+    log.append(LogEntry{{1, 2}, LogEntryKind::Write, {request}, {}});
+    cr_assert(log.repeatedRequests().count(request) == 1);
+    log.truncateAfter(1);
+    cr_assert(log.repeatedRequests().empty() && log.entryOf(request)->at.position == 1);
+    log.append(LogEntry{
+        {1, 2}, LogEntryKind::Transaction, {{SessionId("t"), 1}, {SessionId("t"), 1}}, {}});
+    log.truncateAfter(1);
+    cr_assert(log.repeatedRequests().empty());
+}
+
 // What a majority received in a term survives any sequence of fencing a majority and promoting
 // its greatest log.
 Test(database, property_confirmed_survives,
@@ -456,7 +491,7 @@
                       static_cast<unsigned long long>(seed), static_cast<unsigned long long>(id));
         }
         cr_assert(!confirmed.empty());
-        cr_assert(reportOf(group.at(primary))["doubled"].empty());
+        cr_assert(countsOf(group.at(primary))["doubled"].empty());
         const LogPosition last = group.at(primary).log().received();
         for (const TargetId &name : group.names)
             cr_assert(group.at(name.value).log().received() == last);
