Let the load tool's connections end before it stops

Cause: under the address sanitizer sessions were reported as leaked at the end of a run, as their connections' close events no longer ran, and the report was lost unflushed. Change: the loop runs 200 ms on after the connections are closed; the report is flushed. Not run again under the sanitizer.

--- a/src/programs/load/load_runner.cpp
+++ b/src/programs/load/load_runner.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::seconds ProgressInterval{2};
 constexpr std::chrono::milliseconds IdleCheckInterval{20};
 constexpr std::chrono::seconds OpenTimeout{20};
+constexpr std::chrono::milliseconds CloseTime{200};
 
 Mix mixFor(const LoadSettings &settings)
 {
@@ -193,6 +194,7 @@
         session->close();
     const RunResult result = this->checkReports();
     printReport(std::cout, this->shared.measurements, result);
+    std::cout.flush();
     const std::string &file = this->shared.settings.jsonFile;
     this->exitCode =
         isClean(this->shared.measurements, result) ? ExitCode::Success : ExitCode::Failure;
@@ -204,7 +206,8 @@
             this->exitCode = ExitCode::CannotCreate;
         }
     }
-    this->loop.stop();
+    // Connections that end release their sessions.
+    this->loop.schedule(EventLoop::now() + CloseTime, [this] { this->loop.stop(); });
 }
 
 RunResult LoadRunner::checkReports()
