Release closed connections; give each test server its own port

The address sanitizer's run of bad_input_tests passed 14 of 14 but reported 104 leaked allocations: a connection and its handlers held each other after the close. Only the message handler keeps a connection alive now, and closing drops it. The leak check was not repeated after the change. ctl_tests failed once with 4 jobs, since two tests listened on one port.

--- a/src/rhubarbweir/transport/web_socket.cpp
+++ b/src/rhubarbweir/transport/web_socket.cpp
@@ -134,8 +134,14 @@
             [self](const auto &, const typename Endpoint::message_ptr &frame) {
                 self->received(frame->get_opcode(), frame->get_payload());
             });
-        this->raw->set_close_handler([self](const auto &) { self->closed(); });
-        this->raw->set_fail_handler([self](const auto &) { self->closed(); });
+        // The message handler alone keeps this object alive; closed() drops it.
+        std::weak_ptr<WebSocketConnection> weak = self;
+        const auto ended = [weak](const auto &) {
+            if (const auto connection = weak.lock())
+                connection->closed();
+        };
+        this->raw->set_close_handler(ended);
+        this->raw->set_fail_handler(ended);
     }
 
     // Pings the peer on an interval and closes the connection when an answer is missing.
@@ -203,6 +209,7 @@
         this->onMessage = nullptr;
         this->onClosed = nullptr;
         this->released = nullptr;
+        this->raw->set_message_handler(nullptr);
     }
 
     Raw raw;
--- a/tests/unit/ctl.tests.cpp
+++ b/tests/unit/ctl.tests.cpp
@@ -93,6 +93,8 @@
 
 const std::string FirstAddress = "127.0.0.1:17471";
 const std::string SecondAddress = "127.0.0.1:17472";
+// Tests run at the same time, so each server has a port of its own.
+const std::string ThirdAddress = "127.0.0.1:17474";
 const std::string UnusedAddress = "127.0.0.1:17473";
 
 CsvTable csvOf(const std::string &text)
@@ -215,10 +217,10 @@
 Test(control_client, wrong_type, .description = "an answer of another type is an error")
 {
     FakeControl control;
-    control.add(FirstAddress, [](const ConnectionPtr &connection, const Message &) {
+    control.add(ThirdAddress, [](const ConnectionPtr &connection, const Message &) {
         connection->send(LeaseRefused{});
     });
     control.start();
-    ControlClient client({FirstAddress}, 5s, nullptr);
+    ControlClient client({ThirdAddress}, 5s, nullptr);
     cr_assert(absl::IsInternal(client.ask<TableRows>(TableQuery{}).status()));
 }
