--- a/src/programs/control/control_program.cpp
+++ b/src/programs/control/control_program.cpp
@@ -50,6 +50,7 @@
 void logQuorumEvent(const std::string &name, const std::vector<QuorumEventField> &fields)
 {
     std::vector<EventField> converted;
+    converted.reserve(fields.size());
     for (const QuorumEventField &field : fields)
         converted.emplace_back(field.key, field.value);
     logEvent(LogLevel::Info, name, converted);
@@ -98,7 +99,7 @@
     auto recovered = this->disk.open(this->settings.dataFolder);
     if (!recovered.ok())
         return recovered.status();
-    const absl::Status listening = this->gate.listen();
+    absl::Status listening = this->gate.listen();
     if (!listening.ok())
         return listening;
     logEvent(LogLevel::Info, "control_started",
--- a/src/programs/control/main.cpp
+++ b/src/programs/control/main.cpp
@@ -13,6 +13,7 @@
 std::vector<QuorumPeer> quorumPeers(const std::vector<ControlMember> &members)
 {
     std::vector<QuorumPeer> peers;
+    peers.reserve(members.size());
     for (const ControlMember &member : members)
         peers.push_back({member.id, member.address, member.failureDomain});
     return peers;
--- a/src/programs/proxy/proxy_program.cpp
+++ b/src/programs/proxy/proxy_program.cpp
@@ -73,7 +73,7 @@
 
 absl::Status ProxyProgram::run()
 {
-    const absl::Status listening = this->gate.listen();
+    absl::Status listening = this->gate.listen();
     if (!listening.ok())
         return listening;
     this->traffic.onStopSignal([this](int) { this->stopRequested(); });
