Send changes in quick succession together; order a silent target less often

Cause: each committed change was pushed to every proxy on its own. When a failure domain is lost, thousands of grants and terms change within seconds, and the leader's core would be the limit. Now the first change goes out at once and those of the next 20 ms together.

--- a/src/rhubarbweir/coordination/control_node.cpp
+++ b/src/rhubarbweir/coordination/control_node.cpp
@@ -342,7 +342,7 @@
         node.report(ControlEventKind::LeadershipStarted, TargetId(), "elected");
     }
     if (node.isInOffice && node.state.revision() != formerRevision)
-        node.views.publish(now);
+        node.views.publishSoon(now);
     if (start != nullptr)
         node.decideAll(now);
     for (const GroupId &group : result.changedGroups)
--- a/src/rhubarbweir/coordination/failover_manager.cpp
+++ b/src/rhubarbweir/coordination/failover_manager.cpp
@@ -283,7 +283,7 @@
         const bool isTold = work.followOrderedOn[target] == known->connection;
         if (isFollowing && isTold)
             continue;
-        const bool isUrgent = isOutside || !isTold;
+        const bool isUrgent = (isOutside || !isTold) && this->context.targets.isAlive(target, now);
         if (this->order(target, message, work,
                         isUrgent ? this->context.settings.orderInterval : FollowRepeatInterval,
                         now))
--- a/src/rhubarbweir/coordination/view_publisher.cpp
+++ b/src/rhubarbweir/coordination/view_publisher.cpp
@@ -8,6 +8,13 @@
 
 namespace rhubarbweir {
 
+namespace {
+
+// Changes within this time go out together; the first of them goes out at once.
+constexpr Duration PublishInterval = std::chrono::milliseconds(20);
+
+} // namespace
+
 ViewPublisher::ViewPublisher(const ControlContext &controlContext)
     : context(controlContext)
 {
@@ -56,8 +63,17 @@
     this->context.hooks.event(event);
 }
 
+void ViewPublisher::publishSoon(TimePoint now)
+{
+    this->isPublishDue = true;
+    if (now >= this->nextPublishAt)
+        this->publish(now);
+}
+
 void ViewPublisher::publish(TimePoint now)
 {
+    this->isPublishDue = false;
+    this->nextPublishAt = now + PublishInterval;
     if (now >= this->context.quorum.leaseEnd())
         return;
     for (auto &[run, lease] : this->context.leases.all()) {
@@ -119,6 +135,8 @@
 
 void ViewPublisher::advance(TimePoint now)
 {
+    if (this->isPublishDue && now >= this->nextPublishAt)
+        this->publish(now);
     for (auto run = this->leased.begin(); run != this->leased.end();) {
         if (this->context.leases.hasLease(*run, now)) {
             ++run;
--- a/src/rhubarbweir/coordination/view_publisher.hpp
+++ b/src/rhubarbweir/coordination/view_publisher.hpp
@@ -13,13 +13,14 @@
     // Extends the proxy's lease, or refuses when this instance must not: it does not lead, its
     // own lease from the quorum ended, or it knows less than the proxy.
     void renew(ConnectionId connection, const RenewLease &message, bool isInOffice, TimePoint now);
-    // Pushes what changed since each proxy's view.
-    void publish(TimePoint now);
-    // Logs leases that ended.
+    // Pushes what changed since each proxy's view; changes in quick succession go out together.
+    void publishSoon(TimePoint now);
+    // Publishes what is due and logs leases that ended.
     void advance(TimePoint now);
     std::vector<ProxyStatus> proxies(TimePoint now) const;
 
 private:
+    void publish(TimePoint now);
     void refuse(ConnectionId connection, const RenewLease &message, std::string cause);
     ViewDelta deltaFor(ProxyLease &lease, std::uint64_t fromRevision) const;
     bool isWanted(const ProxyLease &lease, const GroupId &group) const;
@@ -29,6 +30,8 @@
     const ControlContext &context;
     // Runs whose lease runs, for the log.
     std::set<ProxyRun> leased;
+    bool isPublishDue = false;
+    TimePoint nextPublishAt;
 };
 
 } // namespace rhubarbweir
--- a/tests/unit/ctl.tests.cpp
+++ b/tests/unit/ctl.tests.cpp
@@ -96,8 +96,6 @@
 // Tests run at the same time, so each server has a port of its own.
 const std::string ThirdAddress = "127.0.0.1:17474";
 const std::string UnusedAddress = "127.0.0.1:17473";
-// Tests run at the same time, so each listens on addresses of its own.
-const std::string ThirdAddress = "127.0.0.1:17474";
 
 CsvTable csvOf(const std::string &text)
 {
