--- a/src/programs/standin/database.cpp
+++ b/src/programs/standin/database.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/numbers.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace rhubarbweir {
@@ -95,11 +96,12 @@
     this->forgetIfGone(connection);
 }
 
-std::vector<std::uint64_t> Database::openConnections() const
+std::vector<std::uint64_t> Database::statusConnections() const
 {
     std::vector<std::uint64_t> result;
+    std::set<InstanceId> told;
     for (const auto &[number, connection] : this->connections) {
-        if (connection.opened && !connection.closed)
+        if (connection.opened && !connection.closed && told.insert(connection.holder).second)
             result.push_back(number);
     }
     return result;
--- a/src/programs/standin/database.hpp
+++ b/src/programs/standin/database.hpp
@@ -94,8 +94,8 @@
     std::uint64_t adoptedTerm() const { return this->term; }
     // Statements that reached a connection whose open transaction was another's.
     std::uint64_t mixedTransactions() const { return this->mixed; }
-    // Numbers of the opened connections.
-    std::vector<std::uint64_t> openConnections() const;
+    // Numbers of the connections that a change of the status is pushed on: one of each holder.
+    std::vector<std::uint64_t> statusConnections() const;
 
 private:
     // Statements of one open transaction; they run at its commit.
--- a/src/programs/standin/standin_server.cpp
+++ b/src/programs/standin/standin_server.cpp
@@ -308,7 +308,7 @@
     this->isPushPlanned = false;
     this->nextPushAt = EventLoop::now() + this->settings.statusInterval;
     this->published = this->database.status();
-    for (const std::uint64_t number : this->database.openConnections()) {
+    for (const std::uint64_t number : this->database.statusConnections()) {
         const auto found = this->connections.find(number);
         if (found != this->connections.end())
             found->second->send(this->published);
