Serve an operator's drain, and end a drain that control cannot help with

Found by walking the tutorial: rhubarbctl drain proxy ended the proxy with bad_function_call, since the hook was declared but never set; and when all processes were stopped at once, holders waited for the drain limit, since nothing woke them when their lease, and with it their grants, had ended. Change: the hook is set, and a draining proxy wakes at the end of its lease.

--- a/src/programs/control/control_program.cpp
+++ b/src/programs/control/control_program.cpp
@@ -29,14 +29,14 @@
     return peers;
 }
 
-void logControlEvent(const ControlEvent &event)
+void logControlEvent(const InstanceId &self, const ControlEvent &event)
 {
     std::vector<EventField> fields;
     if (!event.group.empty())
         fields.emplace_back("group", event.group.value);
     if (!event.target.empty())
         fields.emplace_back("target", event.target.value);
-    if (!event.instance.empty())
+    if (!event.instance.empty() && event.instance != self)
         fields.emplace_back("subject", event.instance.value);
     if (event.term != 0)
         fields.emplace_back("term", static_cast<std::int64_t>(event.term));
@@ -192,7 +192,9 @@
     hooks.sendToControl = [this](const InstanceId &to, const ObserverReport &message) {
         this->network.post([this, to, message] { this->links.send(to, message); });
     };
-    hooks.event = logControlEvent;
+    hooks.event = [this](const ControlEvent &event) {
+        logControlEvent(this->settings.control.instance, event);
+    };
     return hooks;
 }
 
--- a/src/programs/proxy/proxy_program.cpp
+++ b/src/programs/proxy/proxy_program.cpp
@@ -129,6 +129,9 @@
     hooks.peerConnected = [this](const ConnectionPtr &connection) {
         this->peers.accept(connection);
     };
+    hooks.drain = [this](const DrainInstance &request) {
+        return this->drainRequested(request);
+    };
     hooks.get = [this](const std::string &path) {
         return this->get(path);
     };
--- a/src/rhubarbweir/coordination/proxy_node.cpp
+++ b/src/rhubarbweir/coordination/proxy_node.cpp
@@ -299,6 +299,9 @@
     TimePoint next = this->parts->router.nextDeadline();
     for (const auto &[group, holder] : this->parts->holders)
         next = std::min(next, holder->nextDeadline());
+    // A draining proxy is free of its grants when its lease ends.
+    if (this->parts->draining && this->parts->lastNow < this->parts->leaseEnd)
+        next = std::min(next, this->parts->leaseEnd);
     return next;
 }
 
