Convert between messages and narrower variants in one place

control_program.cpp had its own copies of the two conversions in quorum_conversion.hpp. The header's functions are now templates (message_conversion.hpp) and serve both. Behaviour is unchanged.

--- a/src/programs/control/control_program.cpp
+++ b/src/programs/control/control_program.cpp
@@ -2,7 +2,7 @@
 #include "programs/control/control_program.hpp"
 
 #include "programs/support/event_log.hpp"
-#include "rhubarbweir/protocol/quorum_conversion.hpp"
+#include "rhubarbweir/protocol/message_conversion.hpp"
 #include "rhubarbweir/protocol/state_codec.hpp"
 
 #include <algorithm>
@@ -56,26 +56,6 @@
     logEvent(LogLevel::Info, name, converted);
 }
 
-// A message as one of the alternatives of `Variant`, if it is one.
-template<typename Variant>
-std::optional<Variant> as(const Message &message)
-{
-    return std::visit(
-        [](const auto &body) -> std::optional<Variant> {
-            if constexpr (std::is_constructible_v<Variant, decltype(body)>)
-                return Variant(body);
-            else
-                return std::nullopt;
-        },
-        message);
-}
-
-template<typename Variant>
-Message toAnyMessage(const Variant &message)
-{
-    return std::visit([](const auto &body) -> Message { return body; }, message);
-}
-
 } // namespace
 
 ControlProgram::ControlProgram(ControlRunSettings runSettings)
@@ -181,13 +161,13 @@
     };
     ControlHooks hooks;
     hooks.sendToProxy = [sendTo](ConnectionId connection, const ProxyReply &message) {
-        sendTo(connection, toAnyMessage(message));
+        sendTo(connection, toMessage(message));
     };
     hooks.sendToTarget = [sendTo](ConnectionId connection, const TargetOrder &message) {
-        sendTo(connection, toAnyMessage(message));
+        sendTo(connection, toMessage(message));
     };
     hooks.sendToOperator = [sendTo](ConnectionId connection, const OperatorReply &message) {
-        sendTo(connection, toAnyMessage(message));
+        sendTo(connection, toMessage(message));
     };
     hooks.sendToControl = [this](const InstanceId &to, const ObserverReport &message) {
         this->network.post([this, to, message] { this->links.send(to, message); });
@@ -225,9 +205,9 @@
     const TimePoint now = EventLoop::now();
     if (const auto *renewal = std::get_if<RenewLease>(&message))
         this->node.receiveFromProxy(connection, *renewal, now);
-    else if (const auto report = as<TargetReport>(message))
+    else if (const auto report = messageAs<TargetReport>(message))
         this->node.receiveFromTarget(connection, *report, now);
-    else if (const auto request = as<OperatorRequest>(message))
+    else if (const auto request = messageAs<OperatorRequest>(message))
         this->node.receiveFromOperator(connection, *request, now);
     else
         this->receivedFromControl(connection, message);
@@ -246,7 +226,7 @@
                  {{"cause", "sender did not introduce itself"}});
         return;
     }
-    if (const auto quorumMessage = toQuorumMessage(message))
+    if (const auto quorumMessage = messageAs<QuorumMessage>(message))
         this->quorum.receive(peer->second, *quorumMessage, now);
     else if (const auto *report = std::get_if<ObserverReport>(&message))
         this->node.receiveFromControl(peer->second, *report, now);
--- /dev/null
+++ b/src/rhubarbweir/protocol/message_conversion.hpp
@@ -0,0 +1,32 @@
+// Between the system's message type and the narrower variants that its parts take.
+#pragma once
+
+#include "rhubarbweir/protocol/message.hpp"
+
+#include <optional>
+#include <type_traits>
+#include <variant>
+
+namespace rhubarbweir {
+
+template<typename Variant>
+Message toMessage(const Variant &message)
+{
+    return std::visit([](const auto &body) -> Message { return body; }, message);
+}
+
+// The message as `Variant`; absent when it is none of its alternatives.
+template<typename Variant>
+std::optional<Variant> messageAs(const Message &message)
+{
+    return std::visit(
+        [](const auto &body) -> std::optional<Variant> {
+            if constexpr (std::is_constructible_v<Variant, decltype(body)>)
+                return Variant(body);
+            else
+                return std::nullopt;
+        },
+        message);
+}
+
+} // namespace rhubarbweir
