--- a/bench/quorum_appends.cpp
+++ b/bench/quorum_appends.cpp
@@ -3,7 +3,7 @@
 // Messages are handed over without a network; each instance writes on a thread of its own.
 // Usage: quorum_appends FOLDER SECONDS OUTSTANDING PAYLOAD_BYTES
 // OUTSTANDING proposals are kept waiting for their commit: 1 gives every entry a batch of its own.
-#include "rhubarbweir/coordination/quorum_log.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 #include "rhubarbweir/transport/file_storage.hpp"
 #include "rhubarbweir/transport/quorum_store.hpp"
--- a/src/programs/control/control_gate.hpp
+++ b/src/programs/control/control_gate.hpp
@@ -2,7 +2,7 @@
 // Runs on the network thread; every connection has a number that the control thread uses.
 #pragma once
 
-#include "rhubarbweir/coordination/control_settings.hpp"
+#include "rhubarbweir/coordination/control/control_settings.hpp"
 #include "rhubarbweir/transport/web_socket.hpp"
 
 #include <map>
--- a/src/programs/control/control_program.hpp
+++ b/src/programs/control/control_program.hpp
@@ -5,8 +5,8 @@
 #include "programs/control/control_gate.hpp"
 #include "programs/control/disk_writer.hpp"
 #include "programs/control/quorum_links.hpp"
-#include "rhubarbweir/coordination/control_node.hpp"
-#include "rhubarbweir/coordination/quorum_log.hpp"
+#include "rhubarbweir/coordination/control/control_node.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 
 #include <atomic>
--- a/src/programs/control/quorum_links.hpp
+++ b/src/programs/control/quorum_links.hpp
@@ -1,7 +1,7 @@
 // Outgoing connections to the other control instances; messages are dropped while one is down.
 #pragma once
 
-#include "rhubarbweir/coordination/quorum_entry.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_entry.hpp"
 #include "rhubarbweir/transport/web_socket.hpp"
 
 #include <map>
--- a/src/programs/load/checker.hpp
+++ b/src/programs/load/checker.hpp
@@ -1,7 +1,7 @@
 // Checks every answer and the final state against what callers were promised.
 #pragma once
 
-#include "rhubarbweir/coordination/caller_messages.hpp"
+#include "rhubarbweir/coordination/proxy/caller_messages.hpp"
 
 #include <nlohmann/json_fwd.hpp>
 
--- a/src/programs/load/workload.hpp
+++ b/src/programs/load/workload.hpp
@@ -1,7 +1,7 @@
 // What callers do: the seeded choice of the next operation of a mix.
 #pragma once
 
-#include "rhubarbweir/coordination/caller_messages.hpp"
+#include "rhubarbweir/coordination/proxy/caller_messages.hpp"
 
 #include <cstdint>
 #include <random>
--- a/src/programs/proxy/caller_gate.hpp
+++ b/src/programs/proxy/caller_gate.hpp
@@ -2,8 +2,8 @@
 // metrics.
 #pragma once
 
-#include "rhubarbweir/coordination/operator_messages.hpp"
-#include "rhubarbweir/coordination/proxy_settings.hpp"
+#include "rhubarbweir/coordination/control/operator_messages.hpp"
+#include "rhubarbweir/coordination/proxy/proxy_settings.hpp"
 #include "rhubarbweir/transport/web_socket.hpp"
 
 #include <map>
--- a/src/programs/proxy/control_link.hpp
+++ b/src/programs/proxy/control_link.hpp
@@ -1,7 +1,7 @@
 // The proxy's control thread: one connection to a control instance, and the view subscriber.
 #pragma once
 
-#include "rhubarbweir/coordination/view_subscriber.hpp"
+#include "rhubarbweir/coordination/proxy/view_subscriber.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 #include "rhubarbweir/transport/web_socket.hpp"
 
--- a/src/programs/proxy/peer_links.hpp
+++ b/src/programs/proxy/peer_links.hpp
@@ -1,7 +1,7 @@
 // Connections to and from other proxies.
 #pragma once
 
-#include "rhubarbweir/coordination/proxy_settings.hpp"
+#include "rhubarbweir/coordination/proxy/proxy_settings.hpp"
 #include "rhubarbweir/transport/web_socket.hpp"
 
 #include <deque>
--- a/src/programs/proxy/proxy_program.hpp
+++ b/src/programs/proxy/proxy_program.hpp
@@ -5,7 +5,7 @@
 #include "programs/proxy/control_link.hpp"
 #include "programs/proxy/peer_links.hpp"
 #include "programs/proxy/target_links.hpp"
-#include "rhubarbweir/coordination/proxy_node.hpp"
+#include "rhubarbweir/coordination/proxy/proxy_node.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 
 namespace rhubarbweir {
--- a/src/programs/proxy/target_links.hpp
+++ b/src/programs/proxy/target_links.hpp
@@ -1,7 +1,7 @@
 // Connections to databases, one for each generation that the node opens.
 #pragma once
 
-#include "rhubarbweir/coordination/proxy_settings.hpp"
+#include "rhubarbweir/coordination/proxy/proxy_settings.hpp"
 #include "rhubarbweir/transport/web_socket.hpp"
 
 #include <map>
--- a/src/programs/standin/replicated_log.hpp
+++ b/src/programs/standin/replicated_log.hpp
@@ -1,7 +1,7 @@
 // The replicated log of a stand-in database and the key values that its applied part makes.
 #pragma once
 
-#include "rhubarbweir/coordination/target_messages.hpp"
+#include "rhubarbweir/coordination/proxy/target_messages.hpp"
 
 #include <cstdint>
 #include <map>
--- a/src/programs/standin/usage.hpp
+++ b/src/programs/standin/usage.hpp
@@ -1,7 +1,7 @@
 // Counts connections and slots of a stand-in database, and every moment above a limit.
 #pragma once
 
-#include "rhubarbweir/coordination/target_messages.hpp"
+#include "rhubarbweir/coordination/proxy/target_messages.hpp"
 
 #include <cstdint>
 #include <map>
--- a/src/rhubarbweir/coordination/command_proposer.cpp
+++ b/src/rhubarbweir/coordination/control/command_proposer.cpp
@@ -1,5 +1,5 @@
 // See command_proposer.hpp.
-#include "rhubarbweir/coordination/command_proposer.hpp"
+#include "rhubarbweir/coordination/control/command_proposer.hpp"
 
 #include <utility>
 
--- a/src/rhubarbweir/coordination/command_proposer.hpp
+++ b/src/rhubarbweir/coordination/control/command_proposer.hpp
@@ -2,7 +2,7 @@
 // decision is not proposed twice while the first proposal may still be committed.
 #pragma once
 
-#include "rhubarbweir/coordination/control_settings.hpp"
+#include "rhubarbweir/coordination/control/control_settings.hpp"
 
 #include <map>
 #include <string>
--- a/src/rhubarbweir/coordination/control_actions.cpp
+++ b/src/rhubarbweir/coordination/control/control_actions.cpp
@@ -1,5 +1,5 @@
 // See control_actions.hpp.
-#include "rhubarbweir/coordination/control_actions.hpp"
+#include "rhubarbweir/coordination/control/control_actions.hpp"
 
 #include <utility>
 
--- a/src/rhubarbweir/coordination/control_actions.hpp
+++ b/src/rhubarbweir/coordination/control/control_actions.hpp
@@ -1,7 +1,7 @@
 // Describes applied commands as actions for the event log and StatusReport.
 #pragma once
 
-#include "rhubarbweir/coordination/control_settings.hpp"
+#include "rhubarbweir/coordination/control/control_settings.hpp"
 
 #include <optional>
 
--- a/src/rhubarbweir/coordination/control_context.hpp
+++ b/src/rhubarbweir/coordination/control/control_context.hpp
@@ -1,11 +1,11 @@
 // What the parts of a control instance share. All references outlive the parts.
 #pragma once
 
-#include "rhubarbweir/coordination/command_proposer.hpp"
-#include "rhubarbweir/coordination/control_settings.hpp"
-#include "rhubarbweir/coordination/lease_book.hpp"
-#include "rhubarbweir/coordination/observation_book.hpp"
-#include "rhubarbweir/coordination/target_registry.hpp"
+#include "rhubarbweir/coordination/control/command_proposer.hpp"
+#include "rhubarbweir/coordination/control/control_settings.hpp"
+#include "rhubarbweir/coordination/control/lease_book.hpp"
+#include "rhubarbweir/coordination/control/observation_book.hpp"
+#include "rhubarbweir/coordination/control/target_registry.hpp"
 
 namespace rhubarbweir {
 
--- a/src/rhubarbweir/coordination/control_node.cpp
+++ b/src/rhubarbweir/coordination/control/control_node.cpp
@@ -1,12 +1,12 @@
 // See control_node.hpp.
-#include "rhubarbweir/coordination/control_node.hpp"
-
-#include "rhubarbweir/coordination/control_actions.hpp"
-#include "rhubarbweir/coordination/control_context.hpp"
-#include "rhubarbweir/coordination/failover_manager.hpp"
-#include "rhubarbweir/coordination/grant_manager.hpp"
-#include "rhubarbweir/coordination/operator_service.hpp"
-#include "rhubarbweir/coordination/view_publisher.hpp"
+#include "rhubarbweir/coordination/control/control_node.hpp"
+
+#include "rhubarbweir/coordination/control/control_actions.hpp"
+#include "rhubarbweir/coordination/control/control_context.hpp"
+#include "rhubarbweir/coordination/control/failover_manager.hpp"
+#include "rhubarbweir/coordination/control/grant_manager.hpp"
+#include "rhubarbweir/coordination/control/operator_service.hpp"
+#include "rhubarbweir/coordination/control/view_publisher.hpp"
 
 #include <utility>
 
--- a/src/rhubarbweir/coordination/control_node.hpp
+++ b/src/rhubarbweir/coordination/control/control_node.hpp
@@ -2,7 +2,7 @@
 // groups' primaries, the proxies' leases and grants, and answers operators.
 #pragma once
 
-#include "rhubarbweir/coordination/control_settings.hpp"
+#include "rhubarbweir/coordination/control/control_settings.hpp"
 
 #include <memory>
 #include <random>
--- a/src/rhubarbweir/coordination/control_settings.hpp
+++ b/src/rhubarbweir/coordination/control/control_settings.hpp
@@ -1,9 +1,9 @@
 // Settings and hooks of a control instance's decisions.
 #pragma once
 
-#include "rhubarbweir/coordination/control_messages.hpp"
-#include "rhubarbweir/coordination/operator_messages.hpp"
-#include "rhubarbweir/coordination/target_messages.hpp"
+#include "rhubarbweir/coordination/control/control_messages.hpp"
+#include "rhubarbweir/coordination/control/operator_messages.hpp"
+#include "rhubarbweir/coordination/proxy/target_messages.hpp"
 #include "rhubarbweir/state/command.hpp"
 #include "rhubarbweir/state/replicated_state.hpp"
 
--- a/src/rhubarbweir/coordination/failover_manager.cpp
+++ b/src/rhubarbweir/coordination/control/failover_manager.cpp
@@ -1,7 +1,7 @@
 // See failover_manager.hpp.
-#include "rhubarbweir/coordination/failover_manager.hpp"
+#include "rhubarbweir/coordination/control/failover_manager.hpp"
 
-#include "rhubarbweir/coordination/primary_choice.hpp"
+#include "rhubarbweir/coordination/control/primary_choice.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/rhubarbweir/coordination/failover_manager.hpp
+++ b/src/rhubarbweir/coordination/control/failover_manager.hpp
@@ -3,7 +3,7 @@
 // former one stopped.
 #pragma once
 
-#include "rhubarbweir/coordination/control_context.hpp"
+#include "rhubarbweir/coordination/control/control_context.hpp"
 
 #include <map>
 #include <string>
--- a/src/rhubarbweir/coordination/grant_manager.cpp
+++ b/src/rhubarbweir/coordination/control/grant_manager.cpp
@@ -1,7 +1,7 @@
 // See grant_manager.hpp.
-#include "rhubarbweir/coordination/grant_manager.hpp"
+#include "rhubarbweir/coordination/control/grant_manager.hpp"
 
-#include "rhubarbweir/coordination/holder_assignment.hpp"
+#include "rhubarbweir/coordination/control/holder_assignment.hpp"
 
 #include <algorithm>
 #include <set>
--- a/src/rhubarbweir/coordination/grant_manager.hpp
+++ b/src/rhubarbweir/coordination/control/grant_manager.hpp
@@ -1,8 +1,8 @@
 // Keeps two proxies in different failure domains as the holders of each group's limits.
 #pragma once
 
-#include "rhubarbweir/coordination/control_context.hpp"
-#include "rhubarbweir/coordination/grant_planner.hpp"
+#include "rhubarbweir/coordination/control/control_context.hpp"
+#include "rhubarbweir/coordination/control/grant_planner.hpp"
 
 #include <map>
 #include <string>
--- a/src/rhubarbweir/coordination/grant_planner.cpp
+++ b/src/rhubarbweir/coordination/control/grant_planner.cpp
@@ -1,5 +1,5 @@
 // See grant_planner.hpp.
-#include "rhubarbweir/coordination/grant_planner.hpp"
+#include "rhubarbweir/coordination/control/grant_planner.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/grant_planner.hpp
+++ b/src/rhubarbweir/coordination/control/grant_planner.hpp
@@ -1,7 +1,7 @@
 // Plans the next grants of a group so that what is usable never exceeds a target's limits.
 #pragma once
 
-#include "rhubarbweir/coordination/lease_book.hpp"
+#include "rhubarbweir/coordination/control/lease_book.hpp"
 #include "rhubarbweir/state/grant_book.hpp"
 
 #include <map>
--- a/src/rhubarbweir/coordination/group_view_builder.cpp
+++ b/src/rhubarbweir/coordination/control/group_view_builder.cpp
@@ -1,5 +1,5 @@
 // See group_view_builder.hpp.
-#include "rhubarbweir/coordination/group_view_builder.hpp"
+#include "rhubarbweir/coordination/control/group_view_builder.hpp"
 
 namespace rhubarbweir {
 
--- a/src/rhubarbweir/coordination/group_view_builder.hpp
+++ b/src/rhubarbweir/coordination/control/group_view_builder.hpp
@@ -1,7 +1,7 @@
 // Builds what proxies see of a group from the replicated state.
 #pragma once
 
-#include "rhubarbweir/coordination/control_messages.hpp"
+#include "rhubarbweir/coordination/control/control_messages.hpp"
 #include "rhubarbweir/state/replicated_state.hpp"
 
 namespace rhubarbweir {
--- a/src/rhubarbweir/coordination/holder_assignment.cpp
+++ b/src/rhubarbweir/coordination/control/holder_assignment.cpp
@@ -1,5 +1,5 @@
 // See holder_assignment.hpp.
-#include "rhubarbweir/coordination/holder_assignment.hpp"
+#include "rhubarbweir/coordination/control/holder_assignment.hpp"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
--- a/src/rhubarbweir/coordination/lease_book.cpp
+++ b/src/rhubarbweir/coordination/control/lease_book.cpp
@@ -1,5 +1,5 @@
 // See lease_book.hpp.
-#include "rhubarbweir/coordination/lease_book.hpp"
+#include "rhubarbweir/coordination/control/lease_book.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/lease_book.hpp
+++ b/src/rhubarbweir/coordination/control/lease_book.hpp
@@ -1,7 +1,7 @@
 // Leases of proxies as the leader counts them, and which views they may still have in force.
 #pragma once
 
-#include "rhubarbweir/coordination/control_settings.hpp"
+#include "rhubarbweir/coordination/control/control_settings.hpp"
 
 #include <map>
 #include <set>
--- a/src/rhubarbweir/coordination/observation_book.cpp
+++ b/src/rhubarbweir/coordination/control/observation_book.cpp
@@ -1,5 +1,5 @@
 // See observation_book.hpp.
-#include "rhubarbweir/coordination/observation_book.hpp"
+#include "rhubarbweir/coordination/control/observation_book.hpp"
 
 #include <algorithm>
 #include <set>
--- a/src/rhubarbweir/coordination/observation_book.hpp
+++ b/src/rhubarbweir/coordination/control/observation_book.hpp
@@ -1,7 +1,7 @@
 // What observers in other failure domains say about targets, and whether it amounts to a loss.
 #pragma once
 
-#include "rhubarbweir/coordination/control_settings.hpp"
+#include "rhubarbweir/coordination/control/control_settings.hpp"
 
 #include <map>
 #include <set>
--- a/src/rhubarbweir/coordination/operator_messages.hpp
+++ b/src/rhubarbweir/coordination/control/operator_messages.hpp
@@ -1,8 +1,8 @@
 // Messages between operators (rhubarbctl) and control instances.
 #pragma once
 
-#include "rhubarbweir/coordination/caller_messages.hpp"
-#include "rhubarbweir/coordination/control_messages.hpp"
+#include "rhubarbweir/coordination/control/control_messages.hpp"
+#include "rhubarbweir/coordination/proxy/caller_messages.hpp"
 #include "rhubarbweir/state/table_row.hpp"
 
 #include <string>
--- a/src/rhubarbweir/coordination/operator_service.cpp
+++ b/src/rhubarbweir/coordination/control/operator_service.cpp
@@ -1,7 +1,7 @@
 // See operator_service.hpp.
-#include "rhubarbweir/coordination/operator_service.hpp"
+#include "rhubarbweir/coordination/control/operator_service.hpp"
 
-#include "rhubarbweir/coordination/group_view_builder.hpp"
+#include "rhubarbweir/coordination/control/group_view_builder.hpp"
 
 #include <utility>
 
--- a/src/rhubarbweir/coordination/operator_service.hpp
+++ b/src/rhubarbweir/coordination/control/operator_service.hpp
@@ -1,9 +1,9 @@
 // Answers operators: edits and queries of the table, what is in force, status, planned changes.
 #pragma once
 
-#include "rhubarbweir/coordination/control_context.hpp"
-#include "rhubarbweir/coordination/failover_manager.hpp"
-#include "rhubarbweir/coordination/view_publisher.hpp"
+#include "rhubarbweir/coordination/control/control_context.hpp"
+#include "rhubarbweir/coordination/control/failover_manager.hpp"
+#include "rhubarbweir/coordination/control/view_publisher.hpp"
 
 #include <deque>
 #include <map>
--- a/src/rhubarbweir/coordination/primary_choice.cpp
+++ b/src/rhubarbweir/coordination/control/primary_choice.cpp
@@ -1,5 +1,5 @@
 // See primary_choice.hpp.
-#include "rhubarbweir/coordination/primary_choice.hpp"
+#include "rhubarbweir/coordination/control/primary_choice.hpp"
 
 #include "rhubarbweir/state/group_record.hpp"
 
--- a/src/rhubarbweir/coordination/target_registry.cpp
+++ b/src/rhubarbweir/coordination/control/target_registry.cpp
@@ -1,5 +1,5 @@
 // See target_registry.hpp.
-#include "rhubarbweir/coordination/target_registry.hpp"
+#include "rhubarbweir/coordination/control/target_registry.hpp"
 
 namespace rhubarbweir {
 
--- a/src/rhubarbweir/coordination/target_registry.hpp
+++ b/src/rhubarbweir/coordination/control/target_registry.hpp
@@ -1,7 +1,7 @@
 // What this instance sees of targets through their announcements. Soft: nothing is replicated.
 #pragma once
 
-#include "rhubarbweir/coordination/control_settings.hpp"
+#include "rhubarbweir/coordination/control/control_settings.hpp"
 
 #include <map>
 #include <vector>
--- a/src/rhubarbweir/coordination/view_publisher.cpp
+++ b/src/rhubarbweir/coordination/control/view_publisher.cpp
@@ -1,7 +1,7 @@
 // See view_publisher.hpp.
-#include "rhubarbweir/coordination/view_publisher.hpp"
+#include "rhubarbweir/coordination/control/view_publisher.hpp"
 
-#include "rhubarbweir/coordination/group_view_builder.hpp"
+#include "rhubarbweir/coordination/control/group_view_builder.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/rhubarbweir/coordination/view_publisher.hpp
+++ b/src/rhubarbweir/coordination/control/view_publisher.hpp
@@ -1,7 +1,7 @@
 // Gives proxies leases together with the view, and pushes changes of the view.
 #pragma once
 
-#include "rhubarbweir/coordination/control_context.hpp"
+#include "rhubarbweir/coordination/control/control_context.hpp"
 
 namespace rhubarbweir {
 
--- a/src/rhubarbweir/coordination/admission_queue.cpp
+++ b/src/rhubarbweir/coordination/proxy/admission_queue.cpp
@@ -1,5 +1,5 @@
 // See admission_queue.hpp.
-#include "rhubarbweir/coordination/admission_queue.hpp"
+#include "rhubarbweir/coordination/proxy/admission_queue.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/freshness_tracker.cpp
+++ b/src/rhubarbweir/coordination/proxy/freshness_tracker.cpp
@@ -1,5 +1,5 @@
 // See freshness_tracker.hpp.
-#include "rhubarbweir/coordination/freshness_tracker.hpp"
+#include "rhubarbweir/coordination/proxy/freshness_tracker.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/group_holder.cpp
+++ b/src/rhubarbweir/coordination/proxy/group_holder.cpp
@@ -1,5 +1,5 @@
 // See group_holder.hpp. Replies are handled in internal/group_holder_replies.cpp.
-#include "rhubarbweir/coordination/group_holder.hpp"
+#include "rhubarbweir/coordination/proxy/group_holder.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/group_holder.hpp
+++ b/src/rhubarbweir/coordination/proxy/group_holder.hpp
@@ -2,9 +2,9 @@
 // within the grant, and answers each of them once.
 #pragma once
 
-#include "rhubarbweir/coordination/read_planner.hpp"
-#include "rhubarbweir/coordination/transaction_table.hpp"
-#include "rhubarbweir/coordination/write_confirmation.hpp"
+#include "rhubarbweir/coordination/proxy/read_planner.hpp"
+#include "rhubarbweir/coordination/proxy/transaction_table.hpp"
+#include "rhubarbweir/coordination/proxy/write_confirmation.hpp"
 
 #include <set>
 #include <utility>
--- a/src/rhubarbweir/coordination/holder_choice.cpp
+++ b/src/rhubarbweir/coordination/proxy/holder_choice.cpp
@@ -1,5 +1,5 @@
 // See holder_choice.hpp.
-#include "rhubarbweir/coordination/holder_choice.hpp"
+#include "rhubarbweir/coordination/proxy/holder_choice.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/holder_choice.hpp
+++ b/src/rhubarbweir/coordination/proxy/holder_choice.hpp
@@ -1,7 +1,7 @@
 // Chooses between the holders of a group by what is known of their queues and slots.
 #pragma once
 
-#include "rhubarbweir/coordination/control_messages.hpp"
+#include "rhubarbweir/coordination/control/control_messages.hpp"
 
 #include <map>
 #include <random>
--- a/src/rhubarbweir/coordination/holder_work.cpp
+++ b/src/rhubarbweir/coordination/proxy/holder_work.cpp
@@ -1,5 +1,5 @@
 // See holder_work.hpp.
-#include "rhubarbweir/coordination/holder_work.hpp"
+#include "rhubarbweir/coordination/proxy/holder_work.hpp"
 
 namespace rhubarbweir {
 
--- a/src/rhubarbweir/coordination/holder_work.hpp
+++ b/src/rhubarbweir/coordination/proxy/holder_work.hpp
@@ -1,9 +1,9 @@
 // One forwarded request on the holder side, from admission to its answer.
 #pragma once
 
-#include "rhubarbweir/coordination/admission_queue.hpp"
-#include "rhubarbweir/coordination/peer_messages.hpp"
-#include "rhubarbweir/coordination/proxy_settings.hpp"
+#include "rhubarbweir/coordination/proxy/admission_queue.hpp"
+#include "rhubarbweir/coordination/proxy/peer_messages.hpp"
+#include "rhubarbweir/coordination/proxy/proxy_settings.hpp"
 
 #include <optional>
 
--- a/src/rhubarbweir/coordination/internal/group_holder_replies.cpp
+++ b/src/rhubarbweir/coordination/proxy/internal/group_holder_replies.cpp
@@ -1,5 +1,5 @@
 // The part of GroupHolder that handles what targets answer and what is lost.
-#include "rhubarbweir/coordination/group_holder.hpp"
+#include "rhubarbweir/coordination/proxy/group_holder.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/internal/request_router_admission.cpp
+++ b/src/rhubarbweir/coordination/proxy/internal/request_router_admission.cpp
@@ -1,5 +1,5 @@
 // The part of RequestRouter that talks to callers: connections, sessions, taking requests.
-#include "rhubarbweir/coordination/request_router.hpp"
+#include "rhubarbweir/coordination/proxy/request_router.hpp"
 
 #include <algorithm>
 #include <tuple>
--- a/src/rhubarbweir/coordination/peer_messages.hpp
+++ b/src/rhubarbweir/coordination/proxy/peer_messages.hpp
@@ -1,7 +1,7 @@
 // Messages between proxies: an entry proxy forwards a request to a proxy that holds a grant.
 #pragma once
 
-#include "rhubarbweir/coordination/caller_messages.hpp"
+#include "rhubarbweir/coordination/proxy/caller_messages.hpp"
 
 namespace rhubarbweir {
 
--- a/src/rhubarbweir/coordination/proxy_node.cpp
+++ b/src/rhubarbweir/coordination/proxy/proxy_node.cpp
@@ -1,8 +1,8 @@
 // See proxy_node.hpp.
-#include "rhubarbweir/coordination/proxy_node.hpp"
+#include "rhubarbweir/coordination/proxy/proxy_node.hpp"
 
-#include "rhubarbweir/coordination/group_holder.hpp"
-#include "rhubarbweir/coordination/request_router.hpp"
+#include "rhubarbweir/coordination/proxy/group_holder.hpp"
+#include "rhubarbweir/coordination/proxy/request_router.hpp"
 
 #include <algorithm>
 #include <deque>
--- a/src/rhubarbweir/coordination/proxy_node.hpp
+++ b/src/rhubarbweir/coordination/proxy/proxy_node.hpp
@@ -2,8 +2,8 @@
 // a grant of, its holder side (GroupHolder). Runs on the traffic thread only.
 #pragma once
 
-#include "rhubarbweir/coordination/proxy_settings.hpp"
-#include "rhubarbweir/coordination/proxy_view.hpp"
+#include "rhubarbweir/coordination/proxy/proxy_settings.hpp"
+#include "rhubarbweir/coordination/proxy/proxy_view.hpp"
 
 #include <memory>
 #include <random>
--- a/src/rhubarbweir/coordination/proxy_settings.hpp
+++ b/src/rhubarbweir/coordination/proxy/proxy_settings.hpp
@@ -1,10 +1,10 @@
 // Settings and hooks of a proxy's traffic side.
 #pragma once
 
-#include "rhubarbweir/coordination/caller_messages.hpp"
-#include "rhubarbweir/coordination/control_messages.hpp"
-#include "rhubarbweir/coordination/peer_messages.hpp"
-#include "rhubarbweir/coordination/target_messages.hpp"
+#include "rhubarbweir/coordination/control/control_messages.hpp"
+#include "rhubarbweir/coordination/proxy/caller_messages.hpp"
+#include "rhubarbweir/coordination/proxy/peer_messages.hpp"
+#include "rhubarbweir/coordination/proxy/target_messages.hpp"
 
 #include <functional>
 #include <string>
--- a/src/rhubarbweir/coordination/proxy_view.hpp
+++ b/src/rhubarbweir/coordination/proxy/proxy_view.hpp
@@ -1,7 +1,7 @@
 // What a proxy has in force: the groups as the control log of one revision describes them.
 #pragma once
 
-#include "rhubarbweir/coordination/control_messages.hpp"
+#include "rhubarbweir/coordination/control/control_messages.hpp"
 
 #include <map>
 #include <memory>
--- a/src/rhubarbweir/coordination/read_index.cpp
+++ b/src/rhubarbweir/coordination/proxy/read_index.cpp
@@ -1,5 +1,5 @@
 // See read_index.hpp.
-#include "rhubarbweir/coordination/read_index.hpp"
+#include "rhubarbweir/coordination/proxy/read_index.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/read_index.hpp
+++ b/src/rhubarbweir/coordination/proxy/read_index.hpp
@@ -1,7 +1,7 @@
 // Rounds of status probes that prove which log position covers every confirmed write.
 #pragma once
 
-#include "rhubarbweir/coordination/target_messages.hpp"
+#include "rhubarbweir/coordination/proxy/target_messages.hpp"
 #include "rhubarbweir/state/time.hpp"
 
 #include <map>
--- a/src/rhubarbweir/coordination/read_planner.cpp
+++ b/src/rhubarbweir/coordination/proxy/read_planner.cpp
@@ -1,5 +1,5 @@
 // See read_planner.hpp.
-#include "rhubarbweir/coordination/read_planner.hpp"
+#include "rhubarbweir/coordination/proxy/read_planner.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/read_planner.hpp
+++ b/src/rhubarbweir/coordination/proxy/read_planner.hpp
@@ -2,10 +2,10 @@
 // its share of reads.
 #pragma once
 
-#include "rhubarbweir/coordination/freshness_tracker.hpp"
-#include "rhubarbweir/coordination/holder_work.hpp"
-#include "rhubarbweir/coordination/read_index.hpp"
-#include "rhubarbweir/coordination/replica_selector.hpp"
+#include "rhubarbweir/coordination/proxy/freshness_tracker.hpp"
+#include "rhubarbweir/coordination/proxy/holder_work.hpp"
+#include "rhubarbweir/coordination/proxy/read_index.hpp"
+#include "rhubarbweir/coordination/proxy/replica_selector.hpp"
 
 namespace rhubarbweir {
 
--- a/src/rhubarbweir/coordination/replica_selector.cpp
+++ b/src/rhubarbweir/coordination/proxy/replica_selector.cpp
@@ -1,5 +1,5 @@
 // See replica_selector.hpp.
-#include "rhubarbweir/coordination/replica_selector.hpp"
+#include "rhubarbweir/coordination/proxy/replica_selector.hpp"
 
 #include <utility>
 
--- a/src/rhubarbweir/coordination/replica_selector.hpp
+++ b/src/rhubarbweir/coordination/proxy/replica_selector.hpp
@@ -1,7 +1,7 @@
 // Chooses the replica that serves a read: freshness first, then load and weight.
 #pragma once
 
-#include "rhubarbweir/coordination/target_pool.hpp"
+#include "rhubarbweir/coordination/proxy/target_pool.hpp"
 
 #include <map>
 #include <optional>
--- a/src/rhubarbweir/coordination/request_router.cpp
+++ b/src/rhubarbweir/coordination/proxy/request_router.cpp
@@ -1,5 +1,5 @@
 // See request_router.hpp. Admission and sessions are in internal/request_router_admission.cpp.
-#include "rhubarbweir/coordination/request_router.hpp"
+#include "rhubarbweir/coordination/proxy/request_router.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/request_router.hpp
+++ b/src/rhubarbweir/coordination/proxy/request_router.hpp
@@ -2,10 +2,10 @@
 // answers every request exactly once, at its deadline at the latest.
 #pragma once
 
-#include "rhubarbweir/coordination/holder_choice.hpp"
-#include "rhubarbweir/coordination/holder_work.hpp"
-#include "rhubarbweir/coordination/proxy_view.hpp"
-#include "rhubarbweir/coordination/retry_budget.hpp"
+#include "rhubarbweir/coordination/proxy/holder_choice.hpp"
+#include "rhubarbweir/coordination/proxy/holder_work.hpp"
+#include "rhubarbweir/coordination/proxy/proxy_view.hpp"
+#include "rhubarbweir/coordination/proxy/retry_budget.hpp"
 
 #include <map>
 #include <random>
--- a/src/rhubarbweir/coordination/retry_budget.cpp
+++ b/src/rhubarbweir/coordination/proxy/retry_budget.cpp
@@ -1,5 +1,5 @@
 // See retry_budget.hpp.
-#include "rhubarbweir/coordination/retry_budget.hpp"
+#include "rhubarbweir/coordination/proxy/retry_budget.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/slot_ledger.cpp
+++ b/src/rhubarbweir/coordination/proxy/slot_ledger.cpp
@@ -1,5 +1,5 @@
 // See slot_ledger.hpp.
-#include "rhubarbweir/coordination/slot_ledger.hpp"
+#include "rhubarbweir/coordination/proxy/slot_ledger.hpp"
 
 namespace rhubarbweir {
 
--- a/src/rhubarbweir/coordination/slot_ledger.hpp
+++ b/src/rhubarbweir/coordination/proxy/slot_ledger.hpp
@@ -1,7 +1,7 @@
 // Counts the slots of a group's targets that this proxy uses against its grant and lease.
 #pragma once
 
-#include "rhubarbweir/coordination/control_messages.hpp"
+#include "rhubarbweir/coordination/control/control_messages.hpp"
 
 #include <map>
 #include <vector>
--- a/src/rhubarbweir/coordination/target_connections.cpp
+++ b/src/rhubarbweir/coordination/proxy/target_connections.cpp
@@ -1,7 +1,7 @@
 // See target_connections.hpp.
-#include "rhubarbweir/coordination/target_connections.hpp"
+#include "rhubarbweir/coordination/proxy/target_connections.hpp"
 
-#include "rhubarbweir/coordination/retry_budget.hpp"
+#include "rhubarbweir/coordination/proxy/retry_budget.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/target_connections.hpp
+++ b/src/rhubarbweir/coordination/proxy/target_connections.hpp
@@ -2,7 +2,7 @@
 // the grant, never reused after an unanswered statement.
 #pragma once
 
-#include "rhubarbweir/coordination/proxy_settings.hpp"
+#include "rhubarbweir/coordination/proxy/proxy_settings.hpp"
 
 #include <functional>
 #include <map>
--- a/src/rhubarbweir/coordination/target_health.cpp
+++ b/src/rhubarbweir/coordination/proxy/target_health.cpp
@@ -1,5 +1,5 @@
 // See target_health.hpp.
-#include "rhubarbweir/coordination/target_health.hpp"
+#include "rhubarbweir/coordination/proxy/target_health.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/target_health.hpp
+++ b/src/rhubarbweir/coordination/proxy/target_health.hpp
@@ -1,7 +1,7 @@
 // Judges from answers and failures whether targets are alive, silent or broken.
 #pragma once
 
-#include "rhubarbweir/coordination/control_messages.hpp"
+#include "rhubarbweir/coordination/control/control_messages.hpp"
 
 #include <map>
 #include <vector>
--- a/src/rhubarbweir/coordination/target_messages.hpp
+++ b/src/rhubarbweir/coordination/proxy/target_messages.hpp
@@ -1,7 +1,7 @@
 // Messages between the system and databases: announcements, statements, terms.
 #pragma once
 
-#include "rhubarbweir/coordination/caller_messages.hpp"
+#include "rhubarbweir/coordination/proxy/caller_messages.hpp"
 
 #include <string>
 #include <vector>
--- a/src/rhubarbweir/coordination/target_pool.cpp
+++ b/src/rhubarbweir/coordination/proxy/target_pool.cpp
@@ -1,5 +1,5 @@
 // See target_pool.hpp.
-#include "rhubarbweir/coordination/target_pool.hpp"
+#include "rhubarbweir/coordination/proxy/target_pool.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/target_pool.hpp
+++ b/src/rhubarbweir/coordination/proxy/target_pool.hpp
@@ -2,9 +2,9 @@
 // statement passes through send(), which checks the lease.
 #pragma once
 
-#include "rhubarbweir/coordination/slot_ledger.hpp"
-#include "rhubarbweir/coordination/target_connections.hpp"
-#include "rhubarbweir/coordination/target_health.hpp"
+#include "rhubarbweir/coordination/proxy/slot_ledger.hpp"
+#include "rhubarbweir/coordination/proxy/target_connections.hpp"
+#include "rhubarbweir/coordination/proxy/target_health.hpp"
 
 namespace rhubarbweir {
 
--- a/src/rhubarbweir/coordination/transaction_table.cpp
+++ b/src/rhubarbweir/coordination/proxy/transaction_table.cpp
@@ -1,5 +1,5 @@
 // See transaction_table.hpp.
-#include "rhubarbweir/coordination/transaction_table.hpp"
+#include "rhubarbweir/coordination/proxy/transaction_table.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/transaction_table.hpp
+++ b/src/rhubarbweir/coordination/proxy/transaction_table.hpp
@@ -1,7 +1,7 @@
 // Open transactions of a holder: each pins one connection of the primary.
 #pragma once
 
-#include "rhubarbweir/coordination/holder_work.hpp"
+#include "rhubarbweir/coordination/proxy/holder_work.hpp"
 
 #include <deque>
 #include <map>
--- a/src/rhubarbweir/coordination/view_subscriber.cpp
+++ b/src/rhubarbweir/coordination/proxy/view_subscriber.cpp
@@ -1,5 +1,5 @@
 // See view_subscriber.hpp.
-#include "rhubarbweir/coordination/view_subscriber.hpp"
+#include "rhubarbweir/coordination/proxy/view_subscriber.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/view_subscriber.hpp
+++ b/src/rhubarbweir/coordination/proxy/view_subscriber.hpp
@@ -2,7 +2,7 @@
 // takes a view older than the one in force. Runs on the control thread.
 #pragma once
 
-#include "rhubarbweir/coordination/proxy_view.hpp"
+#include "rhubarbweir/coordination/proxy/proxy_view.hpp"
 
 #include <functional>
 #include <string>
--- a/src/rhubarbweir/coordination/write_confirmation.cpp
+++ b/src/rhubarbweir/coordination/proxy/write_confirmation.cpp
@@ -1,5 +1,5 @@
 // See write_confirmation.hpp.
-#include "rhubarbweir/coordination/write_confirmation.hpp"
+#include "rhubarbweir/coordination/proxy/write_confirmation.hpp"
 
 #include <algorithm>
 
--- a/src/rhubarbweir/coordination/write_confirmation.hpp
+++ b/src/rhubarbweir/coordination/proxy/write_confirmation.hpp
@@ -1,8 +1,8 @@
 // Writes that ran and wait until a majority of their group holds them.
 #pragma once
 
-#include "rhubarbweir/coordination/admission_queue.hpp"
-#include "rhubarbweir/coordination/target_messages.hpp"
+#include "rhubarbweir/coordination/proxy/admission_queue.hpp"
+#include "rhubarbweir/coordination/proxy/target_messages.hpp"
 
 #include <deque>
 #include <map>
--- a/src/rhubarbweir/coordination/quorum_bootstrap.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_bootstrap.cpp
@@ -13,7 +13,7 @@
 // What remains unsafe: when all initial voters lose their folders at once, nothing is left that
 // could tell, and a new empty cluster starts, even if a spare holds the old one. So operators drop
 // the flag after the first start. A folder set back to an older copy is not detected either.
-#include "rhubarbweir/coordination/quorum_log.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/rhubarbweir/coordination/quorum_election.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_election.cpp
@@ -4,7 +4,7 @@
 // A majority answered messages sent at or after t, so no other leader is elected before
 // t + electionTimeoutMin, less the clock drift, on the leader's clock. After a restart a voter
 // refuses votes for the same time.
-#include "rhubarbweir/coordination/quorum_log.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/rhubarbweir/coordination/quorum_entries.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_entries.cpp
@@ -1,5 +1,5 @@
 // See quorum_entries.hpp.
-#include "rhubarbweir/coordination/quorum_entries.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_entries.hpp"
 
 #include <algorithm>
 #include <cassert>
--- a/src/rhubarbweir/coordination/quorum_entries.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_entries.hpp
@@ -1,7 +1,7 @@
 // The entries of one instance in memory: the tail behind the newest snapshot.
 #pragma once
 
-#include "rhubarbweir/coordination/quorum_entry.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_entry.hpp"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/rhubarbweir/coordination/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.hpp
@@ -12,10 +12,10 @@
 // (quorum_bootstrap.cpp).
 #pragma once
 
-#include "rhubarbweir/coordination/quorum_entries.hpp"
-#include "rhubarbweir/coordination/quorum_persistence.hpp"
-#include "rhubarbweir/coordination/quorum_progress.hpp"
-#include "rhubarbweir/coordination/quorum_settings.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_entries.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_persistence.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_progress.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_settings.hpp"
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
--- a/src/rhubarbweir/coordination/quorum_membership.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
@@ -2,7 +2,7 @@
 //
 // A lost voter is removed only when a learner is ready, and the learner is promoted as soon as the
 // removal is committed: each step changes the voters by one, so any two majorities share a voter.
-#include "rhubarbweir/coordination/quorum_log.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/rhubarbweir/coordination/quorum_messages.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_messages.hpp
@@ -1,7 +1,7 @@
 // Messages between the instances that replicate the quorum log.
 #pragma once
 
-#include "rhubarbweir/coordination/quorum_entry.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_entry.hpp"
 
 #include <cstdint>
 #include <variant>
--- a/src/rhubarbweir/coordination/quorum_persistence.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_persistence.cpp
@@ -1,5 +1,5 @@
 // See quorum_persistence.hpp.
-#include "rhubarbweir/coordination/quorum_persistence.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_persistence.hpp"
 
 #include <utility>
 
--- a/src/rhubarbweir/coordination/quorum_persistence.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_persistence.hpp
@@ -2,8 +2,8 @@
 // what they rest on is synced.
 #pragma once
 
-#include "rhubarbweir/coordination/quorum_messages.hpp"
-#include "rhubarbweir/coordination/quorum_storage.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_messages.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_storage.hpp"
 
 #include <cstdint>
 #include <deque>
--- a/src/rhubarbweir/coordination/quorum_progress.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_progress.hpp
@@ -1,7 +1,7 @@
 // What a leader knows of one member, and what a follower gathered of a snapshot.
 #pragma once
 
-#include "rhubarbweir/coordination/quorum_entry.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_entry.hpp"
 #include "rhubarbweir/state/time.hpp"
 
 #include <cstddef>
--- a/src/rhubarbweir/coordination/quorum_replication.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_replication.cpp
@@ -2,7 +2,7 @@
 //
 // A member is probed with empty appends until its log is known to equal the leader's up to
 // nextIndex - 1; then appends are pipelined. An append that stays unanswered brings probing back.
-#include "rhubarbweir/coordination/quorum_log.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/rhubarbweir/coordination/quorum_settings.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_settings.hpp
@@ -1,8 +1,8 @@
 // Settings and hooks of the quorum log.
 #pragma once
 
-#include "rhubarbweir/coordination/quorum_messages.hpp"
-#include "rhubarbweir/coordination/quorum_storage.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_messages.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_storage.hpp"
 #include "rhubarbweir/state/time.hpp"
 
 #include <chrono>
--- a/src/rhubarbweir/coordination/quorum_snapshots.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_snapshots.cpp
@@ -1,5 +1,5 @@
 // See quorum_log.hpp. This file: making, sending and installing snapshots.
-#include "rhubarbweir/coordination/quorum_log.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/rhubarbweir/coordination/quorum_storage.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_storage.hpp
@@ -2,7 +2,7 @@
 // folder interface under which the files lie.
 #pragma once
 
-#include "rhubarbweir/coordination/quorum_entry.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_entry.hpp"
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
--- a/src/rhubarbweir/protocol/message.hpp
+++ b/src/rhubarbweir/protocol/message.hpp
@@ -1,12 +1,12 @@
 // Every message of the system as one variant. Its alternatives are the wire format's types.
 #pragma once
 
-#include "rhubarbweir/coordination/caller_messages.hpp"
-#include "rhubarbweir/coordination/control_messages.hpp"
-#include "rhubarbweir/coordination/operator_messages.hpp"
-#include "rhubarbweir/coordination/peer_messages.hpp"
-#include "rhubarbweir/coordination/quorum_messages.hpp"
-#include "rhubarbweir/coordination/target_messages.hpp"
+#include "rhubarbweir/coordination/control/control_messages.hpp"
+#include "rhubarbweir/coordination/control/operator_messages.hpp"
+#include "rhubarbweir/coordination/proxy/caller_messages.hpp"
+#include "rhubarbweir/coordination/proxy/peer_messages.hpp"
+#include "rhubarbweir/coordination/proxy/target_messages.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_messages.hpp"
 
 #include <variant>
 
--- a/src/rhubarbweir/protocol/state_codec.hpp
+++ b/src/rhubarbweir/protocol/state_codec.hpp
@@ -1,7 +1,7 @@
 // CBOR form of control log commands and state snapshots, for the quorum log and its files.
 #pragma once
 
-#include "rhubarbweir/coordination/control_settings.hpp"
+#include "rhubarbweir/coordination/control/control_settings.hpp"
 
 #include <string>
 #include <string_view>
--- a/src/rhubarbweir/transport/file_storage.hpp
+++ b/src/rhubarbweir/transport/file_storage.hpp
@@ -1,7 +1,7 @@
 // A folder of files on a real disk, locked against other processes.
 #pragma once
 
-#include "rhubarbweir/coordination/quorum_storage.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_storage.hpp"
 
 #include <memory>
 #include <string>
--- a/src/rhubarbweir/transport/quorum_store.hpp
+++ b/src/rhubarbweir/transport/quorum_store.hpp
@@ -8,7 +8,7 @@
 // synced and is cut. Anything else that does not fit its checksum is damage.
 #pragma once
 
-#include "rhubarbweir/coordination/quorum_storage.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_storage.hpp"
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
--- a/tests/fakes/fake_database.hpp
+++ b/tests/fakes/fake_database.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "fakes/virtual_time.hpp"
-#include "rhubarbweir/coordination/proxy_settings.hpp"
+#include "rhubarbweir/coordination/proxy/proxy_settings.hpp"
 
 #include <map>
 #include <random>
--- a/tests/fakes/proxy_fixture.hpp
+++ b/tests/fakes/proxy_fixture.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "fakes/fake_database.hpp"
-#include "rhubarbweir/coordination/proxy_node.hpp"
+#include "rhubarbweir/coordination/proxy/proxy_node.hpp"
 
 #include <memory>
 
--- a/tests/unit/control_fakes.hpp
+++ b/tests/unit/control_fakes.hpp
@@ -2,7 +2,7 @@
 // group and proxies. Everything is deterministic for a seed.
 #pragma once
 
-#include "rhubarbweir/coordination/control_node.hpp"
+#include "rhubarbweir/coordination/control/control_node.hpp"
 #include "rhubarbweir/protocol/state_codec.hpp"
 
 #include <algorithm>
--- a/tests/unit/control_node.tests.cpp
+++ b/tests/unit/control_node.tests.cpp
@@ -1,5 +1,5 @@
 // Focused tests of ControlNode: views and leases, operators, leaving targets, planned changes.
-#include "rhubarbweir/coordination/observation_book.hpp"
+#include "rhubarbweir/coordination/control/observation_book.hpp"
 #include "unit/group_fakes.hpp"
 
 using namespace rhubarbweir;
--- a/tests/unit/quorum_rules.tests.cpp
+++ b/tests/unit/quorum_rules.tests.cpp
@@ -1,5 +1,5 @@
 // Tests of single rules of the quorum log: one log, its messages given by hand.
-#include "rhubarbweir/coordination/quorum_log.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 
 #include <criterion/criterion.h>
 
--- a/tests/unit/support/fake_folder.hpp
+++ b/tests/unit/support/fake_folder.hpp
@@ -1,7 +1,7 @@
 // A folder in memory that forgets what was not synced, tears, flips bits, runs full, fails a sync.
 #pragma once
 
-#include "rhubarbweir/coordination/quorum_storage.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_storage.hpp"
 
 #include <algorithm>
 #include <map>
--- a/tests/unit/support/quorum_node.hpp
+++ b/tests/unit/support/quorum_node.hpp
@@ -1,7 +1,7 @@
 // One instance of a QuorumCluster: its log, fake disk and drifting clock.
 #pragma once
 
-#include "rhubarbweir/coordination/quorum_log.hpp"
+#include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 #include "rhubarbweir/transport/quorum_store.hpp"
 #include "unit/support/fake_folder.hpp"
 
--- a/tests/unit/view_subscriber.tests.cpp
+++ b/tests/unit/view_subscriber.tests.cpp
@@ -1,5 +1,5 @@
 // Tests of a proxy's lease and view.
-#include "rhubarbweir/coordination/view_subscriber.hpp"
+#include "rhubarbweir/coordination/proxy/view_subscriber.hpp"
 
 #include <criterion/criterion.h>
 
