--- a/src/programs/control/quorum_links.cpp
+++ b/src/programs/control/quorum_links.cpp
@@ -22,10 +22,8 @@
     , self(std::move(selfId))
     , client(eventLoop)
 {
-    for (const QuorumPeer &peer : peers) {
-        if (peer.instance != this->self)
-            this->links[peer.instance] = Link{peer.address, nullptr};
-    }
+    for (const QuorumPeer &peer : peers)
+        this->addPeer(peer);
 }
 
 void QuorumLinks::start()
@@ -34,22 +32,36 @@
         this->connect(peer);
 }
 
+void QuorumLinks::addPeer(const QuorumPeer &peer)
+{
+    if (peer.instance != this->self)
+        this->links[peer.instance].address = peer.address;
+}
+
 void QuorumLinks::send(const InstanceId &to, const Message &message)
 {
     const auto found = this->links.find(to);
-    if (found != this->links.end() && found->second.connection)
+    if (found == this->links.end())
+        return;
+    if (found->second.connection)
         found->second.connection->send(message);
+    else
+        this->connect(to);
 }
 
 void QuorumLinks::connect(const InstanceId &peer)
 {
-    this->client.connect(this->links[peer].address, Subprotocol::Control,
-                         EventLoop::now() + ConnectTimeout,
+    Link &link = this->links[peer];
+    const TimePoint now = EventLoop::now();
+    if (link.isConnecting || now < link.retryAt)
+        return;
+    link.isConnecting = true;
+    link.retryAt = now + RetryInterval;
+    this->client.connect(link.address, Subprotocol::Control, now + ConnectTimeout,
                          [this, peer](absl::StatusOr<ConnectionPtr> result) {
+                             this->links[peer].isConnecting = false;
                              if (result.ok())
                                  this->connected(peer, *result);
-                             else
-                                 this->retryLater(peer);
                          });
 }
 
@@ -59,15 +71,15 @@
     this->links[peer].connection = connection;
     connection->send(PeerHello{this->self});
     connection->onClosed = [this, peer] {
-        logEvent(LogLevel::Warning, "control_peer_lost", {{"peer", peer.value}});
-        this->links[peer].connection = nullptr;
-        this->retryLater(peer);
+        this->lost(peer);
     };
 }
 
-void QuorumLinks::retryLater(const InstanceId &peer)
+void QuorumLinks::lost(const InstanceId &peer)
 {
-    this->network.schedule(EventLoop::now() + RetryInterval, [this, peer] { this->connect(peer); });
+    logEvent(LogLevel::Warning, "control_peer_lost", {{"peer", peer.value}});
+    this->links[peer].connection = nullptr;
+    this->connect(peer);
 }
 
 } // namespace rhubarbweir
--- a/src/programs/control/quorum_links.hpp
+++ b/src/programs/control/quorum_links.hpp
@@ -1,4 +1,5 @@
-// Outgoing connections to the other control instances; messages are dropped while one is down.
+// Outgoing connections to the other control instances. A message to an instance without one is
+// dropped and starts a new attempt to connect.
 #pragma once
 
 #include "rhubarbweir/coordination/quorum/quorum_entry.hpp"
@@ -18,6 +19,8 @@
     QuorumLinks(EventLoop &network, InstanceId self, const std::vector<QuorumPeer> &peers);
 
     void start();
+    // Names an instance that may have been unknown so far.
+    void addPeer(const QuorumPeer &peer);
     void send(const InstanceId &to, const Message &message);
 
 private:
@@ -26,11 +29,13 @@
         std::string address;
         // Null while down.
         ConnectionPtr connection;
+        bool isConnecting = false;
+        TimePoint retryAt;
     };
 
     void connect(const InstanceId &peer);
     void connected(const InstanceId &peer, const ConnectionPtr &connection);
-    void retryLater(const InstanceId &peer);
+    void lost(const InstanceId &peer);
 
     EventLoop &network;
     InstanceId self;
--- /dev/null
+++ b/src/programs/fleet/fleet_program.cpp
@@ -0,0 +1,384 @@
+// See fleet_program.hpp.
+#include "programs/fleet/fleet_program.hpp"
+
+#include "programs/support/event_log.hpp"
+#include "rhubarbweir/protocol/fleet_codec.hpp"
+#include "rhubarbweir/protocol/message_conversion.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Time for queued messages to leave before the process ends.
+constexpr std::chrono::milliseconds FlushTime{200};
+constexpr std::size_t MaxInternalConnections = 1024;
+constexpr std::size_t MaxCallConnections = 256;
+constexpr std::chrono::milliseconds PromotionTimeout{1000};
+// A new leader must be found well within a lease, but not because a disk or a processor stalled
+// for a moment.
+constexpr std::chrono::milliseconds QuorumHeartbeat{120};
+constexpr std::chrono::milliseconds ElectionTimeoutMin{600};
+constexpr std::chrono::milliseconds ElectionTimeoutMax{1100};
+// A silent voter is replaced after this; it is longer than most freezes and cuts.
+constexpr std::chrono::seconds ReplaceAfter{6};
+// Length of a pooler's lease. Longer than an election and the return of a control instance; a
+// lost primary waits for it only when a pooler that held it fell silent too.
+constexpr std::chrono::milliseconds LeaseLength{4000};
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 32U) ^ device();
+}
+
+std::string hostOf(const std::string &address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+std::string portOf(const std::string &address)
+{
+    return address.substr(address.rfind(':') + 1);
+}
+
+std::string selfAddress(const platform::ProcessSettings &settings)
+{
+    return absl::StrCat(settings.ip, ":", settings.firstInternalPort);
+}
+
+QuorumPeer peerAt(const std::string &address, const FailureDomainId &domain)
+{
+    return {InstanceId(address), address, domain};
+}
+
+QuorumSettings quorumSettings(const platform::ProcessSettings &settings)
+{
+    QuorumSettings quorum;
+    quorum.self = peerAt(selfAddress(settings), settings.failureDomain);
+    for (const std::string &seed : settings.seeds) {
+        const std::string address = absl::StrCat(hostOf(seed), ":", settings.firstInternalPort);
+        const bool isSelf = address == quorum.self.address;
+        quorum.initialVoters.push_back(
+            peerAt(address, isSelf ? settings.failureDomain : FailureDomainId()));
+    }
+    quorum.bootstrap = settings.bootstrap;
+    quorum.admitUnknown = true;
+    quorum.voterTarget = 2 * settings.toleratedInstances + 1;
+    quorum.heartbeat = QuorumHeartbeat;
+    quorum.electionTimeoutMin = ElectionTimeoutMin;
+    quorum.electionTimeoutMax = ElectionTimeoutMax;
+    quorum.replaceAfter = ReplaceAfter;
+    return quorum;
+}
+
+FleetSettings fleetSettings(const platform::ProcessSettings &settings)
+{
+    FleetSettings fleet;
+    fleet.lease.instance = settings.instance;
+    fleet.lease.failureDomain = settings.failureDomain;
+    fleet.lease.leaseFor = LeaseLength;
+    fleet.heartbeatInterval = settings.heartbeatInterval;
+    return fleet;
+}
+
+} // namespace
+
+FleetProgram::FleetProgram(platform::ProcessSettings processSettings, std::string path)
+    : settings(std::move(processSettings))
+    , settingsPath(std::move(path))
+    , self(selfAddress(this->settings))
+    , gate(this->loop, this->self, MaxInternalConnections, this->gateHooks())
+    , links(this->loop, InstanceId(this->self), quorumSettings(this->settings).initialVoters)
+    , probes(this->loop, this->settings.instance.value,
+             [this](const RegisteredTarget &target, const std::optional<TargetProbe> &result) {
+                 this->controller.probed(target, result, EventLoop::now());
+                 this->settle();
+             })
+    , controller(fleetSettings(this->settings), this->fleetHooks())
+    , quorum(quorumSettings(this->settings), this->quorumHooks(), std::mt19937_64(randomSeed()))
+    , calls(this->loop, this->settings.controlAddress, MaxCallConnections,
+            [this](const HttpRequest &request, const HttpAnswer &answer) {
+                this->served(request, answer);
+                this->settle();
+            })
+{
+}
+
+absl::Status FleetProgram::run()
+{
+    auto recovered = this->disk.open(this->settings.dataFolder);
+    if (!recovered.ok())
+        return recovered.status();
+    for (const absl::Status &listening : {this->gate.listen(), this->calls.listen()}) {
+        if (!listening.ok())
+            return listening;
+    }
+    logEvent(LogLevel::Info, "control_started",
+             {{"address", this->self},
+              {"failure_domain", this->settings.failureDomain.value},
+              {"bootstrap", this->settings.bootstrap ? "yes" : "no"},
+              {"has_state", recovered->hardState ? "yes" : "no"}});
+    this->loop.onStopSignal([this](int) { this->stopRequested(); });
+    this->loop.onReloadSignal([this] { this->reload(); });
+    this->links.start();
+    this->quorum.start(*recovered, EventLoop::now());
+    this->settle();
+    this->loop.run();
+    logEvent(LogLevel::Info, "control_stopped", {});
+    return absl::OkStatus();
+}
+
+FleetHooks FleetProgram::fleetHooks()
+{
+    FleetHooks hooks;
+    hooks.propose = [this](const FleetCommand &command) {
+        return this->quorum.propose(encodeFleetCommand(command), EventLoop::now());
+    };
+    hooks.isLeader = [this] {
+        return this->quorum.isLeader();
+    };
+    hooks.leaseValid = [this](TimePoint now) {
+        return this->quorum.leaseValid(now);
+    };
+    hooks.leaderAddress = [this] {
+        const auto leader = this->quorum.leader();
+        return leader ? leader->address : std::string();
+    };
+    hooks.controlAddresses = [this] {
+        std::vector<std::string> addresses;
+        for (const QuorumMember &member : this->quorum.membership().voters)
+            addresses.push_back(member.peer.address);
+        for (const QuorumMember &member : this->quorum.membership().learners)
+            addresses.push_back(member.peer.address);
+        return addresses;
+    };
+    hooks.sendToPooler = [this](ConnectionId connection, const FleetReply &reply) {
+        this->gate.send(connection, toMessage(reply));
+    };
+    hooks.probe = [this](const RegisteredTarget &target, std::uint64_t) {
+        // Not from within the controller's own call.
+        this->loop.post([this, target] { this->probes.probe(target); });
+    };
+    hooks.promote = [this](const PromotionRequest &request) {
+        this->promote(request);
+    };
+    hooks.stepDown = [this](const RegisteredTarget &target, std::uint64_t term) {
+        this->probes.stepDown(target, term);
+    };
+    hooks.event = [this](std::string_view name, const FleetEventFields &fields) {
+        this->event(name, fields);
+    };
+    return hooks;
+}
+
+void FleetProgram::event(std::string_view name, const FleetEventFields &fields)
+{
+    this->sampler.log(name, fields, false, EventLoop::now());
+}
+
+QuorumHooks FleetProgram::quorumHooks()
+{
+    QuorumHooks hooks;
+    hooks.send = [this](const InstanceId &to, const QuorumMessage &message) {
+        // An instance's name is its internal address.
+        this->links.addPeer(peerAt(to.value, {}));
+        this->links.send(to, toMessage(message));
+    };
+    hooks.persist = [this](const PersistBatch &batch) {
+        this->persist(batch);
+    };
+    hooks.apply = [this](std::uint64_t index, const std::string &payload) {
+        this->applied(index, payload);
+    };
+    hooks.makeSnapshot = [this] {
+        return encodeFleetSnapshot(this->controller.state().snapshot());
+    };
+    hooks.restoreSnapshot = [this](const std::string &state, std::uint64_t index) {
+        const auto snapshot = decodeFleetSnapshot(state);
+        if (snapshot.ok())
+            this->controller.restored(*snapshot, EventLoop::now());
+        this->event("snapshot_restored",
+                    {{"index", absl::StrCat(index)}, {"status", snapshot.status().ToString()}});
+    };
+    hooks.event = [this](const std::string &name, const std::vector<QuorumEventField> &fields) {
+        FleetEventFields converted;
+        for (const QuorumEventField &field : fields)
+            converted.emplace_back(field.key, field.value);
+        this->event(name, converted);
+    };
+    return hooks;
+}
+
+void FleetProgram::applied(std::uint64_t index, const std::string &payload)
+{
+    const auto command = decodeFleetCommand(payload);
+    if (command.ok())
+        this->controller.applied(index, *command, EventLoop::now());
+    else
+        logEvent(
+            LogLevel::Error, "command_unreadable",
+            {{"index", static_cast<std::int64_t>(index)}, {"cause", command.status().ToString()}});
+}
+
+ControlGateHooks FleetProgram::gateHooks()
+{
+    ControlGateHooks hooks;
+    hooks.received = [this](ConnectionId connection, const Message &message) {
+        this->received(connection, message);
+        this->settle();
+    };
+    hooks.closed = [this](ConnectionId connection) {
+        this->peers.erase(connection);
+        this->controller.connectionClosed(connection);
+    };
+    return hooks;
+}
+
+void FleetProgram::received(ConnectionId connection, const Message &message)
+{
+    const TimePoint now = EventLoop::now();
+    if (const auto *renewal = std::get_if<RenewLease>(&message)) {
+        this->controller.receiveFromPooler(connection, *renewal, now);
+        return;
+    }
+    if (const auto *hello = std::get_if<PeerHello>(&message)) {
+        this->peers[connection] = hello->instance;
+        return;
+    }
+    const auto peer = this->peers.find(connection);
+    const auto quorumMessage = messageAs<QuorumMessage>(message);
+    if (peer != this->peers.end() && quorumMessage)
+        this->quorum.receive(peer->second, *quorumMessage, now);
+    else
+        this->event("message_ignored", {{"cause", "sender did not introduce itself"}});
+}
+
+void FleetProgram::persist(const PersistBatch &batch)
+{
+    this->disk.persist(batch, [this, token = batch.token](const absl::Status &status) {
+        this->loop.post([this, token, status] {
+            if (status.ok()) {
+                this->quorum.persisted(token, EventLoop::now());
+            } else {
+                logEvent(LogLevel::Error, "disk_failed", {{"cause", status.ToString()}});
+                this->quorum.persistFailed(token, EventLoop::now());
+            }
+            this->settle();
+        });
+    });
+}
+
+void FleetProgram::promote(const PromotionRequest &request)
+{
+    const HttpCall call =
+        platform::encodePromotion(this->settings.platformAddress, this->settings.instance, request,
+                                  EventLoop::now() + PromotionTimeout);
+    callHttp(this->loop, call, [this, request](const absl::StatusOr<int> &status) {
+        this->controller.promotionAnswered(request, platform::decodePromotion(status),
+                                           EventLoop::now());
+        this->settle();
+    });
+}
+
+// Operators' and targets' calls.
+
+void FleetProgram::served(const HttpRequest &request, const HttpAnswer &answer)
+{
+    const TimePoint now = EventLoop::now();
+    const platform::FleetCall call = platform::decodeCall(request);
+    const auto finish = [this, answer, target = request.target](const HttpResponse &accepted) {
+        return [this, answer, target, accepted](FleetCallOutcome outcome) {
+            answer(this->outcomeOf(outcome, target, accepted));
+        };
+    };
+    if (const auto *replace = std::get_if<platform::ReplaceConfiguration>(&call)) {
+        this->controller.configurationSent(replace->version, OpaqueBytes(replace->document),
+                                           finish(platform::encodeAccepted()), now);
+    } else if (const auto *announced = std::get_if<platform::AnnounceTarget>(&call)) {
+        this->controller.targetAnnounced(
+            announced->target, finish(platform::encodeAnnounced(this->settings.controlAddress)),
+            now);
+    } else if (const auto *left = std::get_if<platform::TargetLeft>(&call)) {
+        this->controller.targetLeft(left->target, finish(platform::encodeAccepted()), now);
+    } else if (std::holds_alternative<platform::ReadConfiguration>(call)) {
+        const auto held = this->controller.configuration(now);
+        answer(held ? platform::encodeConfiguration(held->document.bytes)
+                    : this->redirectOrUnavailable(request.target));
+    } else if (const auto *invalid = std::get_if<platform::InvalidCall>(&call)) {
+        this->event("call_refused", {{"target", request.target}, {"cause", invalid->cause}});
+        answer(platform::encodeRefused(invalid->cause));
+    } else {
+        answer(platform::encodeUnknown());
+    }
+}
+
+HttpResponse FleetProgram::outcomeOf(FleetCallOutcome outcome, const std::string &target,
+                                     const HttpResponse &accepted) const
+{
+    if (outcome == FleetCallOutcome::Accepted)
+        return accepted;
+    return outcome == FleetCallOutcome::NotLeader ? this->redirectOrUnavailable(target)
+                                                  : platform::encodeUnavailable();
+}
+
+HttpResponse FleetProgram::redirectOrUnavailable(const std::string &target) const
+{
+    const std::string leader = this->controller.leaderAddress();
+    if (leader.empty() || leader == this->self)
+        return platform::encodeUnavailable();
+    // Ports are the same on all instances.
+    return platform::encodeRedirect(
+        absl::StrCat(hostOf(leader), ":", portOf(this->settings.controlAddress)), target);
+}
+
+void FleetProgram::settle()
+{
+    if (this->quorum.isLeader() != this->wasLeader) {
+        this->wasLeader = this->quorum.isLeader();
+        this->event(this->wasLeader ? "leadership_gained" : "leadership_lost",
+                    {{"term", absl::StrCat(this->quorum.term())}});
+        this->controller.leadershipChanged(EventLoop::now());
+    }
+    const TimePoint deadline =
+        std::min(this->quorum.nextDeadline(),
+                 this->wasLeader ? this->controller.nextDeadline() : TimePoint::max());
+    if (deadline >= this->armedFor)
+        return;
+    this->armedFor = deadline;
+    this->loop.schedule(deadline, [this, deadline] {
+        if (this->armedFor == deadline)
+            this->armedFor = TimePoint::max();
+        this->quorum.advance(EventLoop::now());
+        this->controller.advance(EventLoop::now());
+        this->settle();
+    });
+}
+
+void FleetProgram::reload()
+{
+    const auto next = platform::readProcessSettings(this->settingsPath);
+    this->event("settings_reloaded",
+                {{"status", next.ok() ? std::string("ok") : next.status().ToString()}});
+}
+
+void FleetProgram::stopRequested()
+{
+    if (std::exchange(this->stopping, true)) {
+        this->loop.stop();
+        return;
+    }
+    const absl::Status handedOver = this->quorum.handOverLeadership(EventLoop::now());
+    this->event("stop_requested", {{"leadership", handedOver.ToString()}});
+    this->settle();
+    // A leader stays until another one has taken over.
+    const Duration patience = handedOver.ok() ? Duration(ElectionTimeoutMax) : Duration(FlushTime);
+    this->loop.schedule(EventLoop::now() + patience, [this] { this->loop.stop(); });
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/programs/pooler/caller_streams.hpp
@@ -0,0 +1,56 @@
+// The callers' side of a pooler: one text session a connection.
+#pragma once
+
+#include "platform/text_protocol.hpp"
+#include "rhubarbweir/coordination/sessions/session_pooler.hpp"
+#include "rhubarbweir/transport/byte_stream.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace rhubarbweir {
+
+class EventLoop;
+
+struct CallerStreamHooks
+{
+    // False for an unknown database.
+    std::function<bool(SessionNumber, const std::string &database)> opened;
+    std::function<void(SessionNumber, TextStatement)> statement;
+    std::function<void(SessionNumber)> closed;
+};
+
+class CallerStreams
+{
+public:
+    CallerStreams(EventLoop &loop, const std::string &address, std::size_t maxConnections,
+                  CallerStreamHooks hooks);
+
+    // Errors: those of StreamListener::listen.
+    absl::Status listen() { return this->listener.listen(); }
+    void answer(SessionNumber session, const StatementAnswer &answer);
+    // No hook is called for it any more.
+    void close(SessionNumber session);
+    std::size_t count() const { return this->links.size(); }
+
+private:
+    struct Link
+    {
+        ByteStreamPtr stream;
+        platform::LineReader reader;
+        bool isOpen = false;
+    };
+
+    void accepted(const ByteStreamPtr &stream);
+    void received(SessionNumber session, std::string_view bytes);
+    bool lineReceived(SessionNumber session, Link &link, const std::string &line);
+    void end(SessionNumber session);
+
+    CallerStreamHooks hooks;
+    std::map<SessionNumber, std::shared_ptr<Link>> links;
+    SessionNumber lastNumber = 0;
+    StreamListener listener;
+};
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/programs/pooler/pooler_program.cpp
@@ -0,0 +1,274 @@
+// See pooler_program.hpp.
+#include "programs/pooler/pooler_program.hpp"
+
+#include "platform/fleet_calls.hpp"
+#include "programs/support/event_log.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Probes of the platform and of operators are few.
+constexpr std::size_t MaxReadinessConnections = 64;
+// Descriptors kept for targets, control and files.
+constexpr std::size_t ReservedDescriptors = 400;
+// The platform takes an instance out of rotation after two missed probes, a second apart.
+constexpr std::chrono::milliseconds RotationDelay{2500};
+// Idle sessions are closed in portions, so that their callers do not reconnect all at once.
+constexpr std::chrono::milliseconds DrainInterval{100};
+constexpr std::size_t DrainPortions = 15;
+// Left of the grace for the process to end.
+constexpr std::chrono::milliseconds ExitReserve{500};
+
+std::uint64_t randomIncarnation()
+{
+    std::random_device device;
+    return (std::uint64_t{device()} << 31U) ^ device();
+}
+
+PoolerSettings poolerSettings(const platform::ProcessSettings &settings)
+{
+    PoolerSettings pooler;
+    pooler.instance = settings.instance;
+    pooler.failureDomain = settings.failureDomain;
+    return pooler;
+}
+
+std::vector<std::string> internalAddresses(const platform::ProcessSettings &settings)
+{
+    std::vector<std::string> addresses;
+    for (const std::string &seed : settings.seeds)
+        addresses.push_back(internalAddress(seed, settings.firstInternalPort));
+    return addresses;
+}
+
+} // namespace
+
+std::string internalAddress(const std::string &controlAddress, std::uint16_t port)
+{
+    return absl::StrCat(controlAddress.substr(0, controlAddress.rfind(':')), ":", port);
+}
+
+PoolerProgram::PoolerProgram(platform::ProcessSettings processSettings, std::string path)
+    : settings(std::move(processSettings))
+    , settingsPath(std::move(path))
+    , incarnation(randomIncarnation())
+    , pooler(poolerSettings(this->settings), this->poolerHooks())
+    , targets(this->loop, this->settings.instance.value, this->targetHooks())
+    , callers(this->loop, this->settings.callerAddress,
+              this->settings.descriptorLimit > 2 * ReservedDescriptors
+                  ? this->settings.descriptorLimit - ReservedDescriptors
+                  : ReservedDescriptors,
+              this->callerHooks())
+    , readiness(this->loop, this->settings.readinessAddress, MaxReadinessConnections,
+                [this](const HttpRequest &request, const HttpAnswer &answer) {
+                    this->served(request, answer);
+                })
+    , link(this->loop, internalAddresses(this->settings), this->linkHooks())
+{
+}
+
+absl::Status PoolerProgram::run()
+{
+    for (const absl::Status &listening : {this->callers.listen(), this->readiness.listen()}) {
+        if (!listening.ok())
+            return listening;
+    }
+    logEvent(LogLevel::Info, "pooler_started",
+             {{"address", this->settings.callerAddress},
+              {"failure_domain", this->settings.failureDomain.value},
+              {"incarnation", static_cast<std::int64_t>(this->incarnation)}});
+    this->loop.onStopSignal([this](int) { this->stopRequested(); });
+    this->loop.onReloadSignal([this] { this->reload(); });
+    this->link.start();
+    this->settle();
+    this->loop.run();
+    logEvent(LogLevel::Info, "pooler_stopped", {});
+    return absl::OkStatus();
+}
+
+PoolerHooks PoolerProgram::poolerHooks()
+{
+    PoolerHooks hooks;
+    hooks.answer = [this](SessionNumber session, const StatementAnswer &answer) {
+        this->callers.answer(session, answer);
+    };
+    hooks.closeSession = [this](SessionNumber session) {
+        this->callers.close(session);
+    };
+    hooks.openTarget = [this](ConnectionId connection, const RegisteredTarget &target) {
+        this->targets.open(connection, target);
+    };
+    hooks.sendToTarget = [this](ConnectionId connection,
+                                const std::vector<TargetCommand> &commands) {
+        this->targets.send(connection, commands);
+    };
+    hooks.closeTarget = [this](ConnectionId connection) {
+        this->targets.close(connection);
+    };
+    hooks.observationsChanged = [this] {
+        this->link.renewNow();
+    };
+    hooks.event = [this](std::string_view event, const PoolerEventFields &fields, bool sampled) {
+        this->sampler.log(event, fields, sampled, EventLoop::now());
+    };
+    return hooks;
+}
+
+TargetStreamHooks PoolerProgram::targetHooks()
+{
+    TargetStreamHooks hooks;
+    hooks.opened = [this](ConnectionId connection, std::optional<LogPosition> position) {
+        this->pooler.targetOpened(connection, position, EventLoop::now());
+        this->settle();
+    };
+    hooks.answered = [this](ConnectionId connection, StatementAnswer answer) {
+        this->pooler.targetAnswered(connection, std::move(answer), EventLoop::now());
+        this->settle();
+    };
+    hooks.closed = [this](ConnectionId connection, TargetFailure failure) {
+        this->pooler.targetClosed(connection, failure, EventLoop::now());
+        this->settle();
+    };
+    return hooks;
+}
+
+CallerStreamHooks PoolerProgram::callerHooks()
+{
+    CallerStreamHooks hooks;
+    hooks.opened = [this](SessionNumber session, const std::string &database) {
+        return this->pooler.sessionOpened(session, database, EventLoop::now());
+    };
+    hooks.statement = [this](SessionNumber session, TextStatement statement) {
+        this->pooler.statement(session, std::move(statement), EventLoop::now());
+        this->settle();
+    };
+    hooks.closed = [this](SessionNumber session) {
+        this->pooler.sessionClosed(session, EventLoop::now());
+        this->settle();
+    };
+    return hooks;
+}
+
+FleetLinkHooks PoolerProgram::linkHooks()
+{
+    FleetLinkHooks hooks;
+    hooks.renewal = [this] {
+        return this->renewal();
+    };
+    hooks.received = [this](const FleetLease &lease, std::optional<TimePoint> sentAt) {
+        this->leaseReceived(lease, sentAt);
+    };
+    return hooks;
+}
+
+RenewLease PoolerProgram::renewal() const
+{
+    RenewLease message;
+    message.proxy = this->settings.instance;
+    message.failureDomain = this->settings.failureDomain;
+    message.incarnation = this->incarnation;
+    message.revision = this->pooler.authorityView().revision();
+    message.configurationVersion = this->pooler.authorityView().routes().version;
+    message.draining = this->stopBy != TimePoint::max();
+    message.observations = this->pooler.observations();
+    return message;
+}
+
+void PoolerProgram::leaseReceived(const FleetLease &lease, std::optional<TimePoint> sentAt)
+{
+    const TimePoint now = EventLoop::now();
+    const std::uint64_t before = this->pooler.authorityView().revision();
+    const std::uint64_t versionBefore = this->pooler.authorityView().routes().version;
+    this->pooler.viewReceived(lease.view, now);
+    if (!lease.view.controls.empty())
+        this->link.learn(lease.view.controls);
+    if (!lease.configuration.bytes.empty()) {
+        auto table = platform::decodeRouteTable(lease.configuration.bytes);
+        if (table.ok())
+            this->pooler.routesReceived(*std::move(table), now);
+        else
+            logEvent(LogLevel::Error, "configuration_unreadable",
+                     {{"cause", table.status().ToString()}});
+    }
+    if (sentAt)
+        this->pooler.leaseReceived(*sentAt + lease.leaseFor, lease.poolers, now);
+    const AuthorityView &view = this->pooler.authorityView();
+    // Control waits for this before it lets another primary lead.
+    if (!sentAt && (view.revision() != before || view.routes().version != versionBefore))
+        this->link.renewNow();
+    this->settle();
+}
+
+void PoolerProgram::served(const HttpRequest &request, const HttpAnswer &answer)
+{
+    const platform::FleetCall call = platform::decodeCall(request);
+    if (!std::holds_alternative<platform::AskReadiness>(call)) {
+        answer(platform::encodeUnknown());
+        return;
+    }
+    const bool isStopping = this->stopBy != TimePoint::max();
+    answer(platform::encodeReadiness(this->pooler.isReady() && !isStopping));
+}
+
+void PoolerProgram::settle()
+{
+    const TimePoint deadline = this->pooler.nextDeadline();
+    if (deadline >= this->armedFor)
+        return;
+    this->armedFor = deadline;
+    this->loop.schedule(deadline, [this, deadline] {
+        if (this->armedFor == deadline)
+            this->armedFor = TimePoint::max();
+        this->pooler.advance(EventLoop::now());
+        this->settle();
+    });
+}
+
+void PoolerProgram::reload()
+{
+    const auto next = platform::readProcessSettings(this->settingsPath);
+    logEvent(LogLevel::Info, "settings_reloaded",
+             {{"status", next.ok() ? "ok" : next.status().ToString()}});
+    if (!next.ok())
+        return;
+    this->settings.seeds = next->seeds;
+    this->link.setSeeds(internalAddresses(this->settings));
+}
+
+void PoolerProgram::stopRequested()
+{
+    if (this->stopBy != TimePoint::max())
+        return;
+    const TimePoint now = EventLoop::now();
+    this->stopBy = now + this->settings.grace - ExitReserve;
+    this->closeFrom = now + RotationDelay;
+    logEvent(LogLevel::Info, "stop_requested",
+             {{"sessions", static_cast<std::int64_t>(this->callers.count())}});
+    this->drainStep();
+}
+
+void PoolerProgram::drainStep()
+{
+    const TimePoint now = EventLoop::now();
+    if (now >= this->closeFrom) {
+        const std::size_t portion =
+            std::max<std::size_t>(1, this->pooler.sessionCount() / DrainPortions + 1);
+        this->pooler.closeIdleSessions(portion, now);
+    }
+    const bool isEmpty = now >= this->closeFrom && this->callers.count() == 0;
+    if (isEmpty || now >= this->stopBy) {
+        this->loop.stop();
+        return;
+    }
+    this->settle();
+    this->loop.schedule(now + DrainInterval, [this] { this->drainStep(); });
+}
+
+} // namespace rhubarbweir
--- a/src/programs/support/event_log.cpp
+++ b/src/programs/support/event_log.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <memory>
 
 namespace rhubarbweir {
 
@@ -33,6 +34,14 @@
     return spdlog::level::err;
 }
 
+std::shared_ptr<spdlog::logger> openLogger(const EventLogSettings &settings)
+{
+    if (!settings.file.empty())
+        return spdlog::basic_logger_mt("events", settings.file);
+    return settings.toStandardOutput ? spdlog::stdout_logger_mt("events")
+                                     : spdlog::stderr_logger_mt("events");
+}
+
 std::string quoted(const std::string &value)
 {
     const bool plain = !value.empty() && value.find_first_of(" =\"\n\\") == std::string::npos;
@@ -62,8 +71,7 @@
 {
     instanceName = settings.instance;
     try {
-        auto logger = settings.file.empty() ? spdlog::stderr_logger_mt("events")
-                                            : spdlog::basic_logger_mt("events", settings.file);
+        auto logger = openLogger(settings);
         logger->set_pattern("time=%Y-%m-%dT%H:%M:%S.%f%z %v");
         logger->set_level(spdlogLevel(settings.level));
         logger->flush_on(spdlog::level::info);
--- a/src/programs/support/event_log.hpp
+++ b/src/programs/support/event_log.hpp
@@ -38,8 +38,10 @@
 
 struct EventLogSettings
 {
-    // Empty writes to standard error.
+    // Empty writes to a standard stream.
     std::string file;
+    // Without a file: standard output instead of standard error.
+    bool toStandardOutput = false;
     LogLevel level = LogLevel::Info;
     std::string instance;
 };
--- a/src/rhubarbweir/coordination/control/control_messages.hpp
+++ b/src/rhubarbweir/coordination/control/control_messages.hpp
@@ -114,6 +114,8 @@
     // Groups whose views the proxy wants; empty asks for all.
     std::vector<GroupId> groups;
     std::vector<TargetObservation> observations;
+    // Version of the operators' configuration document that a session pooler has in force.
+    std::uint64_t configurationVersion = 0;
 };
 
 struct LeaseGranted
--- /dev/null
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -0,0 +1,457 @@
+// See fleet_controller.hpp.
+#include "rhubarbweir/coordination/fleet/fleet_controller.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Interval of the leader's round over its groups; a tenth of a heartbeat.
+constexpr std::chrono::milliseconds RoundInterval{100};
+// While a change runs, its steps are taken at this interval.
+constexpr std::chrono::milliseconds ChangeInterval{10};
+// Pause between two probes of a suspected primary.
+constexpr std::chrono::milliseconds SuspicionInterval{300};
+
+RegisteredTarget material(RegisteredTarget target)
+{
+    target.sequence = 0;
+    return target;
+}
+
+} // namespace
+
+FleetController::FleetController(FleetSettings fleetSettings, FleetHooks fleetHooks)
+    : settings(std::move(fleetSettings))
+    , hooks(std::move(fleetHooks))
+    , leases(this->settings.lease)
+    , watch(this->settings)
+{
+}
+
+bool FleetController::canDecide(TimePoint now) const
+{
+    return this->leads && this->hooks.isLeader() && this->hooks.leaseValid(now);
+}
+
+void FleetController::leadershipChanged(TimePoint now)
+{
+    const bool isLeader = this->hooks.isLeader();
+    if (isLeader == this->leads)
+        return;
+    this->leads = isLeader;
+    this->changes.clear();
+    this->proposedUntil.clear();
+    this->formerLost.clear();
+    this->deniesSince.clear();
+    this->heard.clear();
+    this->versions.clear();
+    if (isLeader) {
+        this->leases.beginOffice(now);
+        this->watch.reset(now);
+        this->wakeAt = now;
+    } else {
+        this->failAllCalls();
+    }
+}
+
+// Applied commands.
+
+void FleetController::applied(std::uint64_t index, const FleetCommand &command, TimePoint now)
+{
+    const std::uint64_t version = this->fleet.configuration().version;
+    const bool changed = this->fleet.apply(index, command);
+    if (const auto *granted = std::get_if<GrantAuthority>(&command)) {
+        this->proposedUntil.erase(granted->group);
+        if (changed) {
+            this->changes.erase(granted->group);
+            this->formerLost.erase(granted->group);
+            this->watch.forgive(granted->primary, now);
+            this->hooks.event("authority_granted", {{"group", granted->group.value},
+                                                    {"target", granted->primary.value},
+                                                    {"index", absl::StrCat(index)}});
+        }
+    }
+    if (const auto *revoked = std::get_if<RevokeAuthority>(&command)) {
+        this->proposedUntil.erase(revoked->group);
+        if (changed)
+            this->hooks.event("authority_revoked",
+                              {{"group", revoked->group.value}, {"index", absl::StrCat(index)}});
+    }
+    if (this->fleet.configuration().version != version)
+        this->hooks.event("configuration_stored",
+                          {{"version", absl::StrCat(this->fleet.configuration().version)},
+                           {"index", absl::StrCat(index)}});
+    if (this->leads) {
+        if (changed && !std::holds_alternative<ChooseCandidate>(command))
+            this->pushView(now);
+        this->wakeAt = now;
+    }
+    this->finishCalls(index, FleetCallOutcome::Accepted);
+}
+
+void FleetController::restored(const FleetState::Snapshot &snapshot, TimePoint now)
+{
+    this->fleet.restore(snapshot);
+    this->wakeAt = now;
+}
+
+// Calls that wait for a commit.
+
+void FleetController::propose(const FleetCommand &command, FleetCallDone done, TimePoint now)
+{
+    const auto index = this->hooks.propose(command);
+    if (!index.ok()) {
+        this->hooks.event("proposal_refused", {{"cause", index.status().ToString()}});
+        if (done)
+            done(FleetCallOutcome::Unavailable);
+        return;
+    }
+    if (done)
+        this->calls[*index].push_back({std::move(done), now + this->settings.lease.editPatience});
+}
+
+void FleetController::finishCalls(std::uint64_t index, FleetCallOutcome outcome)
+{
+    const auto found = this->calls.find(index);
+    if (found == this->calls.end())
+        return;
+    const std::vector<PendingCall> finished = std::move(found->second);
+    this->calls.erase(found);
+    for (const PendingCall &call : finished)
+        call.done(outcome);
+}
+
+void FleetController::failAllCalls()
+{
+    while (!this->calls.empty())
+        this->finishCalls(this->calls.begin()->first, FleetCallOutcome::Unavailable);
+}
+
+void FleetController::expireCalls(TimePoint now)
+{
+    std::vector<std::uint64_t> expired;
+    for (const auto &[index, waiting] : this->calls) {
+        if (!waiting.empty() && now >= waiting.front().deadline)
+            expired.push_back(index);
+    }
+    for (const std::uint64_t index : expired)
+        this->finishCalls(index, FleetCallOutcome::Unavailable);
+}
+
+// Operators and targets.
+
+void FleetController::configurationSent(std::uint64_t version, OpaqueBytes document,
+                                        FleetCallDone done, TimePoint now)
+{
+    if (!this->canDecide(now)) {
+        done(FleetCallOutcome::NotLeader);
+        return;
+    }
+    if (version <= this->fleet.configuration().version) {
+        done(FleetCallOutcome::Accepted);
+        return;
+    }
+    this->propose(StoreConfiguration{version, std::move(document)}, std::move(done), now);
+}
+
+std::optional<ConfigurationDocument> FleetController::configuration(TimePoint now) const
+{
+    if (!this->canDecide(now) || this->fleet.configuration().version == 0)
+        return std::nullopt;
+    return this->fleet.configuration();
+}
+
+void FleetController::targetAnnounced(const RegisteredTarget &target, FleetCallDone done,
+                                      TimePoint now)
+{
+    if (!this->canDecide(now)) {
+        done(FleetCallOutcome::NotLeader);
+        return;
+    }
+    const auto known = this->heard.find(target.target);
+    if (known != this->heard.end() && !isNewer(target, known->second)) {
+        done(FleetCallOutcome::Accepted);
+        return;
+    }
+    const RegisteredTarget *stored = this->fleet.find(target.target);
+    if ((stored == nullptr || isNewer(target, *stored)) && !this->fleet.accepts(target)) {
+        done(FleetCallOutcome::Accepted);
+        return;
+    }
+    this->heard[target.target] = target;
+    this->watch.heartbeat(target.target, now);
+    if (stored != nullptr && material(target) == material(*stored)) {
+        done(FleetCallOutcome::Accepted);
+        return;
+    }
+    this->hooks.event("target_recorded", {{"target", target.target.value},
+                                          {"group", target.group.value},
+                                          {"phase", std::string(nameOf(target.phase))},
+                                          {"primary", target.reportsPrimary ? "yes" : "no"},
+                                          {"sequence", absl::StrCat(target.sequence)}});
+    this->propose(RecordTarget{target}, std::move(done), now);
+}
+
+void FleetController::targetLeft(const TargetId &target, FleetCallDone done, TimePoint now)
+{
+    if (!this->canDecide(now)) {
+        done(FleetCallOutcome::NotLeader);
+        return;
+    }
+    const RegisteredTarget *stored = this->fleet.find(target);
+    if (stored == nullptr || stored->phase == TargetPhase::Left) {
+        done(FleetCallOutcome::Accepted);
+        return;
+    }
+    RegisteredTarget left = *stored;
+    left.phase = TargetPhase::Left;
+    const auto known = this->heard.find(target);
+    if (known != this->heard.end())
+        left.sequence = std::max(left.sequence, known->second.sequence);
+    ++left.sequence;
+    this->hooks.event("target_left", {{"target", target.value}, {"group", left.group.value}});
+    this->propose(RecordTarget{left}, std::move(done), now);
+}
+
+// Poolers.
+
+void FleetController::receiveFromPooler(ConnectionId connection, const RenewLease &message,
+                                        TimePoint now)
+{
+    if (!this->canDecide(now)) {
+        this->hooks.sendToPooler(connection, FleetRedirect{this->hooks.leaderAddress()});
+        return;
+    }
+    ProxyLease *lease = this->leases.renew(connection, message, now);
+    if (lease == nullptr)
+        return;
+    this->watch.reported(lease->run, message.observations, now);
+    this->versions[lease->run] = message.configurationVersion;
+    const bool saysMore = !message.observations.empty() || lease->revision < message.revision;
+    if (saysMore || !this->changes.empty())
+        this->wakeAt = std::min(this->wakeAt, now);
+    this->leases.grant(*lease, this->fleet.viewRevision(), now);
+    this->sendLease(*lease, message.sequence, message.configurationVersion, now);
+}
+
+void FleetController::sendLease(ProxyLease &lease, std::uint64_t sequence,
+                                std::uint64_t configurationVersion, TimePoint now)
+{
+    FleetLease message;
+    message.sequence = sequence;
+    message.leaseFor = this->settings.lease.leaseFor;
+    message.view.revision = this->fleet.viewRevision();
+    message.poolers = static_cast<std::uint32_t>(std::max<std::size_t>(1, this->poolerCount(now)));
+    message.configurationVersion = this->fleet.configuration().version;
+    if (lease.revision < message.view.revision || sequence == 0) {
+        for (const auto &[id, target] : this->fleet.targets()) {
+            if (target.phase != TargetPhase::Left)
+                message.view.targets.push_back(target);
+        }
+        for (const auto &[group, authority] : this->fleet.authorities())
+            message.view.authorities.push_back(authority);
+        message.view.controls = this->hooks.controlAddresses();
+    }
+    if (configurationVersion < message.configurationVersion)
+        message.configuration = this->fleet.configuration().document;
+    lease.sentRevision = message.view.revision;
+    this->hooks.sendToPooler(lease.connection, message);
+}
+
+void FleetController::pushView(TimePoint now)
+{
+    for (auto &[run, lease] : this->leases.all()) {
+        if (lease.connection != 0 && !lease.isRetired)
+            this->sendLease(lease, 0, this->versions[run], now);
+    }
+}
+
+void FleetController::connectionClosed(ConnectionId connection)
+{
+    this->leases.connectionClosed(connection);
+}
+
+std::size_t FleetController::poolerCount(TimePoint now) const
+{
+    std::size_t count = 0;
+    for (const auto &[run, lease] : this->leases.all()) {
+        if (!lease.isRetired && now < lease.endsAt)
+            ++count;
+    }
+    return count;
+}
+
+bool FleetController::mayBeUsedBefore(std::uint64_t revision, TimePoint now) const
+{
+    if (now < this->leases.graceEnd())
+        return true;
+    return std::any_of(
+        this->leases.all().begin(), this->leases.all().end(), [&](const auto &entry) {
+            // A later start of the same pooler proves that this one ended.
+            return !entry.second.isRetired && this->leases.mayUseBefore(entry.first, revision, now);
+        });
+}
+
+// Primaries.
+
+void FleetController::advance(TimePoint now)
+{
+    if (now < this->wakeAt)
+        return;
+    this->roundTime = now;
+    this->wakeAt = now + RoundInterval;
+    this->expireCalls(now);
+    if (!this->canDecide(now))
+        return;
+    this->leases.forgetOld(now);
+    this->grantFirstAuthorities(now);
+    this->superviseGroups(now);
+    if (!this->changes.empty())
+        this->wakeAt = now + ChangeInterval;
+}
+
+void FleetController::grantFirstAuthorities(TimePoint now)
+{
+    for (const auto &[id, target] : this->fleet.targets()) {
+        if (!target.reportsPrimary || target.phase != TargetPhase::Ready
+            || this->fleet.authority(target.group) != nullptr)
+            continue;
+        TimePoint &until = this->proposedUntil[target.group];
+        if (now < until)
+            continue;
+        until = now + this->settings.proposalPatience;
+        this->propose(GrantAuthority{target.group, 0, id}, {}, now);
+    }
+}
+
+void FleetController::superviseGroups(TimePoint now)
+{
+    // Copies: a supervised group may change the state at once.
+    const std::map<GroupId, PrimaryAuthority> authorities = this->fleet.authorities();
+    for (const auto &[group, authority] : authorities)
+        this->superviseGroup(authority, now);
+}
+
+void FleetController::superviseGroup(const PrimaryAuthority &authority, TimePoint now)
+{
+    if (authority.primary.empty()) {
+        auto change = this->changes.find(authority.group);
+        if (change == this->changes.end()) {
+            const bool lost = this->formerLost[authority.group];
+            change = this->changes
+                         .emplace(std::piecewise_construct, std::forward_as_tuple(authority.group),
+                                  std::forward_as_tuple(this->settings, authority.group, lost,
+                                                        this->changePorts(authority.group), now))
+                         .first;
+        }
+        change->second.advance(this->fleet, now);
+        return;
+    }
+    const RegisteredTarget *primary = this->fleet.find(authority.primary);
+    if (primary == nullptr || primary->phase == TargetPhase::Left) {
+        this->revoke(authority, "primary_gone", true, {}, now);
+        return;
+    }
+    if (primary->phase == TargetPhase::Draining) {
+        this->revoke(authority, "primary_draining", false, {}, now);
+        return;
+    }
+    if (this->deniesRole(*primary, now)) {
+        this->revoke(authority, "primary_denies_role", false, {}, now);
+        return;
+    }
+    const PrimaryEvidence evidence = this->watch.judge(authority.primary, this->leases, now);
+    const FleetEventFields fields = {{"poolers", absl::StrCat(evidence.poolers)},
+                                     {"complaints", absl::StrCat(evidence.complaints)},
+                                     {"failed_probes", absl::StrCat(evidence.failedProbes)},
+                                     {"overdue", evidence.heartbeatOverdue ? "yes" : "no"}};
+    if (evidence.verdict == PrimaryVerdict::Lost)
+        this->revoke(authority, "primary_lost", true, fields, now);
+    else if (evidence.verdict == PrimaryVerdict::Suspected)
+        this->probeSuspected(*primary, now);
+}
+
+bool FleetController::deniesRole(const RegisteredTarget &primary, TimePoint now)
+{
+    if (primary.reportsPrimary) {
+        this->deniesSince.erase(primary.target);
+        return false;
+    }
+    const auto since = this->deniesSince.emplace(primary.target, now).first;
+    return now >= since->second + this->settings.rolePatience;
+}
+
+void FleetController::probeSuspected(const RegisteredTarget &target, TimePoint now)
+{
+    TimePoint &due = this->probeAt[target.target];
+    if (now < due)
+        return;
+    due = now + SuspicionInterval;
+    this->hooks.probe(target, 0);
+}
+
+void FleetController::revoke(const PrimaryAuthority &authority, const std::string &cause,
+                             bool isFormerLost, const FleetEventFields &evidence, TimePoint now)
+{
+    TimePoint &until = this->proposedUntil[authority.group];
+    if (now < until)
+        return;
+    until = now + this->settings.proposalPatience;
+    this->formerLost[authority.group] = isFormerLost;
+    this->deniesSince.erase(authority.primary);
+    FleetEventFields fields = {{"group", authority.group.value},
+                               {"primary", authority.primary.value},
+                               {"generation", absl::StrCat(authority.generation)},
+                               {"cause", cause}};
+    fields.insert(fields.end(), evidence.begin(), evidence.end());
+    this->hooks.event("primary_change_begun", fields);
+    this->propose(RevokeAuthority{authority.group, authority.generation}, {}, now);
+}
+
+PrimaryChangePorts FleetController::changePorts(const GroupId &group)
+{
+    PrimaryChangePorts ports;
+    ports.propose = [this](const FleetCommand &command) {
+        this->propose(command, {}, this->roundTime);
+    };
+    ports.probe = [this](const RegisteredTarget &target) {
+        this->hooks.probe(target, 0);
+    };
+    ports.promote = this->hooks.promote;
+    ports.stepDown = this->hooks.stepDown;
+    ports.mayBeUsed = [this, group](TimePoint now) {
+        const PrimaryAuthority *authority = this->fleet.authority(group);
+        return authority == nullptr || this->mayBeUsedBefore(authority->token, now);
+    };
+    ports.reachability = [this](const TargetId &target) {
+        return this->watch.reachability(target, this->roundTime);
+    };
+    ports.event = this->hooks.event;
+    return ports;
+}
+
+void FleetController::probed(const RegisteredTarget &target,
+                             const std::optional<TargetProbe> &result, TimePoint now)
+{
+    this->watch.probed(target.target, result.has_value(), now);
+    const auto change = this->changes.find(target.group);
+    if (change != this->changes.end())
+        change->second.probed(target.target, result, now);
+    this->wakeAt = std::min(this->wakeAt, now);
+}
+
+void FleetController::promotionAnswered(const PromotionRequest &request, PromotionOutcome outcome,
+                                        TimePoint now)
+{
+    const auto change = this->changes.find(request.group);
+    if (change != this->changes.end())
+        change->second.promotionAnswered(outcome, now);
+    this->wakeAt = std::min(this->wakeAt, now);
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/coordination/fleet/primary_change.cpp
@@ -0,0 +1,235 @@
+// See primary_change.hpp.
+#include "rhubarbweir/coordination/fleet/primary_change.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace rhubarbweir {
+
+PrimaryChange::PrimaryChange(const FleetSettings &fleetSettings, GroupId groupId, bool isFormerLost,
+                             PrimaryChangePorts changePorts, TimePoint now)
+    : settings(fleetSettings)
+    , group(std::move(groupId))
+    , formerLost(isFormerLost)
+    , ports(std::move(changePorts))
+    , catchUpDeadline(
+          now + (isFormerLost ? fleetSettings.lostCatchUpPatience : fleetSettings.catchUpPatience))
+{
+}
+
+void PrimaryChange::advance(const FleetState &state, TimePoint now)
+{
+    const PrimaryAuthority *authority = state.authority(this->group);
+    if (authority == nullptr || !authority->primary.empty() || now < this->proposedUntil)
+        return;
+    if (this->step == Step::AwaitHolders && !this->ports.mayBeUsed(now)) {
+        this->ports.event("former_primary_unused", {{"group", this->group.value}});
+        this->enterSurvey(now);
+    }
+    if (this->step == Step::Survey)
+        this->survey(state, *authority, now);
+    if (this->step == Step::Promote)
+        this->promote(*authority, now);
+    if (this->step == Step::AwaitLead)
+        this->awaitLead(state, *authority, now);
+}
+
+void PrimaryChange::enterSurvey(TimePoint now)
+{
+    this->step = Step::Survey;
+    this->answers.clear();
+    this->settled.clear();
+    this->awaited.clear();
+    this->surveyDeadline = now + this->settings.surveyPatience;
+    this->probeAt = now;
+}
+
+void PrimaryChange::probeAll(const FleetState &state, const PrimaryAuthority &authority,
+                             TimePoint now)
+{
+    if (now < this->probeAt)
+        return;
+    this->probeAt = now + this->settings.probeInterval;
+    for (const auto &[id, target] : state.targets()) {
+        if (target.group != this->group || target.phase == TargetPhase::Left)
+            continue;
+        if (!this->formerLost || id != authority.former)
+            this->awaited.insert(id);
+        this->ports.probe(target);
+    }
+}
+
+bool PrimaryChange::isComplete() const
+{
+    return std::includes(this->settled.begin(), this->settled.end(), this->awaited.begin(),
+                         this->awaited.end());
+}
+
+void PrimaryChange::survey(const FleetState &state, const PrimaryAuthority &authority,
+                           TimePoint now)
+{
+    this->probeAll(state, authority, now);
+    if (!this->isComplete() && now < this->surveyDeadline)
+        return;
+    if (this->adoptLeading(state, authority))
+        return;
+    const std::optional<TargetId> chosen = this->choose(state, authority);
+    if (!chosen) {
+        // Nobody fit answered: begin again, and give refused targets another chance.
+        this->refused.clear();
+        this->surveyDeadline = now + this->settings.surveyPatience;
+        return;
+    }
+    if (this->awaitsCatchUp(*chosen, authority, now))
+        return;
+    this->step = Step::Promote;
+    this->promoteAt = now;
+    this->leadDeadline = now + this->settings.promotionPatience;
+    this->ports.event("candidate_chosen",
+                      {{"group", this->group.value},
+                       {"target", chosen->value},
+                       {"position", absl::StrCat(this->answers[*chosen].received.term, ".",
+                                                 this->answers[*chosen].received.position)},
+                       {"answered", absl::StrCat(this->answers.size())},
+                       {"awaited", absl::StrCat(this->awaited.size())}});
+    if (authority.candidate != *chosen) {
+        this->proposedUntil = now + this->settings.proposalPatience;
+        this->ports.propose(ChooseCandidate{this->group, authority.generation, *chosen});
+    }
+}
+
+// A target that leads already needs no promotion: a former call took effect, or the primary was
+// only out of reach for a while.
+bool PrimaryChange::adoptLeading(const FleetState &state, const PrimaryAuthority &authority)
+{
+    const TargetId *leading = nullptr;
+    std::uint64_t newestTerm = 0;
+    for (const auto &[id, probe] : this->answers) {
+        if (probe.isPrimary && probe.term > newestTerm) {
+            newestTerm = probe.term;
+            leading = &id;
+        }
+    }
+    if (leading == nullptr)
+        return false;
+    for (const auto &[id, probe] : this->answers) {
+        if (probe.term > newestTerm)
+            return false;
+    }
+    const RegisteredTarget *target = state.find(*leading);
+    if (target == nullptr || target->phase != TargetPhase::Ready
+        || this->ports.reachability(*leading) < 0)
+        return false;
+    // An earlier call for another target may still take effect.
+    if (!authority.candidate.empty() && authority.candidate != *leading)
+        return false;
+    this->grant(authority, *leading);
+    return true;
+}
+
+// The most advanced replica; among equals one that stays, then the better reachable.
+std::optional<TargetId> PrimaryChange::choose(const FleetState &state,
+                                              const PrimaryAuthority &authority) const
+{
+    std::optional<TargetId> best;
+    auto rankOf = [this, &state](const TargetId &id, const TargetProbe &probe) {
+        const RegisteredTarget *target = state.find(id);
+        const bool stays = target != nullptr && target->phase == TargetPhase::Ready;
+        return std::make_tuple(stays, probe.received, this->ports.reachability(id));
+    };
+    for (const auto &[id, probe] : this->answers) {
+        const RegisteredTarget *target = state.find(id);
+        if (target == nullptr || this->refused.count(id) != 0 || id == authority.former)
+            continue;
+        if (!best || rankOf(*best, this->answers.at(*best)) < rankOf(id, probe))
+            best = id;
+    }
+    return best;
+}
+
+// While the former primary can still be asked, the replica may catch up with all its commits.
+bool PrimaryChange::awaitsCatchUp(const TargetId &chosen, const PrimaryAuthority &authority,
+                                  TimePoint now) const
+{
+    const auto former = this->answers.find(authority.former);
+    if (former == this->answers.end() || now >= this->catchUpDeadline)
+        return false;
+    return this->answers.at(chosen).received < former->second.received;
+}
+
+void PrimaryChange::promote(const PrimaryAuthority &authority, TimePoint now)
+{
+    if (authority.candidate.empty() || now < this->promoteAt)
+        return;
+    this->promoteAt = now + this->settings.promotionInterval;
+    if (now >= this->leadDeadline) {
+        this->enterSurvey(now);
+        return;
+    }
+    this->ports.event("promotion_requested", {{"group", this->group.value},
+                                              {"target", authority.candidate.value},
+                                              {"token", absl::StrCat(authority.token)}});
+    this->ports.promote({this->group, authority.candidate, authority.token});
+}
+
+void PrimaryChange::promotionAnswered(PromotionOutcome outcome, TimePoint now)
+{
+    this->ports.event("promotion_answered",
+                      {{"group", this->group.value}, {"outcome", std::string(nameOf(outcome))}});
+    if (this->step != Step::Promote)
+        return;
+    if (outcome == PromotionOutcome::Accepted) {
+        this->step = Step::AwaitLead;
+        this->probeAt = now;
+        this->leadDeadline = now + this->settings.promotionPatience;
+        this->answers.clear();
+    } else if (outcome == PromotionOutcome::Refused) {
+        this->enterSurvey(now);
+    }
+}
+
+void PrimaryChange::awaitLead(const FleetState &state, const PrimaryAuthority &authority,
+                              TimePoint now)
+{
+    if (now >= this->leadDeadline) {
+        this->refused.insert(authority.candidate);
+        this->enterSurvey(now);
+        return;
+    }
+    const auto answer = this->answers.find(authority.candidate);
+    if (answer != this->answers.end() && answer->second.isPrimary) {
+        if (const RegisteredTarget *former = state.find(authority.former))
+            this->ports.stepDown(*former, answer->second.term);
+        this->proposedUntil = now + this->settings.proposalPatience;
+        this->grant(authority, authority.candidate);
+        return;
+    }
+    const RegisteredTarget *candidate = state.find(authority.candidate);
+    if (candidate == nullptr || now < this->probeAt)
+        return;
+    this->probeAt = now + this->settings.probeInterval;
+    this->ports.probe(*candidate);
+}
+
+void PrimaryChange::probed(const TargetId &target, const std::optional<TargetProbe> &result,
+                           TimePoint now)
+{
+    (void)now;
+    this->settled.insert(target);
+    if (result)
+        this->answers[target] = *result;
+    else
+        this->answers.erase(target);
+}
+
+void PrimaryChange::grant(const PrimaryAuthority &authority, const TargetId &primary)
+{
+    this->ports.event("authority_proposed",
+                      {{"group", this->group.value}, {"target", primary.value}});
+    this->ports.propose(GrantAuthority{this->group, authority.generation, primary});
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/coordination/fleet/primary_change.hpp
@@ -0,0 +1,84 @@
+// One change of a group's primary, run by the leader after the authority of the former primary
+// was taken away: wait until nobody may use it, survey the targets, promote, wait until the
+// promoted target leads, give it the authority. A new leader starts over at the first step; the
+// committed candidate and token carry over.
+#pragma once
+
+#include "rhubarbweir/coordination/fleet/fleet_settings.hpp"
+#include "rhubarbweir/coordination/fleet/primary_watch.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace rhubarbweir {
+
+// What a change asks of its controller.
+struct PrimaryChangePorts
+{
+    std::function<void(const FleetCommand &)> propose;
+    std::function<void(const RegisteredTarget &)> probe;
+    std::function<void(const PromotionRequest &)> promote;
+    std::function<void(const RegisteredTarget &, std::uint64_t term)> stepDown;
+    // Whether some pooler may still use the former primary.
+    std::function<bool(TimePoint)> mayBeUsed;
+    std::function<int(const TargetId &)> reachability;
+    std::function<void(std::string_view event, const FleetEventFields &)> event;
+};
+
+class PrimaryChange
+{
+public:
+    // `formerLost`: the former primary is not waited for.
+    PrimaryChange(const FleetSettings &settings, GroupId group, bool formerLost,
+                  PrimaryChangePorts ports, TimePoint now);
+
+    void advance(const FleetState &state, TimePoint now);
+    // Empty when the target did not answer.
+    void probed(const TargetId &target, const std::optional<TargetProbe> &result, TimePoint now);
+    void promotionAnswered(PromotionOutcome outcome, TimePoint now);
+
+private:
+    enum class Step {
+        AwaitHolders,
+        Survey,
+        Promote,
+        AwaitLead,
+    };
+
+    void enterSurvey(TimePoint now);
+    void survey(const FleetState &state, const PrimaryAuthority &authority, TimePoint now);
+    void probeAll(const FleetState &state, const PrimaryAuthority &authority, TimePoint now);
+    bool isComplete() const;
+    bool adoptLeading(const FleetState &state, const PrimaryAuthority &authority);
+    std::optional<TargetId> choose(const FleetState &state,
+                                   const PrimaryAuthority &authority) const;
+    bool awaitsCatchUp(const TargetId &chosen, const PrimaryAuthority &authority,
+                       TimePoint now) const;
+    void promote(const PrimaryAuthority &authority, TimePoint now);
+    void awaitLead(const FleetState &state, const PrimaryAuthority &authority, TimePoint now);
+    void grant(const PrimaryAuthority &authority, const TargetId &primary);
+
+    const FleetSettings &settings;
+    GroupId group;
+    bool formerLost;
+    PrimaryChangePorts ports;
+    Step step = Step::AwaitHolders;
+    TimePoint surveyDeadline;
+    TimePoint catchUpDeadline;
+    TimePoint leadDeadline;
+    TimePoint probeAt;
+    TimePoint promoteAt;
+    // Newest answers of this survey.
+    std::map<TargetId, TargetProbe> answers;
+    // Targets of this survey that answered or failed, and those that are waited for.
+    std::set<TargetId> settled;
+    std::set<TargetId> awaited;
+    // Targets that refused a promotion in this change.
+    std::set<TargetId> refused;
+    // A change is proposed once; the controller drops this object when it is applied.
+    TimePoint proposedUntil;
+};
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/quorum/quorum_bootstrap.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_bootstrap.cpp
@@ -132,7 +132,8 @@
     }
     if (first.voters.size() < this->settings.initialVoters.size())
         return;
-    first.voterTarget = static_cast<std::uint32_t>(first.voters.size());
+    first.voterTarget =
+        std::max(static_cast<std::uint32_t>(first.voters.size()), this->settings.voterTarget);
     this->bindCluster(this->hardState.incarnation);
     this->hardState.term = std::max<std::uint64_t>(this->term(), 1);
     this->saveHardState();
--- a/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
@@ -95,7 +95,7 @@
         return;
     const QuorumMembership &current = this->membership();
     const QuorumMember member{join.peer, join.header.fromIncarnation};
-    const bool known = names(this->settings.initialVoters, from)
+    const bool known = this->settings.admitUnknown || names(this->settings.initialVoters, from)
                        || names(this->settings.spares, from) || names(current.admitted, from)
                        || names(current.voters, from) || names(current.learners, from);
     const bool barred =
--- a/src/rhubarbweir/coordination/quorum/quorum_settings.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_settings.hpp
@@ -23,6 +23,11 @@
     // Lets an instance with an empty folder take part in the first start of a cluster. It has no
     // effect once any initial voter holds state.
     bool bootstrap = false;
+    // Any instance that asks may join as a learner, also one that no settings name.
+    bool admitUnknown = false;
+    // Voters that a new cluster aims for; 0 for as many as there are initial voters. Learners fill
+    // up to it.
+    std::uint32_t voterTarget = 0;
 
     Duration heartbeat = std::chrono::milliseconds(50);
     // An election starts between the two after the last word of a leader.
--- /dev/null
+++ b/src/rhubarbweir/coordination/sessions/authority_view.cpp
@@ -0,0 +1,68 @@
+// See authority_view.hpp.
+#include "rhubarbweir/coordination/sessions/authority_view.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbweir {
+
+bool AuthorityView::update(const FleetView &next)
+{
+    if (next.revision <= this->view.revision)
+        return false;
+    this->view = next;
+    this->targetsById.clear();
+    for (const RegisteredTarget &target : next.targets)
+        this->targetsById[target.target] = target;
+    this->authorities.clear();
+    for (const PrimaryAuthority &authority : next.authorities)
+        this->authorities[authority.group] = authority;
+    return true;
+}
+
+bool AuthorityView::updateRoutes(RouteTable next)
+{
+    if (next.version <= this->table.version)
+        return false;
+    this->table = std::move(next);
+    return true;
+}
+
+void AuthorityView::extendLease(TimePoint end)
+{
+    this->leaseEnd = std::max(this->leaseEnd, end);
+}
+
+std::optional<TargetId> AuthorityView::primary(const GroupId &group, TimePoint now) const
+{
+    const TargetId known = this->knownPrimary(group);
+    if (!this->leaseValid(now) || known.empty())
+        return std::nullopt;
+    return known;
+}
+
+TargetId AuthorityView::knownPrimary(const GroupId &group) const
+{
+    const auto found = this->authorities.find(group);
+    return found == this->authorities.end() ? TargetId() : found->second.primary;
+}
+
+std::uint64_t AuthorityView::generation(const GroupId &group) const
+{
+    const auto found = this->authorities.find(group);
+    return found == this->authorities.end() ? 0 : found->second.generation;
+}
+
+const Route *AuthorityView::route(const std::string &database) const
+{
+    const auto found = this->table.routes.find(database);
+    return found == this->table.routes.end() ? nullptr : &found->second;
+}
+
+GroupLimits AuthorityView::limits(const GroupId &group) const
+{
+    const auto found = this->table.groups.find(group);
+    return found == this->table.groups.end() ? GroupLimits{} : found->second;
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -0,0 +1,90 @@
+// Settings and hooks of the session pooler.
+#pragma once
+
+#include "rhubarbweir/coordination/control/control_messages.hpp"
+#include "rhubarbweir/coordination/control/control_settings.hpp"
+#include "rhubarbweir/coordination/sessions/statement.hpp"
+#include "rhubarbweir/state/fleet_state.hpp"
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace rhubarbweir {
+
+// Names one caller's session of this process; never used twice, never 0.
+using SessionNumber = std::uint64_t;
+
+struct PoolerSettings
+{
+    InstanceId instance;
+    FailureDomainId failureDomain;
+
+    // A target that answers nothing for this long counts as silent; a multiple of the longest
+    // usual statement in a full queue.
+    Duration silentAfter = std::chrono::milliseconds(1200);
+    // Longest time to open a connection to a target.
+    Duration connectTimeout = std::chrono::milliseconds(1000);
+    // Pause before a target that refused a connection is tried again; doubles up to the cap.
+    Duration reconnectPause = std::chrono::milliseconds(100);
+    Duration reconnectPauseCap = std::chrono::milliseconds(1000);
+    // No further connection is opened for this long after a target had too many.
+    Duration tooManyPause = std::chrono::milliseconds(1000);
+    // Pause before a statement that the target was too busy for is tried there again.
+    Duration busyPause = std::chrono::milliseconds(15);
+    // A connection above the pooler's share is closed when unused for this long.
+    Duration surplusIdle = std::chrono::seconds(5);
+    // Attempts of one statement at targets.
+    unsigned maxAttempts = 5;
+    // Connections above the pooler's share while statements wait.
+    std::uint32_t surplusConnections = 2;
+    // Expected extra delay of a target in another failure domain: one round trip between domains.
+    Duration otherDomainDelay = std::chrono::milliseconds(3);
+    // Keeps reads off the primary as long as replicas answer not much later than this.
+    Duration primaryReadDelay = std::chrono::milliseconds(30);
+    // Expected extra delay of a replica whose last known position is not enough.
+    Duration laggingDelay = std::chrono::milliseconds(40);
+    // Statements that wait, over all groups; beyond it new ones are refused.
+    std::size_t queueLimit = 512;
+};
+
+using PoolerEventFields = std::vector<std::pair<std::string, std::string>>;
+
+struct PoolerHooks
+{
+    std::function<void(SessionNumber, const StatementAnswer &)> answer;
+    std::function<void(SessionNumber)> closeSession;
+    // Answered through SessionPooler::targetOpened() or targetClosed().
+    std::function<void(ConnectionId, const RegisteredTarget &)> openTarget;
+    std::function<void(ConnectionId, const std::vector<TargetCommand> &)> sendToTarget;
+    // targetClosed() is not called for it any more.
+    std::function<void(ConnectionId)> closeTarget;
+    // What this pooler sees of targets changed; it should be reported at once.
+    std::function<void()> observationsChanged;
+    // A decision about one statement or a change of belief. `sampled` marks ordinary successes.
+    std::function<void(std::string_view event, const PoolerEventFields &, bool sampled)> event;
+};
+
+// Why a connection to a target ended or was not made.
+enum class TargetFailure {
+    Refused,
+    Reset,
+    Silent,
+    // The target at the address is another one.
+    WrongTarget,
+    TooMany,
+    // The target broke the protocol.
+    Malformed,
+};
+
+template<>
+struct EnumNames<TargetFailure>
+{
+    static constexpr std::string_view Names[] = {"refused",      "reset",    "silent",
+                                                 "wrong_target", "too_many", "malformed"};
+};
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -0,0 +1,409 @@
+// See session_pooler.hpp. This file: callers' sessions and statements.
+#include "rhubarbweir/coordination/sessions/session_pooler.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Retries may use this share of the recent successes.
+constexpr double RetryShare = 0.5;
+// Round over connections and silent targets.
+constexpr std::chrono::milliseconds CheckInterval{100};
+
+} // namespace
+
+SessionPooler::SessionPooler(PoolerSettings poolerSettings, PoolerHooks poolerHooks)
+    : settings(std::move(poolerSettings))
+    , hooks(std::move(poolerHooks))
+    , book(this->settings)
+    , retries(RetryShare)
+{
+}
+
+// Callers.
+
+bool SessionPooler::sessionOpened(SessionNumber number, const std::string &database, TimePoint)
+{
+    if (this->view.route(database) == nullptr)
+        return false;
+    Session session;
+    session.number = number;
+    session.database = database;
+    this->sessions.emplace(number, std::move(session));
+    return true;
+}
+
+void SessionPooler::statement(SessionNumber number, TextStatement statement, TimePoint now)
+{
+    const auto found = this->sessions.find(number);
+    if (found == this->sessions.end())
+        return;
+    if (found->second.work) {
+        found->second.backlog.push_back(std::move(statement));
+        return;
+    }
+    this->process(found->second, std::move(statement), now);
+}
+
+void SessionPooler::sessionClosed(SessionNumber number, TimePoint now)
+{
+    const auto found = this->sessions.find(number);
+    if (found == this->sessions.end())
+        return;
+    Session &session = found->second;
+    if (session.work && session.work->stage == WorkStage::Queued)
+        this->dequeue(number);
+    if (session.pinned != 0) {
+        const PooledConnection *connection = this->book.connection(session.pinned);
+        this->unpin(session, connection != nullptr && connection->awaited.empty(), now);
+    }
+    this->sessions.erase(found);
+    // A lone statement's answer still comes; its connection is released then.
+    for (auto &[id, connection] : this->book.connections()) {
+        if (connection.owner != number)
+            continue;
+        connection.owner = 0;
+        for (AwaitedAnswer &awaited : connection.awaited)
+            awaited.session = 0;
+    }
+    this->serveQueue(now);
+}
+
+void SessionPooler::process(Session &session, TextStatement statement, TimePoint now)
+{
+    session.transactionActivity = now;
+    if (session.abortPending && statement.kind != TextStatementKind::Rollback) {
+        session.abortPending = false;
+        const bool ends = statement.kind == TextStatementKind::Commit;
+        session.state = ends ? TransactionState::None : TransactionState::Failed;
+        this->answerLocally(session, statement, StatementFault::Aborted);
+        return;
+    }
+    const bool failed = session.state == TransactionState::Failed;
+    if (statement.kind == TextStatementKind::Rollback) {
+        if (session.state == TransactionState::None) {
+            this->answerLocally(session, statement, StatementFault::Malformed);
+            return;
+        }
+        this->rollback(session, now);
+        this->answerLocally(session, statement, std::nullopt);
+        return;
+    }
+    if (failed && statement.kind == TextStatementKind::Commit) {
+        session.state = TransactionState::None;
+        this->answerLocally(session, statement, StatementFault::Aborted);
+        return;
+    }
+    if (failed || statement.kind == TextStatementKind::Malformed) {
+        this->answerLocally(session, statement, StatementFault::Malformed);
+        return;
+    }
+    switch (statement.kind) {
+    case TextStatementKind::Begin:
+        this->begin(session, statement, now);
+        return;
+    case TextStatementKind::SetValue:
+        session.values[statement.name] = statement.argument;
+        this->answerLocally(session, statement, std::nullopt);
+        return;
+    case TextStatementKind::Prepare:
+        session.prepared[statement.name] = {statement.readOnly, statement.argument};
+        this->answerLocally(session, statement, std::nullopt);
+        return;
+    case TextStatementKind::Deallocate: {
+        const bool known = session.prepared.erase(statement.name) != 0;
+        this->answerLocally(session, statement,
+                            known ? std::nullopt
+                                  : std::optional<StatementFault>(StatementFault::NoSuchName));
+        return;
+    }
+    default:
+        this->runAtTarget(session, std::move(statement), now);
+    }
+}
+
+void SessionPooler::begin(Session &session, const TextStatement &statement, TimePoint)
+{
+    const Route *route = this->view.route(session.database);
+    if (session.state != TransactionState::None || route == nullptr) {
+        this->answerLocally(session, statement,
+                            route == nullptr ? StatementFault::NoDatabase
+                                             : StatementFault::Malformed);
+        return;
+    }
+    session.state = TransactionState::Open;
+    session.readOnlyTransaction = statement.readOnly;
+    session.transactionWrote = false;
+    session.transactionRoute = *route;
+    this->answerLocally(session, statement, std::nullopt);
+}
+
+void SessionPooler::rollback(Session &session, TimePoint now)
+{
+    session.abortPending = false;
+    session.state = TransactionState::None;
+    if (session.pinned != 0)
+        this->unpin(session, true, now);
+}
+
+void SessionPooler::runAtTarget(Session &session, TextStatement statement, TimePoint now)
+{
+    if (!this->prepareWork(session, std::move(statement), now))
+        return;
+    if (session.pinned != 0) {
+        this->sendOnPinned(session, now);
+        return;
+    }
+    if (this->queue.size() >= this->settings.queueLimit) {
+        this->refuse(session, StatementFault::Busy, "queue is full", now);
+        return;
+    }
+    this->assign(session, now);
+}
+
+// Fills in the session's work; false when the statement was answered already.
+bool SessionPooler::prepareWork(Session &session, TextStatement statement, TimePoint now)
+{
+    StatementWork work;
+    work.arrivedAt = now;
+    const bool inTransaction = session.state == TransactionState::Open;
+    if (inTransaction) {
+        work.route = session.transactionRoute;
+    } else {
+        const Route *route = this->view.route(session.database);
+        if (route == nullptr || statement.kind == TextStatementKind::Commit) {
+            this->answerLocally(session, statement,
+                                route == nullptr ? StatementFault::NoDatabase
+                                                 : StatementFault::Malformed);
+            return false;
+        }
+        work.route = *route;
+    }
+    work.writes = statement.kind == TextStatementKind::Write;
+    if (statement.kind == TextStatementKind::Execute) {
+        const auto prepared = session.prepared.find(statement.name);
+        if (prepared == session.prepared.end()) {
+            this->answerLocally(session, statement, StatementFault::NoSuchName);
+            return false;
+        }
+        work.writes = !prepared->second.readOnly;
+    }
+    if (inTransaction && session.readOnlyTransaction && work.writes) {
+        this->failTransaction(session, now);
+        this->answerLocally(session, statement, StatementFault::ReadOnly);
+        return false;
+    }
+    work.needsPrimary = work.route.consistency == RouteConsistency::Primary || work.writes
+                        || (inTransaction && !session.readOnlyTransaction);
+    work.isFirst = session.pinned == 0;
+    work.deadline = now + work.route.timeout;
+    work.queueDeadline = now + std::min(work.route.timeout, work.route.latencyObjective);
+    work.statement = std::move(statement);
+    session.work = std::move(work);
+    return true;
+}
+
+// Answers.
+
+void SessionPooler::answerLocally(Session &session, const TextStatement &statement,
+                                  std::optional<StatementFault> fault)
+{
+    StatementAnswer answer;
+    answer.fault = fault;
+    answer.state = session.state;
+    if (fault)
+        answer.detail = statement.id;
+    this->hooks.answer(session.number, answer);
+}
+
+void SessionPooler::logStatement(const Session &session, std::string_view outcome, TimePoint now,
+                                 bool sampled) const
+{
+    const StatementWork &work = *session.work;
+    const auto age = [now](TimePoint since) {
+        return absl::StrCat(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
+    };
+    PoolerEventFields fields = {{"request", work.statement.id},
+                                {"session", absl::StrCat(session.number)},
+                                {"group", work.route.group.value},
+                                {"kind", std::string(nameOf(work.statement.kind))},
+                                {"consistency", std::string(nameOf(work.route.consistency))},
+                                {"outcome", std::string(outcome)},
+                                {"age_ms", age(work.arrivedAt)},
+                                {"attempts", absl::StrCat(work.attempts)},
+                                {"configuration", absl::StrCat(this->view.routes().version)},
+                                {"view", absl::StrCat(this->view.revision())},
+                                {"lease", this->view.leaseValid(now) ? "valid" : "ended"}};
+    for (const TargetId &target : work.tried)
+        fields.emplace_back("tried", target.value);
+    this->hooks.event("statement", fields, sampled);
+}
+
+// Hands the answer to the caller and goes on with the session's next statement.
+void SessionPooler::finish(Session &session, const StatementAnswer &answer, TimePoint now)
+{
+    this->logStatement(session, answer.fault ? nameOf(*answer.fault) : "ok", now, !answer.fault);
+    session.work.reset();
+    session.transactionActivity = now;
+    this->hooks.answer(session.number, answer);
+    this->nextFromBacklog(session, now);
+}
+
+void SessionPooler::nextFromBacklog(Session &session, TimePoint now)
+{
+    if (session.work || session.backlog.empty())
+        return;
+    TextStatement next = std::move(session.backlog.front());
+    session.backlog.pop_front();
+    this->process(session, std::move(next), now);
+}
+
+// Ends the current statement without an answer of a target.
+void SessionPooler::refuse(Session &session, StatementFault fault, const std::string &detail,
+                           TimePoint now)
+{
+    const bool ends = session.work->statement.kind == TextStatementKind::Commit;
+    if (session.state != TransactionState::None) {
+        this->failTransaction(session, now);
+        if (ends)
+            session.state = TransactionState::None;
+    }
+    StatementAnswer answer;
+    answer.fault = fault;
+    answer.detail = detail;
+    answer.state = session.state;
+    this->finish(session, answer, now);
+}
+
+// Nothing of the running transaction is kept.
+void SessionPooler::failTransaction(Session &session, TimePoint now)
+{
+    session.state = TransactionState::Failed;
+    if (session.pinned == 0)
+        return;
+    const PooledConnection *connection = this->book.connection(session.pinned);
+    this->unpin(session, connection != nullptr && connection->awaited.empty(), now);
+}
+
+// Control.
+
+void SessionPooler::viewReceived(const FleetView &next, TimePoint now)
+{
+    std::map<GroupId, std::uint64_t> generations;
+    for (const PrimaryAuthority &authority : next.authorities)
+        generations[authority.group] = this->view.generation(authority.group);
+    if (!this->view.update(next))
+        return;
+    for (const auto &[group, generation] : generations) {
+        if (this->view.generation(group) == generation)
+            continue;
+        this->freshness.erase(group);
+        this->lastSample.erase(group);
+        this->hooks.event("authority_changed",
+                          {{"group", group.value},
+                           {"generation", absl::StrCat(this->view.generation(group))},
+                           {"primary", this->view.knownPrimary(group).value},
+                           {"view", absl::StrCat(this->view.revision())}},
+                          false);
+    }
+    for (const ConnectionId id : this->book.follow(this->view, now)) {
+        this->hooks.closeTarget(id);
+        this->targetClosed(id, TargetFailure::Reset, now);
+    }
+    this->serveQueue(now);
+}
+
+void SessionPooler::routesReceived(RouteTable table, TimePoint now)
+{
+    if (!this->view.updateRoutes(std::move(table)))
+        return;
+    this->hooks.event("configuration_in_force",
+                      {{"version", absl::StrCat(this->view.routes().version)}}, false);
+    this->serveQueue(now);
+}
+
+void SessionPooler::leaseReceived(TimePoint end, std::uint32_t poolers, TimePoint now)
+{
+    const bool hadLease = this->view.leaseValid(now);
+    this->view.extendLease(end);
+    this->view.setPoolers(poolers);
+    if (!hadLease) {
+        this->hooks.event("lease_regained", {{"view", absl::StrCat(this->view.revision())}}, false);
+        this->serveQueue(now);
+    }
+}
+
+// Time.
+
+TimePoint SessionPooler::nextDeadline() const
+{
+    TimePoint earliest = this->nextCheck;
+    for (const auto &[number, session] : this->sessions) {
+        if (!session.work)
+            continue;
+        const StatementWork &work = *session.work;
+        if (work.stage == WorkStage::Paused)
+            earliest = std::min(earliest, work.resumeAt);
+        else if (work.stage == WorkStage::Queued)
+            earliest = std::min(earliest, work.queueDeadline);
+        else
+            earliest = std::min(earliest, work.deadline);
+    }
+    return earliest;
+}
+
+void SessionPooler::advance(TimePoint now)
+{
+    std::vector<SessionNumber> due;
+    for (const auto &[number, session] : this->sessions) {
+        const bool hasWork = session.work.has_value();
+        const bool idles =
+            !hasWork && session.pinned != 0
+            && now >= session.transactionActivity + this->view.routes().transactionIdle;
+        if (hasWork || idles)
+            due.push_back(number);
+    }
+    for (const SessionNumber number : due) {
+        const auto found = this->sessions.find(number);
+        if (found == this->sessions.end())
+            continue;
+        Session &session = found->second;
+        if (session.work) {
+            this->expireWork(session, now);
+        } else if (session.pinned != 0) {
+            this->hooks.event("transaction_idle", {{"session", absl::StrCat(number)}}, false);
+            this->unpin(session, true, now);
+            session.abortPending = true;
+        }
+    }
+    if (now >= this->nextCheck) {
+        this->nextCheck = now + CheckInterval;
+        this->expireConnections(now);
+        if (this->book.findSilent(now))
+            this->hooks.observationsChanged();
+    }
+    this->serveQueue(now);
+}
+
+void SessionPooler::closeIdleSessions(std::size_t count, TimePoint now)
+{
+    std::vector<SessionNumber> idle;
+    for (const auto &[number, session] : this->sessions) {
+        if (idle.size() >= count)
+            break;
+        if (!session.work && session.state == TransactionState::None && session.backlog.empty())
+            idle.push_back(number);
+    }
+    for (const SessionNumber number : idle) {
+        this->sessionClosed(number, now);
+        this->hooks.closeSession(number);
+    }
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -0,0 +1,129 @@
+// Serves callers' text sessions over pooled connections to a group's targets.
+//
+// A statement's way is one direction: session, route, queue, connection, target, and back.
+// Reads, writes and commits run at targets; everything else is answered here and applied to a
+// target's connection before the statement that needs it. A primary is used, and its log position
+// taken as a measure of freshness, only under a lease with the authority for it.
+#pragma once
+
+#include "rhubarbweir/coordination/proxy/retry_budget.hpp"
+#include "rhubarbweir/coordination/sessions/session.hpp"
+#include "rhubarbweir/coordination/sessions/target_book.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace rhubarbweir {
+
+class SessionPooler
+{
+public:
+    SessionPooler(PoolerSettings settings, PoolerHooks hooks);
+
+    // Callers. False when the database is unknown: the session is then not opened.
+    bool sessionOpened(SessionNumber session, const std::string &database, TimePoint now);
+    void statement(SessionNumber session, TextStatement statement, TimePoint now);
+    void sessionClosed(SessionNumber session, TimePoint now);
+
+    // Targets. The hook PoolerHooks::openTarget starts a connection.
+    void targetOpened(ConnectionId connection, const std::optional<LogPosition> &position,
+                      TimePoint now);
+    void targetAnswered(ConnectionId connection, StatementAnswer answer, TimePoint now);
+    void targetClosed(ConnectionId connection, TargetFailure failure, TimePoint now);
+
+    // Control.
+    void viewReceived(const FleetView &view, TimePoint now);
+    void routesReceived(RouteTable table, TimePoint now);
+    void leaseReceived(TimePoint end, std::uint32_t poolers, TimePoint now);
+
+    void advance(TimePoint now);
+    // When advance() is due.
+    TimePoint nextDeadline() const;
+
+    // Closes up to `count` sessions that rest outside a transaction.
+    void closeIdleSessions(std::size_t count, TimePoint now);
+
+    bool isReady() const { return this->view.routes().version != 0 && this->view.revision() != 0; }
+    const AuthorityView &authorityView() const { return this->view; }
+    std::vector<TargetObservation> observations() const { return this->book.observations(); }
+    std::size_t sessionCount() const { return this->sessions.size(); }
+    std::size_t connectionCount() { return this->book.connections().size(); }
+
+private:
+    // session_pooler.cpp: callers' statements.
+    void process(Session &session, TextStatement statement, TimePoint now);
+    void begin(Session &session, const TextStatement &statement, TimePoint now);
+    void rollback(Session &session, TimePoint now);
+    void runAtTarget(Session &session, TextStatement statement, TimePoint now);
+    bool prepareWork(Session &session, TextStatement statement, TimePoint now);
+    void answerLocally(Session &session, const TextStatement &statement,
+                       std::optional<StatementFault> fault);
+    void finish(Session &session, const StatementAnswer &answer, TimePoint now);
+    void refuse(Session &session, StatementFault fault, const std::string &detail, TimePoint now);
+    void nextFromBacklog(Session &session, TimePoint now);
+    void failTransaction(Session &session, TimePoint now);
+    void logStatement(const Session &session, std::string_view outcome, TimePoint now,
+                      bool sampled) const;
+
+    // internal/session_dispatch.cpp: choosing a connection and sending.
+    void assign(Session &session, TimePoint now);
+    std::vector<TargetId> candidates(const Session &session, TimePoint now) const;
+    std::optional<LogPosition> requiredPosition(const Session &session, TimePoint now) const;
+    bool mayUse(const TargetRecord &record, TimePoint now) const;
+    void enqueue(const Session &session);
+    void dequeue(SessionNumber number);
+    void openIfAllowed(const TargetId &target, TimePoint now);
+    std::uint32_t connectionShare(const TargetRecord &record) const;
+    void take(Session &session, PooledConnection &connection, TimePoint now);
+    void sendBegin(Session &session, PooledConnection &connection, TimePoint now);
+    void sendStatement(Session &session, PooledConnection &connection, TimePoint now);
+    void sendOnPinned(Session &session, TimePoint now);
+    std::vector<TargetCommand> stateCommands(Session &session, PooledConnection &connection,
+                                             const TextStatement &statement);
+    std::string preparedName(const PreparedStatement &prepared);
+    void release(PooledConnection &connection, TimePoint now);
+    void dropConnection(ConnectionId connection);
+    void unpin(Session &session, bool reusable, TimePoint now);
+    void serveQueue(TimePoint now);
+    bool holdsAuthority(const PooledConnection &connection, std::uint64_t generation,
+                        TimePoint now) const;
+
+    // internal/session_answers.cpp: what comes back from targets.
+    void recordPosition(const PooledConnection &connection, const AwaitedAnswer &awaited,
+                        const StatementAnswer &answer, TimePoint now);
+    void ownAnswered(PooledConnection &connection, const AwaitedAnswer &awaited,
+                     const StatementAnswer &answer, TimePoint now);
+    void statementAnswered(Session &session, PooledConnection &connection,
+                           const AwaitedAnswer &awaited, const StatementAnswer &answer,
+                           TimePoint now);
+    void statementFailed(Session &session, PooledConnection &connection,
+                         const StatementAnswer &answer, TimePoint now);
+    bool retryElsewhere(Session &session, StatementFault fault, const TargetId &target,
+                        TimePoint now);
+    void requeue(Session &session, TimePoint now);
+    void connectionLost(Session &session, TimePoint now);
+    void expireWork(Session &session, TimePoint now);
+    void expireSent(Session &session, TimePoint now);
+    static StatementFault promise(StatementFault fault);
+    void expireConnections(TimePoint now);
+
+    PoolerSettings settings;
+    PoolerHooks hooks;
+    AuthorityView view;
+    TargetBook book;
+    RetryBudget retries;
+    std::map<SessionNumber, Session> sessions;
+    // Sessions whose work is queued, most urgent first.
+    std::multimap<std::pair<unsigned, TimePoint>, SessionNumber> queue;
+    // Positions of each primary under its present authority.
+    std::map<GroupId, FreshnessTracker> freshness;
+    std::map<GroupId, TimePoint> lastSample;
+    // Names of prepared statements on targets' connections, by kind and shape.
+    std::map<std::pair<bool, std::string>, std::string> preparedNames;
+    bool servingQueue = false;
+    TimePoint nextCheck;
+};
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/coordination/sessions/target_book.cpp
@@ -0,0 +1,230 @@
+// See target_book.hpp.
+#include "rhubarbweir/coordination/sessions/target_book.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Weight of the newest measurement in the smoothed delay, as one part in so many.
+constexpr int DelaySmoothing = 8;
+
+} // namespace
+
+TargetBook::TargetBook(const PoolerSettings &poolerSettings)
+    : settings(poolerSettings)
+{
+}
+
+std::vector<ConnectionId> TargetBook::follow(const AuthorityView &view, TimePoint now)
+{
+    std::vector<ConnectionId> gone;
+    for (auto entry = this->targets.begin(); entry != this->targets.end();) {
+        const auto still = view.targets().find(entry->first);
+        const bool isSame = still != view.targets().end()
+                            && still->second.born == entry->second.target.born
+                            && still->second.address == entry->second.target.address
+                            && still->second.group == entry->second.target.group;
+        if (isSame) {
+            entry->second.target = still->second;
+            ++entry;
+            continue;
+        }
+        gone.insert(gone.end(), entry->second.connections.begin(), entry->second.connections.end());
+        entry = this->targets.erase(entry);
+    }
+    for (const auto &[id, target] : view.targets()) {
+        if (this->targets.count(id) != 0)
+            continue;
+        TargetRecord record;
+        record.target = target;
+        record.heardAt = now;
+        this->targets.emplace(id, std::move(record));
+    }
+    return gone;
+}
+
+TargetRecord *TargetBook::find(const TargetId &target)
+{
+    const auto found = this->targets.find(target);
+    return found == this->targets.end() ? nullptr : &found->second;
+}
+
+const TargetRecord *TargetBook::find(const TargetId &target) const
+{
+    const auto found = this->targets.find(target);
+    return found == this->targets.end() ? nullptr : &found->second;
+}
+
+PooledConnection *TargetBook::connection(ConnectionId id)
+{
+    const auto found = this->open.find(id);
+    return found == this->open.end() ? nullptr : &found->second;
+}
+
+PooledConnection &TargetBook::addConnection(const TargetRecord &record, TimePoint now)
+{
+    PooledConnection connection;
+    connection.id = ++this->lastId;
+    connection.target = record.target.target;
+    connection.group = record.target.group;
+    connection.connectDeadline = now + this->settings.connectTimeout;
+    this->targets.at(record.target.target).connections.insert(connection.id);
+    return this->open.emplace(connection.id, std::move(connection)).first->second;
+}
+
+void TargetBook::removeConnection(ConnectionId id)
+{
+    const auto found = this->open.find(id);
+    if (found == this->open.end())
+        return;
+    if (TargetRecord *record = this->find(found->second.target)) {
+        record->connections.erase(id);
+        record->inFlight -= std::min<unsigned>(record->inFlight,
+                                               static_cast<unsigned>(found->second.awaited.size()));
+    }
+    this->open.erase(found);
+}
+
+PooledConnection *TargetBook::idleConnection(const TargetId &target,
+                                             const std::map<std::string, std::string> &values)
+{
+    const TargetRecord *record = this->find(target);
+    if (record == nullptr)
+        return nullptr;
+    PooledConnection *best = nullptr;
+    for (const ConnectionId id : record->connections) {
+        PooledConnection &candidate = this->open.at(id);
+        if (candidate.phase != ConnectionPhase::Idle)
+            continue;
+        if (candidate.values == values)
+            return &candidate;
+        if (best == nullptr)
+            best = &candidate;
+    }
+    return best;
+}
+
+std::size_t TargetBook::connecting(const TargetId &target) const
+{
+    const TargetRecord *record = this->find(target);
+    if (record == nullptr)
+        return 0;
+    return static_cast<std::size_t>(std::count_if(
+        record->connections.begin(), record->connections.end(), [this](ConnectionId id) {
+            return this->open.at(id).phase == ConnectionPhase::Connecting;
+        }));
+}
+
+void TargetBook::sent(PooledConnection &connection, AwaitedAnswer answer)
+{
+    connection.awaited.push_back(answer);
+    if (TargetRecord *record = this->find(connection.target))
+        ++record->inFlight;
+}
+
+std::optional<AwaitedAnswer> TargetBook::answered(PooledConnection &connection, TimePoint now)
+{
+    if (connection.awaited.empty())
+        return std::nullopt;
+    const AwaitedAnswer answer = connection.awaited.front();
+    connection.awaited.pop_front();
+    this->heard(connection.target, now);
+    if (TargetRecord *record = this->find(connection.target)) {
+        if (record->inFlight > 0)
+            --record->inFlight;
+        const bool isStatement =
+            answer.kind == TargetCommandKind::Forward || answer.kind == TargetCommandKind::Execute;
+        if (isStatement) {
+            const auto took = std::chrono::duration_cast<Duration>(now - answer.sentAt);
+            record->delay += (took - record->delay) / DelaySmoothing;
+        }
+    }
+    return answer;
+}
+
+void TargetBook::heard(const TargetId &target, TimePoint now)
+{
+    TargetRecord *record = this->find(target);
+    if (record == nullptr)
+        return;
+    record->heardAt = now;
+    record->pause = Duration::zero();
+    record->suspendedUntil = now;
+    this->changeState(*record, ObservedState::Alive);
+}
+
+void TargetBook::failed(const TargetId &target, TargetFailure failure, TimePoint now)
+{
+    TargetRecord *record = this->find(target);
+    if (record == nullptr)
+        return;
+    if (failure == TargetFailure::TooMany) {
+        record->tooManyUntil = now + this->settings.tooManyPause;
+        return;
+    }
+    if (failure == TargetFailure::Reset && !record->connections.empty())
+        return;
+    record->pause = std::clamp(record->pause * 2, this->settings.reconnectPause,
+                               this->settings.reconnectPauseCap);
+    record->suspendedUntil = now + record->pause;
+    if (failure == TargetFailure::Refused)
+        this->changeState(*record, ObservedState::Broken);
+    else if (failure == TargetFailure::Silent)
+        this->changeState(*record, ObservedState::Silent);
+}
+
+bool TargetBook::changeState(TargetRecord &record, ObservedState state)
+{
+    const bool changed = record.state != state;
+    record.state = state;
+    return changed;
+}
+
+bool TargetBook::findSilent(TimePoint now)
+{
+    bool changed = false;
+    for (auto &[id, record] : this->targets) {
+        if (record.state != ObservedState::Alive)
+            continue;
+        for (const ConnectionId connectionId : record.connections) {
+            const PooledConnection &connection = this->open.at(connectionId);
+            if (connection.awaited.empty())
+                continue;
+            const TimePoint since = std::max(record.heardAt, connection.awaited.front().sentAt);
+            if (now >= since + this->settings.silentAfter) {
+                changed = this->changeState(record, ObservedState::Silent) || changed;
+                record.suspendedUntil = now + this->settings.reconnectPauseCap;
+                break;
+            }
+        }
+    }
+    return changed;
+}
+
+std::vector<TargetObservation> TargetBook::observations() const
+{
+    std::vector<TargetObservation> seen;
+    for (const auto &[id, record] : this->targets) {
+        if (record.state != ObservedState::Alive)
+            seen.push_back({id, record.target.group, record.state});
+    }
+    return seen;
+}
+
+Duration TargetBook::expectedDelay(const TargetRecord &record, bool isPrimary,
+                                   const std::optional<LogPosition> &minimum) const
+{
+    Duration expected = record.delay * (1 + record.inFlight);
+    if (record.target.failureDomain != this->settings.failureDomain)
+        expected += this->settings.otherDomainDelay;
+    if (isPrimary)
+        expected += this->settings.primaryReadDelay;
+    else if (minimum && (!record.position || *record.position < *minimum))
+        expected += this->settings.laggingDelay;
+    return expected;
+}
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -67,6 +67,8 @@
     "quorum_snapshot_chunk",
     "quorum_snapshot_answer",
     "quorum_timeout_now",
+    "fleet_lease",
+    "fleet_redirect",
 };
 static_assert(std::size(TypeNames) == std::variant_size_v<Message>);
 
--- /dev/null
+++ b/src/rhubarbweir/protocol/fleet_codec.cpp
@@ -0,0 +1,110 @@
+// See fleet_codec.hpp.
+#include "rhubarbweir/protocol/fleet_codec.hpp"
+
+#include "rhubarbweir/protocol/internal/json_messages.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <stdexcept>
+
+namespace rhubarbweir {
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigurationDocument, version, document)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StoreConfiguration, version, document)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordTarget, target)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GrantAuthority, group, generation, primary)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RevokeAuthority, group, generation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ChooseCandidate, group, generation, candidate)
+
+// Found by the library through argument-dependent lookup.
+static void to_json(nlohmann::json &to, const FleetState::Snapshot &snapshot)
+{
+    to = {{"revision", snapshot.revision},
+          {"configuration", snapshot.configuration},
+          {"targets", snapshot.targets},
+          {"authorities", snapshot.authorities}};
+}
+
+static void from_json(const nlohmann::json &from, FleetState::Snapshot &snapshot)
+{
+    from.at("revision").get_to(snapshot.revision);
+    from.at("configuration").get_to(snapshot.configuration);
+    from.at("targets").get_to(snapshot.targets);
+    from.at("authorities").get_to(snapshot.authorities);
+}
+
+namespace {
+
+using nlohmann::json;
+
+// Raised when the form changes.
+constexpr unsigned FleetFormatVersion = 1;
+
+template<std::size_t Index = 0>
+FleetCommand commandOf(std::size_t index, const json &body)
+{
+    if constexpr (Index < std::variant_size_v<FleetCommand>) {
+        if (index == Index)
+            return body.get<std::variant_alternative_t<Index, FleetCommand>>();
+        return commandOf<Index + 1>(index, body);
+    } else {
+        throw std::out_of_range("fleet command index");
+    }
+}
+
+std::string encodeBody(json body, std::size_t kind)
+{
+    const json envelope = {{"v", FleetFormatVersion}, {"k", kind}, {"b", std::move(body)}};
+    std::string bytes;
+    json::to_cbor(envelope, bytes);
+    return bytes;
+}
+
+absl::StatusOr<json> decodeEnvelope(std::string_view bytes)
+{
+    const json envelope = json::from_cbor(bytes, true, false);
+    if (!envelope.is_object() || !envelope.contains("v") || !envelope.contains("b"))
+        return absl::InvalidArgumentError("malformed fleet state");
+    if (envelope["v"] != FleetFormatVersion)
+        return absl::UnimplementedError(absl::StrCat("format version ", envelope["v"].dump()));
+    return envelope;
+}
+
+} // namespace
+
+std::string encodeFleetCommand(const FleetCommand &command)
+{
+    return std::visit(
+        [&command](const auto &body) { return encodeBody(json(body), command.index()); }, command);
+}
+
+absl::StatusOr<FleetCommand> decodeFleetCommand(std::string_view bytes)
+{
+    const auto envelope = decodeEnvelope(bytes);
+    if (!envelope.ok())
+        return envelope.status();
+    try {
+        return commandOf(envelope->at("k").get<std::size_t>(), envelope->at("b"));
+    } catch (const std::exception &error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+std::string encodeFleetSnapshot(const FleetState::Snapshot &snapshot)
+{
+    return encodeBody(json(snapshot), std::variant_size_v<FleetCommand>);
+}
+
+absl::StatusOr<FleetState::Snapshot> decodeFleetSnapshot(std::string_view bytes)
+{
+    const auto envelope = decodeEnvelope(bytes);
+    if (!envelope.ok())
+        return envelope.status();
+    try {
+        return envelope->at("b").get<FleetState::Snapshot>();
+    } catch (const std::exception &error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/protocol/fleet_codec.hpp
@@ -0,0 +1,21 @@
+// CBOR form of fleet commands and state snapshots, for the quorum log and its files.
+#pragma once
+
+#include "rhubarbweir/state/fleet_state.hpp"
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+
+namespace rhubarbweir {
+
+std::string encodeFleetCommand(const FleetCommand &command);
+// Errors: InvalidArgument for malformed bytes, Unimplemented for another format version.
+absl::StatusOr<FleetCommand> decodeFleetCommand(std::string_view bytes);
+
+std::string encodeFleetSnapshot(const FleetState::Snapshot &snapshot);
+// Errors: as decodeFleetCommand().
+absl::StatusOr<FleetState::Snapshot> decodeFleetSnapshot(std::string_view bytes);
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -74,7 +74,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetObservation, target, group, state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ObserverReport, instance, failureDomain, observations)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RenewLease, proxy, address, failureDomain, incarnation, sequence,
-                                   revision, draining, groups, observations)
+                                   revision, draining, groups, observations, configurationVersion)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseGranted, sequence, leaseFor, delta)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseRefused, sequence, leaderAddress)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewChanged, delta)
@@ -127,4 +127,14 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumSnapshotAnswer, header, sequence, index, nextOffset)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumTimeoutNow, header)
 
+// fleet_state.hpp, fleet_messages.hpp
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegisteredTarget, target, group, address, failureDomain, phase,
+                                   slots, born, sequence, reportsPrimary)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrimaryAuthority, group, generation, primary, former, candidate,
+                                   token)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetView, revision, targets, authorities, controls)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetLease, sequence, leaseFor, view, poolers,
+                                   configurationVersion, configuration)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetRedirect, leader)
+
 } // namespace rhubarbweir
--- a/src/rhubarbweir/protocol/message.hpp
+++ b/src/rhubarbweir/protocol/message.hpp
@@ -3,6 +3,7 @@
 
 #include "rhubarbweir/coordination/control/control_messages.hpp"
 #include "rhubarbweir/coordination/control/operator_messages.hpp"
+#include "rhubarbweir/coordination/fleet/fleet_messages.hpp"
 #include "rhubarbweir/coordination/proxy/caller_messages.hpp"
 #include "rhubarbweir/coordination/proxy/peer_messages.hpp"
 #include "rhubarbweir/coordination/proxy/target_messages.hpp"
@@ -21,6 +22,6 @@
     StatusQuery, StatusReport, PlannedChange, PlannedChangeResult, DrainInstance, DrainStarted,
     ReplicateEntries, ReplicateAnswer, ObserverReport, QuorumBootstrapQuery, QuorumBootstrapAnswer,
     QuorumJoin, QuorumVoteRequest, QuorumVoteAnswer, QuorumAppend, QuorumAppendAnswer,
-    QuorumSnapshotChunk, QuorumSnapshotAnswer, QuorumTimeoutNow>;
+    QuorumSnapshotChunk, QuorumSnapshotAnswer, QuorumTimeoutNow, FleetLease, FleetRedirect>;
 
 } // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/state/fleet_state.cpp
@@ -0,0 +1,155 @@
+// See fleet_state.hpp.
+#include "rhubarbweir/state/fleet_state.hpp"
+
+#include <tuple>
+
+namespace rhubarbweir {
+
+namespace {
+
+auto tied(const RegisteredTarget &target)
+{
+    return std::tie(target.target, target.group, target.address, target.failureDomain, target.phase,
+                    target.slots, target.born, target.sequence, target.reportsPrimary);
+}
+
+} // namespace
+
+bool operator==(const RegisteredTarget &a, const RegisteredTarget &b)
+{
+    return tied(a) == tied(b);
+}
+
+bool isNewer(const RegisteredTarget &next, const RegisteredTarget &known)
+{
+    return std::tie(next.born, next.sequence) > std::tie(known.born, known.sequence);
+}
+
+bool FleetState::apply(std::uint64_t index, const FleetCommand &command)
+{
+    return std::visit([this, index](const auto &body) { return this->applyCommand(index, body); },
+                      command);
+}
+
+const RegisteredTarget *FleetState::find(const TargetId &target) const
+{
+    const auto found = this->registered.find(target);
+    return found == this->registered.end() ? nullptr : &found->second;
+}
+
+const PrimaryAuthority *FleetState::authority(const GroupId &group) const
+{
+    const auto found = this->primaries.find(group);
+    return found == this->primaries.end() ? nullptr : &found->second;
+}
+
+bool FleetState::accepts(const RegisteredTarget &target) const
+{
+    const RegisteredTarget *known = this->find(target.target);
+    if (known != nullptr) {
+        const bool isRevival = known->phase == TargetPhase::Left && target.born <= known->born;
+        return !isRevival && isNewer(target, *known);
+    }
+    for (const auto &[id, other] : this->registered) {
+        if (other.address == target.address && other.born > target.born)
+            return false;
+    }
+    return true;
+}
+
+bool FleetState::applyCommand(std::uint64_t, const StoreConfiguration &command)
+{
+    if (command.version <= this->held.version)
+        return false;
+    this->held.version = command.version;
+    this->held.document = command.document;
+    return true;
+}
+
+bool FleetState::applyCommand(std::uint64_t index, const RecordTarget &command)
+{
+    if (!this->accepts(command.target))
+        return false;
+    this->dropSupersededAt(command.target);
+    this->registered[command.target.target] = command.target;
+    this->revision = index;
+    return true;
+}
+
+// An address belongs to the start that came last; whoever had it before is gone.
+void FleetState::dropSupersededAt(const RegisteredTarget &target)
+{
+    for (auto entry = this->registered.begin(); entry != this->registered.end();) {
+        const RegisteredTarget &other = entry->second;
+        const bool isSuperseded = other.target != target.target && other.address == target.address
+                                  && other.born < target.born;
+        entry = isSuperseded ? this->registered.erase(entry) : std::next(entry);
+    }
+}
+
+bool FleetState::applyCommand(std::uint64_t index, const GrantAuthority &command)
+{
+    PrimaryAuthority &authority = this->primaries[command.group];
+    if (authority.generation != command.generation)
+        return false;
+    authority.group = command.group;
+    ++authority.generation;
+    authority.primary = command.primary;
+    authority.former = {};
+    authority.candidate = {};
+    authority.token = 0;
+    this->revision = index;
+    return true;
+}
+
+bool FleetState::applyCommand(std::uint64_t index, const RevokeAuthority &command)
+{
+    const auto found = this->primaries.find(command.group);
+    if (found == this->primaries.end() || found->second.generation != command.generation
+        || found->second.primary.empty())
+        return false;
+    PrimaryAuthority &authority = found->second;
+    ++authority.generation;
+    authority.former = authority.primary;
+    authority.primary = {};
+    authority.candidate = {};
+    authority.token = index;
+    this->revision = index;
+    return true;
+}
+
+bool FleetState::applyCommand(std::uint64_t, const ChooseCandidate &command)
+{
+    const auto found = this->primaries.find(command.group);
+    if (found == this->primaries.end() || found->second.generation != command.generation
+        || !found->second.primary.empty())
+        return false;
+    found->second.candidate = command.candidate;
+    return true;
+}
+
+FleetState::Snapshot FleetState::snapshot() const
+{
+    Snapshot whole;
+    whole.revision = this->revision;
+    whole.configuration = this->held;
+    for (const auto &[id, target] : this->registered)
+        whole.targets.push_back(target);
+    for (const auto &[group, authority] : this->primaries)
+        whole.authorities.push_back(authority);
+    return whole;
+}
+
+void FleetState::restore(const Snapshot &snapshot)
+{
+    this->revision = snapshot.revision;
+    this->held = snapshot.configuration;
+    this->registered.clear();
+    this->primaries.clear();
+    for (const RegisteredTarget &target : snapshot.targets)
+        this->registered[target.target] = target;
+    for (const PrimaryAuthority &authority : snapshot.authorities)
+        this->primaries[authority.group] = authority;
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/transport/byte_stream.cpp
@@ -0,0 +1,335 @@
+// See byte_stream.hpp.
+#include "rhubarbweir/transport/byte_stream.hpp"
+
+#include "rhubarbweir/transport/event_loop.hpp"
+#include "rhubarbweir/transport/internal/endpoint_address.hpp"
+#include "rhubarbweir/transport/internal/socket_options.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <asio.hpp>
+
+#include <array>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+using asio::ip::tcp;
+
+// Bytes queued towards one peer before it counts as one that does not read.
+constexpr std::size_t MaxQueuedBytes = 4 << 20;
+// Read at once; shared by all streams of a thread, so that an idle stream holds no buffer.
+constexpr std::size_t ReadBufferBytes = 16 << 10;
+// Pause before accepting goes on when descriptors are used up.
+constexpr std::chrono::milliseconds AcceptPause{50};
+
+std::array<char, ReadBufferBytes> &readBuffer()
+{
+    thread_local std::array<char, ReadBufferBytes> buffer;
+    return buffer;
+}
+
+class TcpStream : public ByteStream, public std::enable_shared_from_this<TcpStream>
+{
+public:
+    TcpStream(tcp::socket connected, std::shared_ptr<std::size_t> openCount)
+        : socket(std::move(connected))
+        , count(std::move(openCount))
+    {
+        if (this->count)
+            ++*this->count;
+    }
+
+    ~TcpStream() override
+    {
+        if (this->count)
+            --*this->count;
+    }
+
+    void start()
+    {
+        asio::error_code ignored;
+        this->socket.set_option(tcp::no_delay(true), ignored);
+        this->socket.non_blocking(true, ignored);
+        detectDeadPeer(this->socket.native_handle());
+        this->awaitBytes();
+    }
+
+    void send(std::string_view bytes) override
+    {
+        if (!this->isOpen() || this->closing)
+            return;
+        if (this->pending.empty())
+            bytes.remove_prefix(this->writeSome(bytes));
+        if (bytes.empty() || !this->isOpen())
+            return;
+        if (this->pending.size() + bytes.size() > MaxQueuedBytes) {
+            this->fail(true);
+            return;
+        }
+        const bool wasEmpty = this->pending.empty();
+        this->pending.append(bytes);
+        if (wasEmpty)
+            this->awaitWritable();
+    }
+
+    void close() override
+    {
+        this->dropHooks();
+        this->closing = true;
+        if (this->pending.empty())
+            this->shut();
+    }
+
+    void abort() override
+    {
+        this->dropHooks();
+        this->shut();
+    }
+
+    bool isOpen() const override { return this->socket.is_open(); }
+
+private:
+    void awaitBytes()
+    {
+        this->socket.async_wait(tcp::socket::wait_read,
+                                [self = this->shared_from_this()](const asio::error_code &error) {
+                                    if (!error)
+                                        self->readAvailable();
+                                });
+    }
+
+    void readAvailable()
+    {
+        asio::error_code error;
+        const std::size_t read = this->socket.read_some(asio::buffer(readBuffer()), error);
+        if (error == asio::error::would_block) {
+            this->awaitBytes();
+            return;
+        }
+        if (error) {
+            this->fail(error != asio::error::eof);
+            return;
+        }
+        // The hook may close this stream and drop itself.
+        if (const auto hook = this->onBytes)
+            hook(std::string_view(readBuffer().data(), read));
+        if (this->isOpen())
+            this->awaitBytes();
+    }
+
+    std::size_t writeSome(std::string_view bytes)
+    {
+        asio::error_code error;
+        const std::size_t written = this->socket.write_some(asio::buffer(bytes), error);
+        if (error && error != asio::error::would_block) {
+            this->failLater();
+            return bytes.size();
+        }
+        return error ? 0 : written;
+    }
+
+    void awaitWritable()
+    {
+        this->socket.async_wait(tcp::socket::wait_write,
+                                [self = this->shared_from_this()](const asio::error_code &error) {
+                                    if (!error)
+                                        self->writePending();
+                                });
+    }
+
+    void writePending()
+    {
+        this->pending.erase(0, this->writeSome(this->pending));
+        if (!this->isOpen())
+            return;
+        if (!this->pending.empty())
+            this->awaitWritable();
+        else if (this->closing)
+            this->shut();
+    }
+
+    // The owner may be in the middle of sending: it hears of the loss on the next turn.
+    void failLater()
+    {
+        asio::post(this->socket.get_executor(),
+                   [self = this->shared_from_this()] { self->fail(true); });
+    }
+
+    void fail(bool wasReset)
+    {
+        if (!this->isOpen())
+            return;
+        this->shut();
+        const auto hook = std::move(this->onClosed);
+        this->dropHooks();
+        if (hook)
+            hook(wasReset);
+    }
+
+    void shut()
+    {
+        asio::error_code ignored;
+        if (this->socket.is_open())
+            this->socket.close(ignored);
+    }
+
+    void dropHooks()
+    {
+        this->onBytes = nullptr;
+        this->onClosed = nullptr;
+    }
+
+    tcp::socket socket;
+    std::shared_ptr<std::size_t> count;
+    std::string pending;
+    bool closing = false;
+};
+
+absl::StatusOr<tcp::endpoint> endpointOf(const std::string &address)
+{
+    const auto hostPort = parseHostPort(address);
+    if (!hostPort.ok())
+        return hostPort.status();
+    asio::error_code error;
+    const auto host = asio::ip::make_address(hostPort->host, error);
+    if (error)
+        return absl::InvalidArgumentError(absl::StrCat("not an IP address: ", hostPort->host));
+    return tcp::endpoint(host, hostPort->port);
+}
+
+} // namespace
+
+struct StreamListener::Parts : std::enable_shared_from_this<Parts>
+{
+    Parts(EventLoop &eventLoop, std::string listenAddress, std::size_t connectionLimit,
+          Accepted acceptedHook)
+        : loop(eventLoop)
+        , address(std::move(listenAddress))
+        , maxConnections(connectionLimit)
+        , accepted(std::move(acceptedHook))
+        , acceptor(eventLoop.context())
+    {
+    }
+
+    void acceptNext()
+    {
+        this->acceptor.async_accept([self = this->shared_from_this()](const asio::error_code &error,
+                                                                      tcp::socket socket) {
+            if (error == asio::error::operation_aborted)
+                return;
+            if (error) {
+                self->loop.schedule(EventLoop::now() + AcceptPause, [self] { self->acceptNext(); });
+                return;
+            }
+            self->take(std::move(socket));
+            self->acceptNext();
+        });
+    }
+
+    void take(tcp::socket socket)
+    {
+        if (*this->open >= this->maxConnections)
+            return;
+        auto stream = std::make_shared<TcpStream>(std::move(socket), this->open);
+        this->accepted(stream);
+        if (stream->isOpen())
+            stream->start();
+    }
+
+    EventLoop &loop;
+    std::string address;
+    std::size_t maxConnections;
+    Accepted accepted;
+    tcp::acceptor acceptor;
+    std::shared_ptr<std::size_t> open = std::make_shared<std::size_t>(0);
+};
+
+StreamListener::StreamListener(EventLoop &loop, std::string address, std::size_t maxConnections,
+                               Accepted accepted)
+    : parts(std::make_shared<Parts>(loop, std::move(address), maxConnections, std::move(accepted)))
+{
+}
+
+StreamListener::~StreamListener()
+{
+    this->stop();
+}
+
+absl::Status StreamListener::listen()
+{
+    const auto endpoint = endpointOf(this->parts->address);
+    if (!endpoint.ok())
+        return endpoint.status();
+    asio::error_code error;
+    tcp::acceptor &acceptor = this->parts->acceptor;
+    acceptor.open(endpoint->protocol(), error);
+    if (!error)
+        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(*endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return absl::UnavailableError(
+            absl::StrCat("cannot listen on ", this->parts->address, ": ", error.message()));
+    this->parts->acceptNext();
+    return absl::OkStatus();
+}
+
+void StreamListener::stop()
+{
+    asio::error_code ignored;
+    this->parts->acceptor.close(ignored);
+}
+
+void connectStream(EventLoop &loop, const std::string &address, TimePoint deadline,
+                   std::function<void(absl::StatusOr<ByteStreamPtr>)> connected)
+{
+    const auto endpoint = endpointOf(address);
+    if (!endpoint.ok()) {
+        loop.post(
+            [connected = std::move(connected), status = endpoint.status()] { connected(status); });
+        return;
+    }
+    struct Attempt
+    {
+        explicit Attempt(asio::io_context &context)
+            : socket(context)
+            , timer(context)
+        {
+        }
+        tcp::socket socket;
+        asio::steady_timer timer;
+        bool isOver = false;
+    };
+    auto attempt = std::make_shared<Attempt>(loop.context());
+    const auto finish = [attempt, connected = std::move(connected)](const asio::error_code &error,
+                                                                    bool timedOut) {
+        if (attempt->isOver)
+            return;
+        attempt->isOver = true;
+        attempt->timer.cancel();
+        if (timedOut || error) {
+            asio::error_code ignored;
+            attempt->socket.close(ignored);
+            connected(timedOut ? absl::DeadlineExceededError("no connection in time")
+                               : absl::UnavailableError(error.message()));
+            return;
+        }
+        auto stream = std::make_shared<TcpStream>(std::move(attempt->socket), nullptr);
+        connected(ByteStreamPtr(stream));
+        if (stream->isOpen())
+            stream->start();
+    };
+    attempt->timer.expires_after(deadline - EventLoop::now());
+    attempt->timer.async_wait([finish](const asio::error_code &error) {
+        if (!error)
+            finish({}, true);
+    });
+    attempt->socket.async_connect(
+        *endpoint, [finish](const asio::error_code &error) { finish(error, false); });
+}
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/transport/event_loop.cpp
+++ b/src/rhubarbweir/transport/event_loop.cpp
@@ -3,6 +3,7 @@
 
 #include <asio.hpp>
 
+#include <ctime>
 #include <utility>
 
 namespace rhubarbweir {
@@ -12,6 +13,7 @@
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard{context.get_executor()};
     asio::signal_set signals{context};
+    asio::signal_set reloadSignals{context};
 };
 
 EventLoop::EventLoop()
@@ -39,7 +41,7 @@
 
 void EventLoop::schedule(TimePoint deadline, std::function<void()> work)
 {
-    auto timer = std::make_shared<asio::steady_timer>(this->parts->context, deadline);
+    auto timer = std::make_shared<asio::steady_timer>(this->parts->context, deadline - now());
     timer->async_wait([timer, work = std::move(work)](const asio::error_code &error) {
         if (!error)
             work();
@@ -54,24 +56,43 @@
     });
 }
 
+namespace {
+
+// Calls `handler` for every arrival of one of the signals.
+void watch(asio::signal_set &signals, const std::function<void(int)> &handler)
+{
+    signals.async_wait([&signals, handler](const asio::error_code &error, int number) {
+        if (error)
+            return;
+        handler(number);
+        watch(signals, handler);
+    });
+}
+
+} // namespace
+
 void EventLoop::onStopSignal(std::function<void(int)> handler)
 {
-    asio::signal_set &signals = this->parts->signals;
-    signals.clear();
-    signals.add(SIGTERM);
-    signals.add(SIGINT);
-    signals.async_wait(
-        [this, handler = std::move(handler)](const asio::error_code &error, int number) {
-            if (error)
-                return;
-            handler(number);
-            this->onStopSignal(handler);
-        });
+    this->parts->signals.clear();
+    this->parts->signals.add(SIGTERM);
+    this->parts->signals.add(SIGINT);
+    watch(this->parts->signals, handler);
+}
+
+void EventLoop::onReloadSignal(std::function<void()> handler)
+{
+    this->parts->reloadSignals.clear();
+    this->parts->reloadSignals.add(SIGHUP);
+    watch(this->parts->reloadSignals, [handler = std::move(handler)](int) { handler(); });
 }
 
 TimePoint EventLoop::now()
 {
-    return std::chrono::steady_clock::now();
+    // Unlike the steady clock it goes on while the machine is suspended, so that a lease never
+    // outlives its end.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 asio::io_context &EventLoop::context()
--- a/src/rhubarbweir/transport/event_loop.hpp
+++ b/src/rhubarbweir/transport/event_loop.hpp
@@ -33,6 +33,8 @@
     void every(Duration interval, std::function<void()> work);
     // Calls `handler` with the signal's number on SIGTERM and SIGINT.
     void onStopSignal(std::function<void(int)> handler);
+    // Calls `handler` on SIGHUP.
+    void onReloadSignal(std::function<void()> handler);
 
     static TimePoint now();
     asio::io_context &context();
--- /dev/null
+++ b/src/rhubarbweir/transport/http.cpp
@@ -0,0 +1,256 @@
+// See http.hpp.
+#include "rhubarbweir/transport/http.hpp"
+
+#include "rhubarbweir/transport/event_loop.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <deque>
+#include <http_parser.h>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Largest body accepted, in bytes; a configuration of 1,000 routes takes a quarter.
+constexpr std::size_t MaxBodyBytes = 1 << 20;
+constexpr std::size_t MaxTargetBytes = 4096;
+
+const char *reasonOf(int status)
+{
+    switch (status) {
+    case 200:
+        return "OK";
+    case 307:
+        return "Temporary Redirect";
+    case 400:
+        return "Bad Request";
+    case 404:
+        return "Not Found";
+    case 405:
+        return "Method Not Allowed";
+    case 413:
+        return "Payload Too Large";
+    case 503:
+        return "Service Unavailable";
+    default:
+        return "Status";
+    }
+}
+
+std::string encodeResponse(const HttpResponse &response, bool keepAlive)
+{
+    std::string text = absl::StrCat("HTTP/1.1 ", response.status, " ", reasonOf(response.status),
+                                    "\r\nContent-Type: ", response.contentType,
+                                    "\r\nContent-Length: ", response.body.size(), "\r\n");
+    for (const auto &[name, value] : response.headers)
+        absl::StrAppend(&text, name, ": ", value, "\r\n");
+    absl::StrAppend(&text, keepAlive ? "" : "Connection: close\r\n", "\r\n", response.body);
+    return text;
+}
+
+// One server connection. Requests are answered one at a time, in order.
+class HttpSession : public std::enable_shared_from_this<HttpSession>
+{
+public:
+    HttpSession(ByteStreamPtr byteStream, HttpListener::Handler requestHandler)
+        : stream(std::move(byteStream))
+        , handler(std::move(requestHandler))
+    {
+        http_parser_init(&this->parser, HTTP_REQUEST);
+        this->parser.data = this;
+    }
+
+    void start()
+    {
+        // The stream's hooks keep this object alive until it closes.
+        this->stream->onBytes = [self = this->shared_from_this()](std::string_view bytes) {
+            self->received(bytes);
+        };
+        this->stream->onClosed = [self = this->shared_from_this()](bool) {
+            self->isOver = true;
+        };
+    }
+
+private:
+    void received(std::string_view bytes)
+    {
+        static const http_parser_settings Callbacks = makeCallbacks();
+        const std::size_t parsed =
+            http_parser_execute(&this->parser, &Callbacks, bytes.data(), bytes.size());
+        if (this->parser.upgrade != 0 || parsed != bytes.size()) {
+            this->isOver = true;
+            HttpResponse refusal;
+            refusal.status = this->tooLarge ? 413 : 400;
+            this->stream->send(encodeResponse(refusal, false));
+            this->stream->close();
+            return;
+        }
+        this->serveNext();
+    }
+
+    static http_parser_settings makeCallbacks()
+    {
+        http_parser_settings callbacks;
+        http_parser_settings_init(&callbacks);
+        callbacks.on_message_begin = [](http_parser *raw) {
+            of(raw).current = {};
+            return 0;
+        };
+        callbacks.on_url = [](http_parser *raw, const char *at, std::size_t length) {
+            of(raw).current.target.append(at, length);
+            return of(raw).current.target.size() > MaxTargetBytes ? 1 : 0;
+        };
+        callbacks.on_body = [](http_parser *raw, const char *at, std::size_t length) {
+            HttpSession &self = of(raw);
+            self.current.body.append(at, length);
+            self.tooLarge = self.current.body.size() > MaxBodyBytes;
+            return self.tooLarge ? 1 : 0;
+        };
+        callbacks.on_message_complete = [](http_parser *raw) {
+            HttpSession &self = of(raw);
+            self.current.method = http_method_str(static_cast<http_method>(raw->method));
+            self.waiting.emplace_back(std::move(self.current), http_should_keep_alive(raw) != 0);
+            return 0;
+        };
+        return callbacks;
+    }
+
+    static HttpSession &of(http_parser *raw) { return *static_cast<HttpSession *>(raw->data); }
+
+    void serveNext()
+    {
+        if (this->isAnswering || this->isOver || this->waiting.empty())
+            return;
+        auto [request, keepAlive] = std::move(this->waiting.front());
+        this->waiting.pop_front();
+        this->isAnswering = true;
+        this->handler(std::move(request),
+                      [self = this->shared_from_this(), keep = keepAlive](
+                          const HttpResponse &response) { self->answer(response, keep); });
+    }
+
+    void answer(const HttpResponse &response, bool keepAlive)
+    {
+        if (!this->isAnswering || this->isOver)
+            return;
+        this->isAnswering = false;
+        this->stream->send(encodeResponse(response, keepAlive));
+        if (!keepAlive) {
+            this->isOver = true;
+            this->stream->close();
+            return;
+        }
+        this->serveNext();
+    }
+
+    ByteStreamPtr stream;
+    HttpListener::Handler handler;
+    http_parser parser{};
+    HttpRequest current;
+    std::deque<std::pair<HttpRequest, bool>> waiting;
+    bool isAnswering = false;
+    bool tooLarge = false;
+    bool isOver = false;
+};
+
+// One call of a client.
+class CallSession : public std::enable_shared_from_this<CallSession>
+{
+public:
+    explicit CallSession(std::function<void(absl::StatusOr<int>)> doneHook)
+        : done(std::move(doneHook))
+    {
+        http_parser_init(&this->parser, HTTP_RESPONSE);
+        this->parser.data = this;
+    }
+
+    void start(EventLoop &loop, const HttpCall &call)
+    {
+        std::string text =
+            absl::StrCat(call.method, " ", call.target, " HTTP/1.1\r\nHost: ", call.address,
+                         "\r\nConnection: close\r\n");
+        for (const auto &[name, value] : call.headers)
+            absl::StrAppend(&text, name, ": ", value, "\r\n");
+        absl::StrAppend(&text,
+                        "Content-Type: application/json\r\nContent-Length: ", call.body.size(),
+                        "\r\n\r\n", call.body);
+        loop.schedule(call.deadline, [self = this->shared_from_this()] {
+            self->finish(absl::DeadlineExceededError("no answer in time"));
+        });
+        connectStream(loop, call.address, call.deadline,
+                      [self = this->shared_from_this(),
+                       text = std::move(text)](absl::StatusOr<ByteStreamPtr> connected) {
+                          if (connected.ok())
+                              self->connected(*connected, text);
+                          else
+                              self->finish(connected.status());
+                      });
+    }
+
+private:
+    void connected(const ByteStreamPtr &byteStream, const std::string &text)
+    {
+        if (!this->done) {
+            byteStream->abort();
+            return;
+        }
+        this->stream = byteStream;
+        this->stream->onBytes = [self = this->shared_from_this()](std::string_view bytes) {
+            self->received(bytes);
+        };
+        this->stream->onClosed = [self = this->shared_from_this()](bool) {
+            self->finish(absl::UnavailableError("connection lost"));
+        };
+        this->stream->send(text);
+    }
+
+    void received(std::string_view bytes)
+    {
+        http_parser_settings callbacks;
+        http_parser_settings_init(&callbacks);
+        callbacks.on_message_complete = [](http_parser *raw) {
+            static_cast<CallSession *>(raw->data)->isComplete = true;
+            return 0;
+        };
+        const std::size_t parsed =
+            http_parser_execute(&this->parser, &callbacks, bytes.data(), bytes.size());
+        if (this->isComplete)
+            this->finish(static_cast<int>(this->parser.status_code));
+        else if (parsed != bytes.size())
+            this->finish(absl::DataLossError("malformed answer"));
+    }
+
+    void finish(absl::StatusOr<int> result)
+    {
+        const auto hook = std::exchange(this->done, nullptr);
+        if (this->stream)
+            std::exchange(this->stream, nullptr)->abort();
+        if (hook)
+            hook(std::move(result));
+    }
+
+    std::function<void(absl::StatusOr<int>)> done;
+    ByteStreamPtr stream;
+    http_parser parser{};
+    bool isComplete = false;
+};
+
+} // namespace
+
+HttpListener::HttpListener(EventLoop &loop, const std::string &address, std::size_t maxConnections,
+                           Handler requestHandler)
+    : handler(std::move(requestHandler))
+    , listener(loop, address, maxConnections, [this](const ByteStreamPtr &stream) {
+        std::make_shared<HttpSession>(stream, this->handler)->start();
+    })
+{
+}
+
+void callHttp(EventLoop &loop, const HttpCall &call, std::function<void(absl::StatusOr<int>)> done)
+{
+    std::make_shared<CallSession>(std::move(done))->start(loop, call);
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/transport/internal/endpoint_address.cpp
@@ -0,0 +1,19 @@
+// See endpoint_address.hpp.
+#include "rhubarbweir/transport/internal/endpoint_address.hpp"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+namespace rhubarbweir {
+
+absl::StatusOr<HostPort> parseHostPort(const std::string &address)
+{
+    const auto colon = address.rfind(':');
+    std::uint32_t port = 0;
+    if (colon == std::string::npos || !absl::SimpleAtoi(address.substr(colon + 1), &port)
+        || port > 65535)
+        return absl::InvalidArgumentError(absl::StrCat("not host:port: ", address));
+    return HostPort{address.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/transport/web_socket.cpp
+++ b/src/rhubarbweir/transport/web_socket.cpp
@@ -3,8 +3,9 @@
 
 #include "rhubarbweir/protocol/codec.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
+#include "rhubarbweir/transport/internal/endpoint_address.hpp"
+#include "rhubarbweir/transport/internal/socket_options.hpp"
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -227,6 +228,7 @@
     websocketpp::lib::asio::error_code ignored;
     connection->get_raw_socket().set_option(websocketpp::lib::asio::ip::tcp::no_delay(true),
                                             ignored);
+    detectDeadPeer(connection->get_raw_socket().native_handle());
 }
 
 template<typename Endpoint>
@@ -241,22 +243,6 @@
     endpoint.set_close_handshake_timeout(timeout);
 }
 
-struct HostPort
-{
-    std::string host;
-    std::uint16_t port = 0;
-};
-
-absl::StatusOr<HostPort> parseAddress(const std::string &address)
-{
-    const auto colon = address.rfind(':');
-    std::uint32_t port = 0;
-    if (colon == std::string::npos || !absl::SimpleAtoi(address.substr(colon + 1), &port)
-        || port > 65535)
-        return absl::InvalidArgumentError(absl::StrCat("not host:port: ", address));
-    return HostPort{address.substr(0, colon), static_cast<std::uint16_t>(port)};
-}
-
 } // namespace
 
 struct WebSocketServer::Parts
@@ -355,7 +341,7 @@
 absl::Status WebSocketServer::listen()
 {
     Parts &p = *this->parts;
-    const auto hostPort = parseAddress(p.address);
+    const auto hostPort = parseHostPort(p.address);
     if (!hostPort.ok())
         return hostPort.status();
     websocketpp::lib::error_code error;
