--- a/src/programs/pooler/caller_streams.hpp
+++ b/src/programs/pooler/caller_streams.hpp
@@ -29,6 +29,7 @@
 
     // Errors: those of StreamListener::listen.
     absl::Status listen() { return this->listener.listen(); }
+    void stopListening() { this->listener.stop(); }
     void answer(SessionNumber session, const StatementAnswer &answer);
     // No hook is called for it any more.
     void close(SessionNumber session);
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -22,7 +22,9 @@
 constexpr std::chrono::milliseconds RotationDelay{2500};
 // Idle sessions are closed in portions, so that their callers do not reconnect all at once.
 constexpr std::chrono::milliseconds DrainInterval{100};
-constexpr std::size_t DrainPortions = 15;
+constexpr std::size_t DrainPortions = 8;
+// Time for queued answers to leave before the process ends.
+constexpr std::chrono::milliseconds FlushTime{100};
 // Left of the grace for the process to end.
 constexpr std::chrono::milliseconds ExitReserve{500};
 
@@ -249,6 +251,7 @@
     const TimePoint now = EventLoop::now();
     this->stopBy = now + this->settings.grace - ExitReserve;
     this->closeFrom = now + RotationDelay;
+    this->refuseFrom = now + this->settings.grace * 2 / 3;
     logEvent(LogLevel::Info, "stop_requested",
              {{"sessions", static_cast<std::int64_t>(this->callers.count())}});
     this->drainStep();
@@ -257,14 +260,20 @@
 void PoolerProgram::drainStep()
 {
     const TimePoint now = EventLoop::now();
-    if (now >= this->closeFrom) {
-        const std::size_t portion =
-            std::max<std::size_t>(1, this->pooler.sessionCount() / DrainPortions + 1);
+    if (now >= this->stopBy) {
+        this->pooler.closeAll(now);
+    } else if (now >= this->refuseFrom) {
+        // What would start now might not end before the process does.
+        this->callers.stopListening();
+        this->pooler.closeWhenAnswered(now);
+    } else if (now >= this->closeFrom) {
+        const std::size_t portion = this->pooler.sessionCount() / DrainPortions + 1;
         this->pooler.closeIdleSessions(portion, now);
     }
-    const bool isEmpty = now >= this->closeFrom && this->callers.count() == 0;
-    if (isEmpty || now >= this->stopBy) {
-        this->loop.stop();
+    const bool isEmpty = now >= this->closeFrom && this->pooler.sessionCount() == 0;
+    if (now >= this->stopBy || (isEmpty && now >= this->refuseFrom)) {
+        // Answers that are queued still leave.
+        this->loop.schedule(now + FlushTime, [this] { this->loop.stop(); });
         return;
     }
     this->settle();
--- a/src/programs/pooler/pooler_program.hpp
+++ b/src/programs/pooler/pooler_program.hpp
@@ -47,6 +47,7 @@
     // Set when a stop was asked for.
     TimePoint stopBy = TimePoint::max();
     TimePoint closeFrom = TimePoint::max();
+    TimePoint refuseFrom = TimePoint::max();
     TimePoint armedFor = TimePoint::max();
 };
 
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -252,7 +252,8 @@
     session.work.reset();
     session.transactionActivity = now;
     this->hooks.answer(session.number, answer);
-    this->nextFromBacklog(session, now);
+    if (!this->closingWhenAnswered)
+        this->nextFromBacklog(session, now);
 }
 
 void SessionPooler::nextFromBacklog(Session &session, TimePoint now)
@@ -400,9 +401,46 @@
         if (!session.work && session.state == TransactionState::None && session.backlog.empty())
             idle.push_back(number);
     }
-    for (const SessionNumber number : idle) {
-        this->sessionClosed(number, now);
-        this->hooks.closeSession(number);
+    for (const SessionNumber number : idle)
+        this->closeNow(number, now);
+}
+
+void SessionPooler::closeNow(SessionNumber number, TimePoint now)
+{
+    this->sessionClosed(number, now);
+    this->hooks.closeSession(number);
+}
+
+void SessionPooler::closeWhenAnswered(TimePoint now)
+{
+    this->closingWhenAnswered = true;
+    std::vector<SessionNumber> resting;
+    for (const auto &[number, session] : this->sessions) {
+        if (!session.work)
+            resting.push_back(number);
+    }
+    for (const SessionNumber number : resting)
+        this->closeNow(number, now);
+}
+
+void SessionPooler::closeAll(TimePoint now)
+{
+    this->closingWhenAnswered = true;
+    std::vector<SessionNumber> open;
+    for (const auto &[number, session] : this->sessions)
+        open.push_back(number);
+    for (const SessionNumber number : open) {
+        const auto found = this->sessions.find(number);
+        if (found == this->sessions.end())
+            continue;
+        Session &session = found->second;
+        if (session.work) {
+            const bool wasSent = session.work->stage == WorkStage::Sent;
+            this->dequeue(number);
+            this->refuse(session, wasSent ? StatementFault::Timeout : StatementFault::Busy,
+                         "stopping", now);
+        }
+        this->closeNow(number, now);
     }
 }
 
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -44,6 +44,10 @@
 
     // Closes up to `count` sessions that rest outside a transaction.
     void closeIdleSessions(std::size_t count, TimePoint now);
+    // From now on a session closes as soon as no statement of it runs.
+    void closeWhenAnswered(TimePoint now);
+    // Answers every running statement, as far as its fate is known, and closes all sessions.
+    void closeAll(TimePoint now);
 
     bool isReady() const { return this->view.routes().version != 0 && this->view.revision() != 0; }
     const AuthorityView &authorityView() const { return this->view; }
@@ -63,6 +67,7 @@
     void finish(Session &session, const StatementAnswer &answer, TimePoint now);
     void refuse(Session &session, StatementFault fault, const std::string &detail, TimePoint now);
     void nextFromBacklog(Session &session, TimePoint now);
+    void closeNow(SessionNumber number, TimePoint now);
     void failTransaction(Session &session, TimePoint now);
     void logStatement(const Session &session, std::string_view outcome, TimePoint now,
                       bool sampled) const;
@@ -123,6 +128,7 @@
     // Names of prepared statements on targets' connections, by kind and shape.
     std::map<std::pair<bool, std::string>, std::string> preparedNames;
     bool servingQueue = false;
+    bool closingWhenAnswered = false;
     TimePoint nextCheck;
 };
 
