--- a/src/programs/pooler/caller_streams.cpp
+++ b/src/programs/pooler/caller_streams.cpp
@@ -1,14 +1,25 @@
 // See caller_streams.hpp.
 #include "programs/pooler/caller_streams.hpp"
 
+#include "rhubarbweir/transport/event_loop.hpp"
+
 #include <utility>
+#include <vector>
 
 namespace rhubarbweir {
 
-CallerStreams::CallerStreams(EventLoop &loop, const std::string &address,
+namespace {
+
+// Callers give up a session that is not opened within two seconds.
+constexpr std::chrono::milliseconds OpenPatience{1500};
+
+} // namespace
+
+CallerStreams::CallerStreams(EventLoop &eventLoop, const std::string &address,
                              std::size_t maxConnections, CallerStreamHooks streamHooks)
-    : hooks(std::move(streamHooks))
-    , listener(loop, address, maxConnections,
+    : loop(eventLoop)
+    , hooks(std::move(streamHooks))
+    , listener(eventLoop, address, maxConnections,
                [this](const ByteStreamPtr &stream) { this->accepted(stream); })
 {
 }
@@ -50,22 +61,57 @@
         this->hooks.statement(number, std::move(*statement));
         return true;
     }
-    const auto *start = std::get_if<platform::SessionStart>(&parsed);
-    if (start != nullptr && !link.isOpen) {
-        link.isOpen = this->hooks.opened(number, start->database);
-        if (link.isOpen) {
-            link.stream->send(platform::encodeSessionOpened());
-            return true;
-        }
-        link.stream->send(
-            platform::encodeSessionRefused(StatementFault::NoDatabase, start->database));
-    } else if (!std::holds_alternative<platform::SessionEnd>(parsed)) {
-        link.stream->send(platform::encodeSessionRefused(StatementFault::Malformed, ""));
+    const auto *opening = std::get_if<platform::SessionStart>(&parsed);
+    if (opening != nullptr && !link.isOpen && link.awaitedDatabase.empty()) {
+        this->start(number, link, opening->database);
+        return true;
     }
-    this->end(number);
+    if (std::holds_alternative<platform::SessionEnd>(parsed))
+        this->end(number);
+    else
+        this->refuse(number, link, StatementFault::Malformed, "");
     return false;
 }
 
+void CallerStreams::start(SessionNumber number, Link &link, const std::string &database)
+{
+    if (!this->hooks.isReady()) {
+        link.awaitedDatabase = database;
+        this->loop.schedule(EventLoop::now() + OpenPatience, [this, number] {
+            const auto found = this->links.find(number);
+            if (found != this->links.end() && !found->second->awaitedDatabase.empty())
+                this->refuse(number, *found->second, StatementFault::Busy, "no configuration yet");
+        });
+        return;
+    }
+    link.awaitedDatabase.clear();
+    link.isOpen = this->hooks.opened(number, database);
+    if (link.isOpen)
+        link.stream->send(platform::encodeSessionOpened());
+    else
+        this->refuse(number, link, StatementFault::NoDatabase, database);
+}
+
+void CallerStreams::openWaiting()
+{
+    std::vector<SessionNumber> waiting;
+    for (const auto &[number, link] : this->links) {
+        if (!link->awaitedDatabase.empty())
+            waiting.push_back(number);
+    }
+    for (const SessionNumber number : waiting) {
+        const std::shared_ptr<Link> link = this->links.at(number);
+        this->start(number, *link, std::string(link->awaitedDatabase));
+    }
+}
+
+void CallerStreams::refuse(SessionNumber number, Link &link, StatementFault fault,
+                           const std::string &detail)
+{
+    link.stream->send(platform::encodeSessionRefused(fault, detail));
+    this->end(number);
+}
+
 void CallerStreams::answer(SessionNumber number, const StatementAnswer &answer)
 {
     const auto found = this->links.find(number);
--- a/src/programs/pooler/caller_streams.hpp
+++ b/src/programs/pooler/caller_streams.hpp
@@ -15,6 +15,8 @@
 
 struct CallerStreamHooks
 {
+    // False while no configuration is known: sessions then wait for one.
+    std::function<bool()> isReady;
     // False for an unknown database.
     std::function<bool(SessionNumber, const std::string &database)> opened;
     std::function<void(SessionNumber, TextStatement)> statement;
@@ -34,6 +36,8 @@
     // No hook is called for it any more.
     void close(SessionNumber session);
     std::size_t count() const { return this->links.size(); }
+    // Opens the sessions that waited for a configuration.
+    void openWaiting();
 
 private:
     struct Link
@@ -41,13 +45,18 @@
         ByteStreamPtr stream;
         platform::LineReader reader;
         bool isOpen = false;
+        // Set while the session waits for a configuration.
+        std::string awaitedDatabase;
     };
 
     void accepted(const ByteStreamPtr &stream);
     void received(SessionNumber session, std::string_view bytes);
     bool lineReceived(SessionNumber session, Link &link, const std::string &line);
+    void start(SessionNumber session, Link &link, const std::string &database);
+    void refuse(SessionNumber session, Link &link, StatementFault fault, const std::string &detail);
     void end(SessionNumber session);
 
+    EventLoop &loop;
     CallerStreamHooks hooks;
     std::map<SessionNumber, std::shared_ptr<Link>> links;
     SessionNumber lastNumber = 0;
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -144,6 +144,9 @@
 CallerStreamHooks PoolerProgram::callerHooks()
 {
     CallerStreamHooks hooks;
+    hooks.isReady = [this] {
+        return this->pooler.isReady();
+    };
     hooks.opened = [this](SessionNumber session, const std::string &database) {
         return this->pooler.sessionOpened(session, database, EventLoop::now());
     };
@@ -201,6 +204,8 @@
     }
     if (sentAt)
         this->pooler.leaseReceived(*sentAt + lease.leaseFor, lease.poolers, now);
+    if (this->pooler.isReady())
+        this->callers.openWaiting();
     const AuthorityView &view = this->pooler.authorityView();
     // Control waits for this before it lets another primary lead.
     if (!sentAt && (view.revision() != before || view.routes().version != versionBefore))
