--- a/src/rhubarbweir/coordination/fleet/primary_change.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.cpp
@@ -76,29 +76,28 @@
         return;
     if (this->adoptLeading(state, authority))
         return;
-    const std::optional<TargetId> chosen = this->choose(state, authority);
-    if (!chosen) {
+    const std::optional<TargetId> best = this->choose(state, authority);
+    if (!best) {
         // Nobody fit answered: begin again, and give refused targets another chance.
         this->refused.clear();
         this->surveyDeadline = now + this->settings.surveyPatience;
         return;
     }
-    if (this->awaitsCatchUp(*chosen, authority, now))
+    if (this->awaitsCatchUp(*best, authority, now))
         return;
     this->step = Step::Promote;
     this->promoteAt = now;
     this->leadDeadline = now + this->settings.promotionPatience;
     this->ports.event("candidate_chosen",
                       {{"group", this->group.value},
-                       {"target", chosen->value},
-                       {"position", absl::StrCat(this->answers[*chosen].received.term, ".",
-                                                 this->answers[*chosen].received.position)},
+                       {"target", best->value},
+                       {"position", absl::StrCat(this->answers[*best].received.term, ".",
+                                                 this->answers[*best].received.position)},
                        {"answered", absl::StrCat(this->answers.size())},
                        {"awaited", absl::StrCat(this->awaited.size())}});
-    if (authority.candidate != *chosen) {
-        this->proposedUntil = now + this->settings.proposalPatience;
-        this->ports.propose(ChooseCandidate{this->group, authority.generation, *chosen});
-    }
+    this->chosen = *best;
+    if (authority.candidate != *best)
+        this->ports.propose(ChooseCandidate{this->group, authority.generation, *best});
 }
 
 // A target that leads already needs no promotion: a former call took effect, or the primary was
@@ -151,24 +150,25 @@
 }
 
 // While the former primary can still be asked, the replica may catch up with all its commits.
-bool PrimaryChange::awaitsCatchUp(const TargetId &chosen, const PrimaryAuthority &authority,
+bool PrimaryChange::awaitsCatchUp(const TargetId &candidate, const PrimaryAuthority &authority,
                                   TimePoint now) const
 {
     const auto former = this->answers.find(authority.former);
     if (former == this->answers.end() || now >= this->catchUpDeadline)
         return false;
-    return this->answers.at(chosen).received < former->second.received;
+    return this->answers.at(candidate).received < former->second.received;
 }
 
 void PrimaryChange::promote(const PrimaryAuthority &authority, TimePoint now)
 {
-    if (authority.candidate.empty() || now < this->promoteAt)
-        return;
-    this->promoteAt = now + this->settings.promotionInterval;
     if (now >= this->leadDeadline) {
         this->enterSurvey(now);
         return;
     }
+    // The choice is committed first, so that a new leader goes on with it.
+    if (authority.candidate != this->chosen || now < this->promoteAt)
+        return;
+    this->promoteAt = now + this->settings.promotionInterval;
     this->ports.event("promotion_requested", {{"group", this->group.value},
                                               {"target", authority.candidate.value},
                                               {"token", absl::StrCat(authority.token)}});
--- a/src/rhubarbweir/coordination/fleet/primary_change.hpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.hpp
@@ -54,7 +54,7 @@
     bool adoptLeading(const FleetState &state, const PrimaryAuthority &authority);
     std::optional<TargetId> choose(const FleetState &state,
                                    const PrimaryAuthority &authority) const;
-    bool awaitsCatchUp(const TargetId &chosen, const PrimaryAuthority &authority,
+    bool awaitsCatchUp(const TargetId &candidate, const PrimaryAuthority &authority,
                        TimePoint now) const;
     void promote(const PrimaryAuthority &authority, TimePoint now);
     void awaitLead(const FleetState &state, const PrimaryAuthority &authority, TimePoint now);
@@ -77,6 +77,8 @@
     std::set<TargetId> awaited;
     // Targets that refused a promotion in this change.
     std::set<TargetId> refused;
+    // The survey's choice.
+    TargetId chosen;
     // A change is proposed once; the controller drops this object when it is applied.
     TimePoint proposedUntil;
 };
