--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -60,6 +60,8 @@
     }
     if (!wasAlive)
         this->hooks.observationsChanged();
+    if (answer.fault == StatementFault::Busy)
+        this->book.busy(connection->target, now);
     this->recordPosition(*connection, *awaited, answer, now);
     const auto found = this->sessions.find(awaited->session);
     if (found == this->sessions.end()) {
@@ -214,22 +216,29 @@
     this->finish(session, delivered, now);
 }
 
-// Lets the statement try another target, or the same after a pause. False when it may not.
+// Lets the statement try another target, or the same one later. False when it may not.
 bool SessionPooler::retryElsewhere(Session &session, StatementFault fault, const TargetId &target,
                                    TimePoint now)
 {
     StatementWork &work = *session.work;
-    if (work.attempts >= this->settings.maxAttempts || now >= work.queueDeadline
-        || !this->retries.tryTake())
+    // A lagging replica or a busy target spent nothing on the statement.
+    const bool isFree = fault == StatementFault::Lagging || fault == StatementFault::Busy;
+    if (now >= work.queueDeadline
+        || (!isFree
+            && (work.attempts >= this->settings.maxAttempts || !this->retries.tryTake())))
         return false;
-    work.tried.insert(target);
+    if (isFree)
+        --work.attempts;
+    // A busy target is left alone for a while; one that lags or failed is not asked again.
+    if (fault != StatementFault::Busy)
+        work.tried.insert(target);
     this->hooks.event("retry",
                       {{"request", work.statement.id},
                        {"target", target.value},
                        {"fault", std::string(nameOf(fault))},
                        {"attempts", absl::StrCat(work.attempts)}},
                       true);
-    if (this->candidates(session, now).empty()) {
+    if (fault != StatementFault::Busy && this->candidates(session, now).empty()) {
         work.tried.clear();
         work.stage = WorkStage::Paused;
         work.resumeAt = now + this->settings.busyPause;
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -31,10 +31,13 @@
     // Pause before a target that refused a connection is tried again; doubles up to the cap.
     Duration reconnectPause = std::chrono::milliseconds(100);
     Duration reconnectPauseCap = std::chrono::milliseconds(1000);
-    // No further connection is opened for this long after a target had too many.
-    Duration tooManyPause = std::chrono::milliseconds(1000);
-    // Pause before a statement that the target was too busy for is tried there again.
+    // No further connection is opened for this long after a target had too many; a tenth of the time
+    // for which targets keep those of a machine that is gone.
+    Duration tooManyPause = std::chrono::milliseconds(300);
+    // Pause after a target was too busy, doubling up to the cap: the time of a usual statement, and
+    // of a full queue.
     Duration busyPause = std::chrono::milliseconds(15);
+    Duration busyPauseCap = std::chrono::milliseconds(120);
     // A connection above the pooler's share is closed when unused for this long.
     Duration surplusIdle = std::chrono::seconds(5);
     // Attempts of one statement at targets.
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -356,11 +356,18 @@
         else
             earliest = std::min(earliest, work.deadline);
     }
+    if (this->queue.empty())
+        return earliest;
+    for (const auto &[id, record] : this->book.records()) {
+        if (record.suspendedUntil > this->advancedAt)
+            earliest = std::min(earliest, record.suspendedUntil);
+    }
     return earliest;
 }
 
 void SessionPooler::advance(TimePoint now)
 {
+    this->advancedAt = now;
     std::vector<SessionNumber> due;
     for (const auto &[number, session] : this->sessions) {
         const bool hasWork = session.work.has_value();
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -130,6 +130,7 @@
     bool servingQueue = false;
     bool closingWhenAnswered = false;
     TimePoint nextCheck;
+    TimePoint advancedAt;
 };
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/sessions/target_book.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_book.cpp
@@ -138,6 +138,7 @@
         const bool isStatement =
             answer.kind == TargetCommandKind::Forward || answer.kind == TargetCommandKind::Execute;
         if (isStatement) {
+            record->busyPause = record->busyPause / 2;
             const auto took = std::chrono::duration_cast<Duration>(now - answer.sentAt);
             record->delay += (took - record->delay) / DelaySmoothing;
         }
@@ -152,10 +153,21 @@
         return;
     record->heardAt = now;
     record->pause = Duration::zero();
-    record->suspendedUntil = now;
+    if (record->state != ObservedState::Alive)
+        record->suspendedUntil = now;
     this->changeState(*record, ObservedState::Alive);
 }
 
+void TargetBook::busy(const TargetId &target, TimePoint now)
+{
+    TargetRecord *record = this->find(target);
+    if (record == nullptr)
+        return;
+    record->busyPause = std::clamp(record->busyPause * 2, this->settings.busyPause,
+                                   this->settings.busyPauseCap);
+    record->suspendedUntil = now + record->busyPause;
+}
+
 void TargetBook::failed(const TargetId &target, TargetFailure failure, TimePoint now)
 {
     TargetRecord *record = this->find(target);
--- a/src/rhubarbweir/coordination/sessions/target_book.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_book.hpp
@@ -67,6 +67,8 @@
     TimePoint suspendedUntil;
     TimePoint tooManyUntil;
     Duration pause{0};
+    // Pause after the last answer that it was too busy; 0 after any other.
+    Duration busyPause{0};
     ObservedState state = ObservedState::Alive;
 };
 
@@ -95,6 +97,8 @@
     // The answer's entry; empty when none was owed.
     std::optional<AwaitedAnswer> answered(PooledConnection &connection, TimePoint now);
     void heard(const TargetId &target, TimePoint now);
+    // The target had no room for a statement: it gets none for a while.
+    void busy(const TargetId &target, TimePoint now);
     void failed(const TargetId &target, TargetFailure failure, TimePoint now);
     // Marks targets that owe an answer for too long. True when a state changed.
     bool findSilent(TimePoint now);
