--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace rhubarbweir {
@@ -36,7 +37,8 @@
 
 bool SessionPooler::mayUse(const TargetRecord &record, TimePoint now) const
 {
-    return record.target.phase == TargetPhase::Ready && now >= record.suspendedUntil;
+    return record.target.phase == TargetPhase::Ready && now >= record.suspendedUntil
+           && record.hasRoom();
 }
 
 // Targets that may run the session's statement now, the quickest first.
@@ -120,21 +122,38 @@
     this->hooks.openTarget(connection.id, record->target);
 }
 
+// Serves what waits, the most urgent first. Among equals the oldest goes first, unless the queue
+// is so long that the oldest would be late anyway: then the newest does.
 void SessionPooler::serveQueue(TimePoint now)
 {
-    if (this->servingQueue)
+    if (this->servingQueue || this->queue.empty())
         return;
     this->servingQueue = true;
     const auto waiting = std::exchange(this->queue, {});
-    for (const auto &[order, number] : waiting) {
-        const auto found = this->sessions.find(number);
-        if (found != this->sessions.end() && found->second.work
-            && found->second.work->stage == WorkStage::Queued)
-            this->assign(found->second, now);
+    for (auto first = waiting.begin(); first != waiting.end();) {
+        const unsigned priority = first->first.first;
+        const auto last = std::find_if(first, waiting.end(), [priority](const auto &entry) {
+            return entry.first.first != priority;
+        });
+        if (now >= first->first.second + this->settings.longWait)
+            std::for_each(std::make_reverse_iterator(last), std::make_reverse_iterator(first),
+                          [this, now](const auto &entry) { this->serve(entry.second, now); });
+        else
+            std::for_each(first, last,
+                          [this, now](const auto &entry) { this->serve(entry.second, now); });
+        first = last;
     }
     this->servingQueue = false;
 }
 
+void SessionPooler::serve(SessionNumber number, TimePoint now)
+{
+    const auto found = this->sessions.find(number);
+    if (found != this->sessions.end() && found->second.work
+        && found->second.work->stage == WorkStage::Queued)
+        this->assign(found->second, now);
+}
+
 void SessionPooler::take(Session &session, PooledConnection &connection, TimePoint now)
 {
     StatementWork &work = *session.work;
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -46,10 +46,16 @@
     std::uint32_t surplusConnections = 2;
     // Expected extra delay of a target in another failure domain: one round trip between domains.
     Duration otherDomainDelay = std::chrono::milliseconds(3);
+    // Answers slower than this, on average, mean that statements queue up at the target; about three
+    // times a usual statement.
+    Duration slowAnswer = std::chrono::milliseconds(90);
     // Keeps reads off the primary as long as replicas answer not much later than this.
     Duration primaryReadDelay = std::chrono::milliseconds(30);
     // Expected extra delay of a replica whose last known position is not enough.
     Duration laggingDelay = std::chrono::milliseconds(40);
+    // Once the oldest statement waited this long the newest goes first; about a third of a usual
+    // latency objective.
+    Duration longWait = std::chrono::milliseconds(100);
     // Statements that wait, over all groups; beyond it new ones are refused.
     std::size_t queueLimit = 512;
 };
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -92,6 +92,7 @@
     void dropConnection(ConnectionId connection);
     void unpin(Session &session, bool reusable, TimePoint now);
     void serveQueue(TimePoint now);
+    void serve(SessionNumber number, TimePoint now);
     bool holdsAuthority(const PooledConnection &connection, std::uint64_t generation,
                         TimePoint now) const;
 
--- a/src/rhubarbweir/coordination/sessions/target_book.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_book.cpp
@@ -10,6 +10,9 @@
 
 // Weight of the newest measurement in the smoothed delay, as one part in so many.
 constexpr int DelaySmoothing = 8;
+constexpr double WindowDecrease = 0.8;
+// More than the slots of a usual target.
+constexpr double MaxWindow = 12;
 
 } // namespace
 
@@ -141,11 +144,22 @@
             record->busyPause = record->busyPause / 2;
             const auto took = std::chrono::duration_cast<Duration>(now - answer.sentAt);
             record->delay += (took - record->delay) / DelaySmoothing;
+            this->adaptWindow(*record);
         }
     }
     return answer;
 }
 
+// Additive growth, multiplicative decrease: what does not fit waits here, where the most urgent
+// goes first, and not in the target's own queue.
+void TargetBook::adaptWindow(TargetRecord &record) const
+{
+    if (record.delay > this->settings.slowAnswer)
+        record.window = std::max(1.0, record.window * WindowDecrease);
+    else
+        record.window = std::min(MaxWindow, record.window + 1 / record.window);
+}
+
 void TargetBook::heard(const TargetId &target, TimePoint now)
 {
     TargetRecord *record = this->find(target);
@@ -163,6 +177,7 @@
     TargetRecord *record = this->find(target);
     if (record == nullptr)
         return;
+    record->window = std::max(1.0, record->window / 2);
     record->busyPause = std::clamp(record->busyPause * 2, this->settings.busyPause,
                                    this->settings.busyPauseCap);
     record->suspendedUntil = now + record->busyPause;
--- a/src/rhubarbweir/coordination/sessions/target_book.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_book.hpp
@@ -53,6 +53,9 @@
     bool isDamaged = false;
 };
 
+// Statements in flight at a target whose speed is not known yet.
+inline constexpr double InitialWindow = 4;
+
 struct TargetRecord
 {
     RegisteredTarget target;
@@ -61,8 +64,12 @@
     unsigned inFlight = 0;
     // Smoothed time from sending a statement to its answer.
     Duration delay = std::chrono::milliseconds(15);
+    // Statements that may be in flight at once; grows while answers are quick.
+    double window = InitialWindow;
     std::optional<LogPosition> position;
     TimePoint heardAt;
+
+    bool hasRoom() const { return this->inFlight < static_cast<unsigned>(this->window); }
     // Nothing new is sent before this.
     TimePoint suspendedUntil;
     TimePoint tooManyUntil;
@@ -109,6 +116,7 @@
                            const std::optional<LogPosition> &minimum) const;
 
 private:
+    void adaptWindow(TargetRecord &record) const;
     bool changeState(TargetRecord &record, ObservedState state);
 
     const PoolerSettings &settings;
