Keep one connection to each target open

Cause: after a start the first statements waited for connections (12 ms of a slot each), all at once.

--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -13,6 +13,8 @@
 
 // Connections of each target left to control's probes and to poolers that start.
 constexpr std::uint32_t ReservedConnections = 2;
+// A share at which a connection may rest unused.
+constexpr std::uint32_t WarmFromShare = 2;
 
 } // namespace
 
@@ -122,6 +124,16 @@
     this->hooks.openTarget(connection.id, record->target);
 }
 
+// Keeps one connection to each target, so that the first statement need not wait for it.
+void SessionPooler::keepWarm(TimePoint now)
+{
+    for (const auto &[id, record] : this->book.records()) {
+        if (record.connections.empty() && record.target.phase == TargetPhase::Ready
+            && now >= record.suspendedUntil && this->connectionShare(record) >= WarmFromShare)
+            this->openIfAllowed(id, now);
+    }
+}
+
 // Serves what waits, the most urgent first. Among equals the oldest goes first, unless the queue
 // is so long that the oldest would be late anyway: then the newest does.
 void SessionPooler::serveQueue(TimePoint now)
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -335,6 +335,7 @@
     this->view.extendLease(end);
     this->view.setPoolers(poolers);
     if (!hadLease) {
+        this->keepWarm(now);
         this->hooks.event("lease_regained", {{"view", absl::StrCat(this->view.revision())}}, false);
         this->serveQueue(now);
     }
@@ -395,6 +396,8 @@
         this->expireConnections(now);
         if (this->book.findSilent(now))
             this->hooks.observationsChanged();
+        if (this->view.leaseValid(now))
+            this->keepWarm(now);
     }
     this->serveQueue(now);
 }
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -80,6 +80,7 @@
     void enqueue(const Session &session);
     void dequeue(SessionNumber number);
     void openIfAllowed(const TargetId &target, TimePoint now);
+    void keepWarm(TimePoint now);
     std::uint32_t connectionShare(const TargetRecord &record) const;
     void take(Session &session, PooledConnection &connection, TimePoint now);
     void sendBegin(Session &session, PooledConnection &connection, TimePoint now);
