--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -62,6 +62,8 @@
         this->hooks.observationsChanged();
     if (answer.fault == StatementFault::Busy)
         this->book.busy(connection->target, now);
+    if (answer.fault == StatementFault::Lagging && awaited->minimum)
+        this->book.lacks(connection->target, *awaited->minimum, now);
     this->recordPosition(*connection, *awaited, answer, now);
     const auto found = this->sessions.find(awaited->session);
     if (found == this->sessions.end()) {
@@ -88,6 +90,8 @@
     if (record == nullptr || !answer.position)
         return;
     record->position = answer.position;
+    if (!answer.fault)
+        record->laggingPause = Duration::zero();
     const bool counts = awaited.generation != 0
                         && awaited.generation == this->view.generation(connection.group)
                         && this->view.knownPrimary(connection.group) == connection.target;
@@ -229,8 +233,8 @@
         return false;
     if (isFree)
         --work.attempts;
-    // A busy target is left alone for a while; one that lags or failed is not asked again.
-    if (fault != StatementFault::Busy)
+    // A busy or lagging target is left alone for a while; one that failed is not asked again.
+    if (!isFree)
         work.tried.insert(target);
     this->hooks.event("retry",
                       {{"request", work.statement.id},
@@ -238,7 +242,7 @@
                        {"fault", std::string(nameOf(fault))},
                        {"attempts", absl::StrCat(work.attempts)}},
                       true);
-    if (fault != StatementFault::Busy && this->candidates(session, now).empty()) {
+    if (!isFree && this->candidates(session, now).empty()) {
         work.tried.clear();
         work.stage = WorkStage::Paused;
         work.resumeAt = now + this->settings.busyPause;
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -60,6 +60,8 @@
         const bool isReplica = id != this->view.knownPrimary(work.route.group);
         if (!isPrimary && (!isReplica || !minimum))
             continue;
+        if (!isPrimary && now < record.laggingUntil && !(*minimum < record.lacked))
+            continue;
         ranked.emplace_back(
             this->book.expectedDelay(record, isPrimary && !work.needsPrimary, minimum), id);
     }
@@ -192,7 +194,7 @@
         command.minimum = this->requiredPosition(session, now);
     session.work->stage = WorkStage::Beginning;
     connection.inTransaction = true;
-    this->book.sent(connection, {command.kind, session.number, now, 0});
+    this->book.sent(connection, {command.kind, session.number, now, 0, command.minimum});
     this->hooks.sendToTarget(connection.id, {command});
 }
 
@@ -271,7 +273,8 @@
         command.minimum = this->requiredPosition(session, now);
     work.stage = WorkStage::Sent;
     const std::uint64_t generation = atPrimary ? this->view.generation(connection.group) : 0;
-    this->book.sent(connection, {command.kind, session.number, now, generation});
+    this->book.sent(connection,
+                    {command.kind, session.number, now, generation, command.minimum});
     commands.push_back(std::move(command));
     this->hooks.sendToTarget(connection.id, commands);
 }
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -56,6 +56,10 @@
     // Once the oldest statement waited this long the newest goes first; about a third of a usual
     // latency objective.
     Duration longWait = std::chrono::milliseconds(100);
+    // Pause before a replica is asked again for a position that it lacked, doubling up to the cap:
+    // from a usual replication lag to the time in which callers give up.
+    Duration laggingPause = std::chrono::milliseconds(30);
+    Duration laggingPauseCap = std::chrono::milliseconds(240);
     // Statements that wait, over all groups; beyond it new ones are refused.
     std::size_t queueLimit = 512;
 };
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -360,8 +360,10 @@
     if (this->queue.empty())
         return earliest;
     for (const auto &[id, record] : this->book.records()) {
-        if (record.suspendedUntil > this->advancedAt)
-            earliest = std::min(earliest, record.suspendedUntil);
+        for (const TimePoint until : {record.suspendedUntil, record.laggingUntil}) {
+            if (until > this->advancedAt)
+                earliest = std::min(earliest, until);
+        }
     }
     return earliest;
 }
--- a/src/rhubarbweir/coordination/sessions/target_book.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_book.cpp
@@ -183,6 +183,17 @@
     record->suspendedUntil = now + record->busyPause;
 }
 
+void TargetBook::lacks(const TargetId &target, const LogPosition &minimum, TimePoint now)
+{
+    TargetRecord *record = this->find(target);
+    if (record == nullptr)
+        return;
+    record->lacked = minimum;
+    record->laggingPause = std::clamp(record->laggingPause * 2, this->settings.laggingPause,
+                                      this->settings.laggingPauseCap);
+    record->laggingUntil = now + record->laggingPause;
+}
+
 void TargetBook::failed(const TargetId &target, TargetFailure failure, TimePoint now)
 {
     TargetRecord *record = this->find(target);
--- a/src/rhubarbweir/coordination/sessions/target_book.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_book.hpp
@@ -30,6 +30,8 @@
     TimePoint sentAt;
     // Authority generation under which it was sent to the primary; 0 for a replica.
     std::uint64_t generation = 0;
+    // Position that the target's log must hold.
+    std::optional<LogPosition> minimum = std::nullopt;
 };
 
 struct PooledConnection
@@ -70,6 +72,10 @@
     TimePoint heardAt;
 
     bool hasRoom() const { return this->inFlight < static_cast<unsigned>(this->window); }
+    // A replica that lacked a position is not asked for it, or a later one, before this.
+    LogPosition lacked;
+    TimePoint laggingUntil;
+    Duration laggingPause{0};
     // Nothing new is sent before this.
     TimePoint suspendedUntil;
     TimePoint tooManyUntil;
@@ -106,6 +112,8 @@
     void heard(const TargetId &target, TimePoint now);
     // The target had no room for a statement: it gets none for a while.
     void busy(const TargetId &target, TimePoint now);
+    // The target's log lacks `minimum`.
+    void lacks(const TargetId &target, const LogPosition &minimum, TimePoint now);
     void failed(const TargetId &target, TargetFailure failure, TimePoint now);
     // Marks targets that owe an answer for too long. True when a state changed.
     bool findSilent(TimePoint now);
