--- a/src/rhubarbweir/coordination/sessions/authority_view.cpp
+++ b/src/rhubarbweir/coordination/sessions/authority_view.cpp
@@ -6,6 +6,13 @@
 
 namespace rhubarbweir {
 
+namespace {
+
+// Longer than most cuts and freezes.
+constexpr std::chrono::seconds PoolerMemory{15};
+
+} // namespace
+
 bool AuthorityView::update(const FleetView &next)
 {
     if (next.revision <= this->view.revision)
@@ -33,6 +40,14 @@
     this->leaseEnd = std::max(this->leaseEnd, end);
 }
 
+void AuthorityView::setPoolers(std::uint32_t count, TimePoint now)
+{
+    if (count < this->poolerCount && now < this->poolersSeenAt + PoolerMemory)
+        return;
+    this->poolerCount = std::max<std::uint32_t>(1, count);
+    this->poolersSeenAt = now;
+}
+
 std::optional<TargetId> AuthorityView::primary(const GroupId &group, TimePoint now) const
 {
     const TargetId known = this->knownPrimary(group);
--- a/src/rhubarbweir/coordination/sessions/authority_view.hpp
+++ b/src/rhubarbweir/coordination/sessions/authority_view.hpp
@@ -17,7 +17,9 @@
     bool updateRoutes(RouteTable table);
     // A lease counts from when its renewal was sent.
     void extendLease(TimePoint end);
-    void setPoolers(std::uint32_t count) { this->poolerCount = count == 0 ? 1 : count; }
+    // A lower count takes effect only when it has stayed: poolers that are out of touch for a while
+    // still hold their connections.
+    void setPoolers(std::uint32_t count, TimePoint now);
 
     bool leaseValid(TimePoint now) const { return now < this->leaseEnd; }
     // The target that may be used as the group's primary now; empty without authority.
@@ -41,6 +43,8 @@
     RouteTable table;
     TimePoint leaseEnd;
     std::uint32_t poolerCount = 1;
+    // When the count was last seen as high as it is held.
+    TimePoint poolersSeenAt;
 };
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-// Connections of each target left to control's probes and to poolers that start.
-constexpr std::uint32_t ReservedConnections = 2;
-// A share at which a connection may rest unused.
-constexpr std::uint32_t WarmFromShare = 2;
 
 } // namespace
 
@@ -109,12 +105,17 @@
     }
 }
 
-std::uint32_t SessionPooler::connectionShare(const TargetRecord &record) const
+// Connections that may rest open. Half of the target's limit stays free: a machine that lost power
+// holds its connections for seconds, and its successor needs some of its own meanwhile.
+std::uint32_t SessionPooler::restingShare(const TargetRecord &record) const
 {
     const std::uint32_t limit = this->view.limits(record.target.group).maxConnections;
-    const std::uint32_t shared = limit > ReservedConnections ? limit - ReservedConnections : 1;
-    return std::max<std::uint32_t>(1, shared / this->view.poolers())
-           + this->settings.surplusConnections;
+    return std::max<std::uint32_t>(1, limit / 2 / this->view.poolers());
+}
+
+std::uint32_t SessionPooler::connectionShare(const TargetRecord &record) const
+{
+    return this->restingShare(record) + this->settings.surplusConnections;
 }
 
 void SessionPooler::openIfAllowed(const TargetId &id, TimePoint now)
@@ -126,12 +127,18 @@
     this->hooks.openTarget(connection.id, record->target);
 }
 
+// Whether there are connections enough for one of each pooler to rest.
+bool SessionPooler::mayRest(const TargetRecord &record) const
+{
+    return this->view.limits(record.target.group).maxConnections / 2 >= this->view.poolers();
+}
+
 // Keeps one connection to each target, so that the first statement need not wait for it.
 void SessionPooler::keepWarm(TimePoint now)
 {
     for (const auto &[id, record] : this->book.records()) {
         if (record.connections.empty() && record.target.phase == TargetPhase::Ready
-            && now >= record.suspendedUntil && this->connectionShare(record) >= WarmFromShare)
+            && now >= record.suspendedUntil && this->mayRest(record))
             this->openIfAllowed(id, now);
     }
 }
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -39,7 +39,7 @@
     Duration busyPause = std::chrono::milliseconds(15);
     Duration busyPauseCap = std::chrono::milliseconds(120);
     // A connection above the pooler's share is closed when unused for this long.
-    Duration surplusIdle = std::chrono::seconds(5);
+    Duration surplusIdle = std::chrono::milliseconds(1000);
     // Attempts of one statement at targets.
     unsigned maxAttempts = 5;
     // Connections above the pooler's share while statements wait.
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -333,7 +333,7 @@
 {
     const bool hadLease = this->view.leaseValid(now);
     this->view.extendLease(end);
-    this->view.setPoolers(poolers);
+    this->view.setPoolers(poolers, now);
     if (!hadLease) {
         this->keepWarm(now);
         this->hooks.event("lease_regained", {{"view", absl::StrCat(this->view.revision())}}, false);
