--- a/src/rhubarbweir/coordination/fleet/primary_change.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.cpp
@@ -72,7 +72,9 @@
                            TimePoint now)
 {
     this->probeAll(state, authority, now);
-    if (!this->isComplete() && now < this->surveyDeadline)
+    const bool isDecided =
+        this->isComplete() || now >= this->surveyDeadline || this->hasCaughtUp(state, authority);
+    if (!isDecided)
         return;
     if (this->adoptLeading(state, authority))
         return;
@@ -149,6 +151,15 @@
     return best;
 }
 
+// Whether a replica is known to hold all that the former primary does: no other can be better.
+bool PrimaryChange::hasCaughtUp(const FleetState &state, const PrimaryAuthority &authority) const
+{
+    const auto former = this->answers.find(authority.former);
+    const std::optional<TargetId> best = this->choose(state, authority);
+    return best && former != this->answers.end()
+           && !(this->answers.at(*best).received < former->second.received);
+}
+
 // While the former primary can still be asked, the replica may catch up with all its commits.
 bool PrimaryChange::awaitsCatchUp(const TargetId &candidate, const PrimaryAuthority &authority,
                                   TimePoint now) const
--- a/src/rhubarbweir/coordination/fleet/primary_change.hpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.hpp
@@ -51,6 +51,7 @@
     void survey(const FleetState &state, const PrimaryAuthority &authority, TimePoint now);
     void probeAll(const FleetState &state, const PrimaryAuthority &authority, TimePoint now);
     bool isComplete() const;
+    bool hasCaughtUp(const FleetState &state, const PrimaryAuthority &authority) const;
     bool adoptLeading(const FleetState &state, const PrimaryAuthority &authority);
     std::optional<TargetId> choose(const FleetState &state,
                                    const PrimaryAuthority &authority) const;
--- a/src/rhubarbweir/coordination/sessions/authority_view.cpp
+++ b/src/rhubarbweir/coordination/sessions/authority_view.cpp
@@ -68,6 +68,12 @@
     return found == this->authorities.end() ? 0 : found->second.generation;
 }
 
+std::uint64_t AuthorityView::logGeneration(const GroupId &group) const
+{
+    const std::uint64_t present = this->generation(group);
+    return present > 0 && this->knownPrimary(group).empty() ? present - 1 : present;
+}
+
 const Route *AuthorityView::route(const std::string &database) const
 {
     const auto found = this->table.routes.find(database);
--- a/src/rhubarbweir/coordination/sessions/authority_view.hpp
+++ b/src/rhubarbweir/coordination/sessions/authority_view.hpp
@@ -28,6 +28,9 @@
     TargetId knownPrimary(const GroupId &group) const;
     // 0 for an unknown group.
     std::uint64_t generation(const GroupId &group) const;
+    // Generation whose log positions still tell what was confirmed: the present one, or the one
+    // before while no primary has the authority.
+    std::uint64_t logGeneration(const GroupId &group) const;
     const Route *route(const std::string &database) const;
     GroupLimits limits(const GroupId &group) const;
     const RouteTable &routes() const { return this->table; }
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -28,7 +28,7 @@
     // A sample under the present authority covers what is left of earlier ones.
     const auto commit = session.commits.find(route.group);
     if (commit != session.commits.end()
-        && commit->second.generation == this->view.generation(route.group))
+        && commit->second.generation == this->view.logGeneration(route.group))
         required = std::max(*required, commit->second.position);
     return required;
 }
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -298,11 +298,11 @@
 {
     std::map<GroupId, std::uint64_t> generations;
     for (const PrimaryAuthority &authority : next.authorities)
-        generations[authority.group] = this->view.generation(authority.group);
+        generations[authority.group] = this->view.logGeneration(authority.group);
     if (!this->view.update(next))
         return;
     for (const auto &[group, generation] : generations) {
-        if (this->view.generation(group) == generation)
+        if (this->view.logGeneration(group) == generation)
             continue;
         this->freshness.erase(group);
         this->lastSample.erase(group);
