--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -228,8 +228,7 @@
     // A lagging replica or a busy target spent nothing on the statement.
     const bool isFree = fault == StatementFault::Lagging || fault == StatementFault::Busy;
     if (now >= work.queueDeadline
-        || (!isFree
-            && (work.attempts >= this->settings.maxAttempts || !this->retries.tryTake())))
+        || (!isFree && (work.attempts >= this->settings.maxAttempts || !this->retries.tryTake())))
         return false;
     if (isFree)
         --work.attempts;
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-
 } // namespace
 
 // The position that a read has to see; empty when only the primary can tell.
@@ -280,8 +279,7 @@
         command.minimum = this->requiredPosition(session, now);
     work.stage = WorkStage::Sent;
     const std::uint64_t generation = atPrimary ? this->view.generation(connection.group) : 0;
-    this->book.sent(connection,
-                    {command.kind, session.number, now, generation, command.minimum});
+    this->book.sent(connection, {command.kind, session.number, now, generation, command.minimum});
     commands.push_back(std::move(command));
     this->hooks.sendToTarget(connection.id, commands);
 }
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -31,8 +31,8 @@
     // Pause before a target that refused a connection is tried again; doubles up to the cap.
     Duration reconnectPause = std::chrono::milliseconds(100);
     Duration reconnectPauseCap = std::chrono::milliseconds(1000);
-    // No further connection is opened for this long after a target had too many; a tenth of the time
-    // for which targets keep those of a machine that is gone.
+    // No further connection is opened for this long after a target had too many; a tenth of the
+    // time for which targets keep those of a machine that is gone.
     Duration tooManyPause = std::chrono::milliseconds(300);
     // Pause after a target was too busy, doubling up to the cap: the time of a usual statement, and
     // of a full queue.
@@ -46,8 +46,8 @@
     std::uint32_t surplusConnections = 2;
     // Expected extra delay of a target in another failure domain: one round trip between domains.
     Duration otherDomainDelay = std::chrono::milliseconds(3);
-    // Answers slower than this, on average, mean that statements queue up at the target; about three
-    // times a usual statement.
+    // Answers slower than this, on average, mean that statements queue up at the target; about
+    // three times a usual statement.
     Duration slowAnswer = std::chrono::milliseconds(90);
     // Keeps reads off the primary as long as replicas answer not much later than this.
     Duration primaryReadDelay = std::chrono::milliseconds(30);
--- a/src/rhubarbweir/coordination/sessions/target_book.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_book.cpp
@@ -178,8 +178,8 @@
     if (record == nullptr)
         return;
     record->window = std::max(1.0, record->window / 2);
-    record->busyPause = std::clamp(record->busyPause * 2, this->settings.busyPause,
-                                   this->settings.busyPauseCap);
+    record->busyPause =
+        std::clamp(record->busyPause * 2, this->settings.busyPause, this->settings.busyPauseCap);
     record->suspendedUntil = now + record->busyPause;
 }
 
--- /dev/null
+++ b/tests/fakes/fleet_fixture.hpp
@@ -0,0 +1,213 @@
+// A FleetController under virtual time with a quorum log that commits at once, scripted poolers
+// and targets.
+#pragma once
+
+#include "rhubarbweir/coordination/fleet/fleet_controller.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace rhubarbweir::fakes {
+
+using std::chrono::milliseconds;
+
+class FleetFixture
+{
+public:
+    static inline const GroupId Group{"g"};
+
+    FleetFixture()
+        : controller(makeSettings(), this->makeHooks())
+    {
+        this->isLeader = true;
+        this->controller.leadershipChanged(this->now);
+    }
+
+    // Past the leases that a former leader may have granted.
+    void passGrace() { this->advance(milliseconds(4500)); }
+
+    static RegisteredTarget target(const std::string &name, bool primary, std::uint64_t sequence,
+                                   TargetPhase phase = TargetPhase::Ready, std::int64_t born = 1)
+    {
+        RegisteredTarget told;
+        told.target = TargetId(name);
+        told.group = Group;
+        told.address = name + ":1";
+        told.phase = phase;
+        told.sequence = sequence;
+        told.born = born;
+        told.reportsPrimary = primary;
+        return told;
+    }
+
+    FleetCallOutcome announce(const RegisteredTarget &told)
+    {
+        std::optional<FleetCallOutcome> result;
+        this->controller.targetAnnounced(
+            told, [&result](FleetCallOutcome outcome) { result = outcome; }, this->now);
+        this->commit();
+        return result.value_or(FleetCallOutcome::Unavailable);
+    }
+
+    FleetCallOutcome configure(std::uint64_t version, const std::string &document)
+    {
+        std::optional<FleetCallOutcome> result;
+        this->controller.configurationSent(
+            version, OpaqueBytes(document),
+            [&result](FleetCallOutcome outcome) { result = outcome; }, this->now);
+        this->commit();
+        return result.value_or(FleetCallOutcome::Unavailable);
+    }
+
+    // Three targets, the first as primary, under a granted authority.
+    void startGroup()
+    {
+        for (const std::string name : {"t1", "t2", "t3"})
+            this->announce(target(name, name == "t1", ++this->sequence));
+        this->advance(milliseconds(200));
+    }
+
+    // All targets announce themselves once more.
+    void beat()
+    {
+        ++this->sequence;
+        for (const std::string name : {"t1", "t2", "t3"}) {
+            if (this->dead.count(TargetId(name)) == 0)
+                this->announce(target(name, TargetId(name) == this->leading, this->sequence));
+        }
+    }
+
+    void renew(const std::string &pooler, std::uint64_t revision,
+               const std::vector<std::string> &complaints = {}, std::uint64_t incarnation = 1)
+    {
+        RenewLease message;
+        message.proxy = InstanceId(pooler);
+        message.incarnation = incarnation;
+        message.sequence = ++this->sequence;
+        message.revision = revision;
+        for (const std::string &name : complaints)
+            message.observations.push_back({TargetId(name), Group, ObservedState::Broken});
+        this->controller.receiveFromPooler(this->connectionOf(pooler), message, this->now);
+    }
+
+    ConnectionId connectionOf(const std::string &pooler)
+    {
+        return this->connections.emplace(pooler, this->connections.size() + 1).first->second;
+    }
+
+    void advance(Duration time)
+    {
+        const TimePoint end = this->now + time;
+        while (this->now < end) {
+            this->now += milliseconds(10);
+            this->controller.advance(this->now);
+            this->commit();
+            this->answerProbes();
+        }
+    }
+
+    void commit()
+    {
+        while (!this->log.empty()) {
+            const auto [index, command] = this->log.front();
+            this->log.pop_front();
+            this->controller.applied(index, command, this->now);
+        }
+    }
+
+    void answerProbes()
+    {
+        while (!this->probes.empty()) {
+            const RegisteredTarget asked = this->probes.front();
+            this->probes.pop_front();
+            std::optional<TargetProbe> result;
+            if (this->dead.count(asked.target) == 0)
+                result = TargetProbe{asked.target == this->leading, this->term,
+                                     this->positions[asked.target]};
+            this->controller.probed(asked, result, this->now);
+            this->commit();
+        }
+    }
+
+    // The platform's answer to the newest promotion; an accepted one takes effect.
+    void answerPromotion(PromotionOutcome outcome)
+    {
+        const PromotionRequest request = this->promotions.back();
+        if (outcome == PromotionOutcome::Accepted) {
+            this->leading = request.target;
+            ++this->term;
+        }
+        this->controller.promotionAnswered(request, outcome, this->now);
+        this->commit();
+    }
+
+    const PrimaryAuthority &authority() const { return *this->controller.state().authority(Group); }
+    std::uint64_t revision() const { return this->controller.state().viewRevision(); }
+
+    TimePoint now = TimePoint(std::chrono::seconds(1000));
+    bool isLeader = false;
+    bool hasLease = true;
+    std::uint64_t sequence = 0;
+    std::uint64_t lastIndex = 0;
+    std::uint64_t term = 1;
+    TargetId leading{"t1"};
+    std::set<TargetId> dead;
+    std::map<TargetId, LogPosition> positions;
+    std::map<std::string, ConnectionId> connections;
+    std::deque<std::pair<std::uint64_t, FleetCommand>> log;
+    std::deque<RegisteredTarget> probes;
+    std::vector<PromotionRequest> promotions;
+    std::vector<std::pair<ConnectionId, FleetReply>> sent;
+    FleetController controller;
+
+private:
+    static FleetSettings makeSettings()
+    {
+        FleetSettings settings;
+        settings.lease.leaseFor = milliseconds(4000);
+        return settings;
+    }
+
+    FleetHooks makeHooks()
+    {
+        FleetHooks hooks;
+        hooks.propose = [this](const FleetCommand &command) -> absl::StatusOr<std::uint64_t> {
+            if (!this->isLeader)
+                return absl::FailedPreconditionError("not the leader");
+            this->log.emplace_back(++this->lastIndex, command);
+            return this->lastIndex;
+        };
+        hooks.isLeader = [this] {
+            return this->isLeader;
+        };
+        hooks.leaseValid = [this](TimePoint) {
+            return this->isLeader && this->hasLease;
+        };
+        hooks.leaderAddress = [] {
+            return std::string("leader:1");
+        };
+        hooks.controlAddresses = [] {
+            return std::vector<std::string>{"leader:1"};
+        };
+        hooks.sendToPooler = [this](ConnectionId connection, const FleetReply &reply) {
+            this->sent.emplace_back(connection, reply);
+        };
+        hooks.probe = [this](const RegisteredTarget &asked, std::uint64_t) {
+            this->probes.push_back(asked);
+        };
+        hooks.promote = [this](const PromotionRequest &request) {
+            this->promotions.push_back(request);
+        };
+        hooks.stepDown = [](const RegisteredTarget &, std::uint64_t) {
+        };
+        hooks.event = [](std::string_view, const FleetEventFields &) {
+        };
+        return hooks;
+    }
+};
+
+} // namespace rhubarbweir::fakes
--- /dev/null
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -0,0 +1,309 @@
+// Tests of the fleet's control decisions: configuration, registration, leases, and changes of the
+// primary under lost poolers, targets, leaders and calls.
+#include "fakes/fleet_fixture.hpp"
+#include "rhubarbweir/protocol/fleet_codec.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace rhubarbweir;
+using namespace rhubarbweir::fakes;
+
+namespace {
+
+// A group under authority, with two poolers that hold leases and the newest view.
+struct RunningFleet : FleetFixture
+{
+    RunningFleet()
+    {
+        this->passGrace();
+        this->startGroup();
+        this->renewBoth();
+    }
+
+    void renewBoth(const std::vector<std::string> &complaints = {})
+    {
+        this->renew("p1", this->revision(), complaints);
+        this->renew("p2", this->revision(), complaints);
+    }
+
+    // The primary dies and both poolers say so.
+    void losePrimary()
+    {
+        this->dead.insert(TargetId("t1"));
+        this->leading = TargetId();
+        this->renewBoth({"t1"});
+        this->advance(milliseconds(20));
+    }
+};
+
+} // namespace
+
+Test(fleet_controller, first_authority,
+     .description = "The target that says it leads gets the first authority")
+{
+    FleetFixture fleet;
+    fleet.startGroup();
+    cr_assert_eq(fleet.authority().primary, TargetId("t1"));
+    cr_assert_eq(fleet.authority().generation, 1);
+}
+
+Test(fleet_controller, highest_version,
+     .description = "Only a higher version changes the configuration")
+{
+    FleetFixture fleet;
+    cr_assert_eq(fleet.configure(7, "seven"), FleetCallOutcome::Accepted);
+    cr_assert_eq(fleet.configure(7, "other"), FleetCallOutcome::Accepted);
+    cr_assert_eq(fleet.configure(6, "six"), FleetCallOutcome::Accepted);
+    cr_assert_eq(fleet.controller.configuration(fleet.now)->document.bytes, "seven");
+}
+
+Test(fleet_controller, uncertain_reader,
+     .description = "A leader without a lease tells no configuration and accepts none")
+{
+    FleetFixture fleet;
+    fleet.configure(7, "seven");
+    fleet.hasLease = false;
+    cr_assert(!fleet.controller.configuration(fleet.now));
+    cr_assert_eq(fleet.configure(8, "eight"), FleetCallOutcome::NotLeader);
+}
+
+Test(fleet_controller, lost_leadership,
+     .description = "A call that was not committed before the leadership ended is not acknowledged")
+{
+    FleetFixture fleet;
+    std::optional<FleetCallOutcome> result;
+    fleet.controller.configurationSent(
+        3, OpaqueBytes("three"), [&result](FleetCallOutcome outcome) { result = outcome; },
+        fleet.now);
+    fleet.isLeader = false;
+    fleet.controller.leadershipChanged(fleet.now);
+    cr_assert_eq(*result, FleetCallOutcome::Unavailable);
+}
+
+Test(fleet_controller, late_heartbeat,
+     .description = "A late call of an earlier start changes nothing")
+{
+    FleetFixture fleet;
+    fleet.announce(FleetFixture::target("t1", true, 5, TargetPhase::Ready, 10));
+    fleet.announce(FleetFixture::target("t1", false, 9, TargetPhase::Draining, 9));
+    fleet.announce(FleetFixture::target("t1", false, 4, TargetPhase::Draining, 10));
+    cr_assert_eq(fleet.controller.state().find(TargetId("t1"))->phase, TargetPhase::Ready);
+    fleet.announce(FleetFixture::target("t1", false, 1, TargetPhase::Ready, 11));
+    cr_assert_eq(fleet.controller.state().find(TargetId("t1"))->born, 11);
+}
+
+Test(fleet_controller, reused_address,
+     .description = "An address belongs to the start that came last")
+{
+    FleetFixture fleet;
+    fleet.announce(FleetFixture::target("t1", true, 5, TargetPhase::Ready, 10));
+    RegisteredTarget next = FleetFixture::target("t9", false, 1, TargetPhase::Ready, 20);
+    next.address = "t1:1";
+    next.group = GroupId("other");
+    fleet.announce(next);
+    cr_assert_null(fleet.controller.state().find(TargetId("t1")));
+    fleet.announce(FleetFixture::target("t1", true, 6, TargetPhase::Ready, 10));
+    cr_assert_null(fleet.controller.state().find(TargetId("t1")));
+}
+
+Test(fleet_controller, left_target,
+     .description = "A target that left does not come back by a late call")
+{
+    FleetFixture fleet;
+    fleet.announce(FleetFixture::target("t2", false, 5));
+    fleet.controller.targetLeft(
+        TargetId("t2"), [](FleetCallOutcome) {}, fleet.now);
+    fleet.commit();
+    fleet.announce(FleetFixture::target("t2", false, 50));
+    cr_assert_eq(fleet.controller.state().find(TargetId("t2"))->phase, TargetPhase::Left);
+}
+
+Test(fleet_controller, one_complaint, .description = "One pooler's complaint alone replaces nobody")
+{
+    RunningFleet fleet;
+    fleet.renew("p3", fleet.revision());
+    for (int round = 0; round < 10; ++round) {
+        fleet.renew("p1", fleet.revision(), {"t1"});
+        fleet.renew("p2", fleet.revision());
+        fleet.renew("p3", fleet.revision());
+        fleet.beat();
+        fleet.advance(milliseconds(500));
+    }
+    cr_assert_eq(fleet.authority().primary, TargetId("t1"));
+}
+
+Test(fleet_controller, slow_primary,
+     .description = "A primary that answers probes is not replaced for a late announcement")
+{
+    RunningFleet fleet;
+    for (int round = 0; round < 20; ++round) {
+        fleet.renewBoth();
+        fleet.advance(milliseconds(500));
+    }
+    cr_assert_eq(fleet.authority().primary, TargetId("t1"));
+}
+
+Test(fleet_controller, failover,
+     .description = "A lost primary is replaced by the most advanced replica")
+{
+    RunningFleet fleet;
+    fleet.positions[TargetId("t2")] = {1, 10};
+    fleet.positions[TargetId("t3")] = {1, 12};
+    fleet.losePrimary();
+    cr_assert(fleet.authority().primary.empty());
+    fleet.renewBoth({"t1"});
+    fleet.advance(milliseconds(200));
+    cr_assert_eq(fleet.promotions.size(), 1);
+    cr_assert_eq(fleet.promotions.back().target, TargetId("t3"));
+    fleet.answerPromotion(PromotionOutcome::Accepted);
+    fleet.advance(milliseconds(200));
+    cr_assert_eq(fleet.authority().primary, TargetId("t3"));
+    cr_assert_eq(fleet.authority().generation, 3);
+}
+
+Test(fleet_controller, silent_holder,
+     .description = "A promotion waits for the lease of a silent pooler")
+{
+    RunningFleet fleet;
+    fleet.losePrimary();
+    fleet.renew("p1", fleet.revision(), {"t1"});
+    fleet.advance(milliseconds(3500));
+    cr_assert(fleet.promotions.empty());
+    fleet.renew("p1", fleet.revision(), {"t1"});
+    fleet.advance(milliseconds(1000));
+    cr_assert_eq(fleet.promotions.size(), 1);
+}
+
+Test(fleet_controller, restarted_holder,
+     .description = "A new start of a pooler ends the lease of the old one")
+{
+    RunningFleet fleet;
+    fleet.losePrimary();
+    fleet.renew("p1", fleet.revision(), {"t1"});
+    fleet.renew("p2", fleet.revision(), {"t1"}, 2);
+    fleet.advance(milliseconds(300));
+    cr_assert_eq(fleet.promotions.size(), 1);
+}
+
+Test(fleet_controller, new_leader,
+     .description = "A new leader waits for all leases that the former one may have granted")
+{
+    RunningFleet fleet;
+    fleet.losePrimary();
+    fleet.isLeader = false;
+    fleet.controller.leadershipChanged(fleet.now);
+    fleet.isLeader = true;
+    fleet.controller.leadershipChanged(fleet.now);
+    fleet.renewBoth({"t1"});
+    fleet.advance(milliseconds(3900));
+    cr_assert(fleet.promotions.empty());
+    fleet.advance(milliseconds(800));
+    cr_assert(!fleet.promotions.empty());
+}
+
+Test(fleet_controller, lost_call,
+     .description = "A promotion without an answer is asked for again with the same token")
+{
+    RunningFleet fleet;
+    fleet.losePrimary();
+    fleet.renewBoth({"t1"});
+    fleet.advance(milliseconds(200));
+    fleet.controller.promotionAnswered(fleet.promotions.back(), PromotionOutcome::Unknown,
+                                       fleet.now);
+    fleet.advance(milliseconds(600));
+    cr_assert_geq(fleet.promotions.size(), 2);
+    cr_assert_eq(fleet.promotions.front().token, fleet.promotions.back().token);
+    cr_assert_eq(fleet.promotions.front().target, fleet.promotions.back().target);
+}
+
+Test(fleet_controller, refused_call,
+     .description = "A candidate that died meanwhile is replaced by another one")
+{
+    RunningFleet fleet;
+    fleet.positions[TargetId("t3")] = {1, 12};
+    fleet.losePrimary();
+    fleet.renewBoth({"t1"});
+    fleet.advance(milliseconds(200));
+    fleet.dead.insert(TargetId("t3"));
+    fleet.answerPromotion(PromotionOutcome::Refused);
+    fleet.advance(milliseconds(1500));
+    cr_assert_eq(fleet.promotions.back().target, TargetId("t2"));
+}
+
+Test(fleet_controller, planned,
+     .description = "A draining primary is replaced after a replica has caught up")
+{
+    RunningFleet fleet;
+    fleet.positions[TargetId("t1")] = {1, 20};
+    fleet.positions[TargetId("t2")] = {1, 15};
+    fleet.positions[TargetId("t3")] = {1, 14};
+    fleet.announce(FleetFixture::target("t1", true, ++fleet.sequence, TargetPhase::Draining));
+    fleet.advance(milliseconds(50));
+    fleet.renewBoth();
+    fleet.advance(milliseconds(200));
+    cr_assert(fleet.promotions.empty());
+    fleet.positions[TargetId("t2")] = {1, 20};
+    fleet.advance(milliseconds(200));
+    cr_assert_eq(fleet.promotions.size(), 1);
+    cr_assert_eq(fleet.promotions.back().target, TargetId("t2"));
+}
+
+Test(fleet_controller, false_alarm,
+     .description = "A primary that can be reached again gets its authority back")
+{
+    RunningFleet fleet;
+    fleet.renewBoth({"t1"});
+    fleet.advance(milliseconds(20));
+    cr_assert(fleet.authority().primary.empty());
+    fleet.renewBoth();
+    fleet.advance(milliseconds(300));
+    cr_assert(fleet.promotions.empty());
+    cr_assert_eq(fleet.authority().primary, TargetId("t1"));
+}
+
+Test(fleet_controller, tokens_grow, .description = "Each change of a primary has a higher token")
+{
+    RunningFleet fleet;
+    fleet.losePrimary();
+    fleet.renewBoth({"t1"});
+    fleet.advance(milliseconds(200));
+    const std::uint64_t first = fleet.promotions.back().token;
+    fleet.answerPromotion(PromotionOutcome::Accepted);
+    fleet.advance(milliseconds(200));
+    const TargetId second = fleet.authority().primary;
+    fleet.dead.insert(second);
+    fleet.renewBoth({second.value});
+    fleet.advance(milliseconds(20));
+    fleet.renewBoth({second.value});
+    fleet.advance(milliseconds(700));
+    cr_assert_gt(fleet.promotions.back().token, first);
+}
+
+Test(fleet_controller, not_leading,
+     .description = "An instance that does not lead redirects poolers and grants nothing")
+{
+    FleetFixture fleet;
+    fleet.hasLease = false;
+    fleet.renew("p1", 0);
+    cr_assert(std::holds_alternative<FleetRedirect>(fleet.sent.back().second));
+}
+
+Test(fleet_controller, snapshot, .description = "Commands and snapshots survive encoding")
+{
+    RunningFleet fleet;
+    fleet.configure(9, "nine");
+    const auto decoded =
+        decodeFleetSnapshot(encodeFleetSnapshot(fleet.controller.state().snapshot()));
+    cr_assert(decoded.ok());
+    FleetState restored;
+    restored.restore(*decoded);
+    cr_assert_eq(restored.configuration().version, 9);
+    cr_assert_eq(restored.authority(FleetFixture::Group)->primary, TargetId("t1"));
+    cr_assert_eq(restored.viewRevision(), fleet.revision());
+    cr_assert(!decodeFleetCommand("rubbish").ok());
+    cr_assert(!decodeFleetSnapshot("").ok());
+    const auto command = decodeFleetCommand(
+        encodeFleetCommand(StoreConfiguration{4, OpaqueBytes(std::string("\0x", 2))}));
+    cr_assert(command.ok());
+    cr_assert_eq(std::get<StoreConfiguration>(*command).document.bytes.size(), 2);
+}
--- /dev/null
+++ b/tests/unit/platform.tests.cpp
@@ -0,0 +1,204 @@
+// Tests of the platform's names and formats: settings, the line protocol, calls and documents.
+#include "platform/fleet_calls.hpp"
+#include "platform/process_settings.hpp"
+#include "platform/text_protocol.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace rhubarbweir;
+using namespace rhubarbweir::platform;
+
+namespace {
+
+const char *const Document =
+    R"({"version":7,"routes":[{"name":"r","host":"board","path_prefix":"/","kind":"read_your_writes",)"
+    R"("timeout_ms":800,"target_latency_ms":250,"priority":2,"service":"s","max_staleness_ms":2500}],)"
+    R"("services":[{"name":"s","max_connections":112,"sync_replicas":0}],)"
+    R"("limits":{"transaction_idle_ms":3000}})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+const char *const Beat =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":3,"state":"ready",)"
+    R"("cold_remaining_ms":0,"database_role":"replica","sequence":4,"born":17})";
+
+HttpRequest post(const std::string &target, const std::string &body)
+{
+    return {"POST", target, body};
+}
+
+FleetCall beat(const std::string &body)
+{
+    return decodeCall(post("/api/Instances.Heartbeat/i-1", body));
+}
+
+} // namespace
+
+Test(platform, document, .description = "A configuration becomes a route table")
+{
+    const auto table = decodeRouteTable(Document);
+    cr_assert(table.ok());
+    const Route &route = table->routes.at("board");
+    cr_assert_eq(route.consistency, RouteConsistency::ReadYourWrites);
+    cr_assert_eq(route.timeout, Duration(std::chrono::milliseconds(800)));
+    cr_assert_eq(route.maxAge, Duration(std::chrono::milliseconds(2500)));
+    cr_assert_eq(table->groups.at(GroupId("s")).maxConnections, 112);
+}
+
+Test(platform, invalid_documents,
+     .description = "A document that cannot be obeyed in full is refused")
+{
+    const std::string whole = Document;
+    for (std::size_t length = 0; length < whole.size(); ++length)
+        cr_assert(!decodeRouteTable(whole.substr(0, length)).ok());
+    const std::string route = whole.substr(whole.find("{\"name\":\"r\""),
+                                           whole.find("}]") + 1 - whole.find("{\"name\":\"r\""));
+    for (const std::string &faulty :
+         {replaced(whole, "\"service\":\"s\"", "\"service\":\"t\""),
+          replaced(whole, "\"timeout_ms\":800", "\"timeout_ms\":0"),
+          replaced(whole, "\"timeout_ms\":800", "\"timeout_ms\":-5"),
+          replaced(whole, "\"timeout_ms\":800", "\"timeout_ms\":\"800\""),
+          replaced(whole, "read_your_writes", "whatever"), replaced(whole, "\"version\":7,", ""),
+          replaced(whole, "\"version\":7", "\"version\":0"),
+          replaced(whole, route, route + "," + route),
+          replaced(whole, "\"host\":\"board\"", "\"host\":5"), std::string("[]"), std::string("7")})
+        cr_assert(!decodeRouteTable(faulty).ok(), "%s", faulty.c_str());
+}
+
+Test(platform, unknown_fields, .description = "Unknown fields are ignored")
+{
+    cr_assert(decodeRouteTable(replaced(Document, "\"version\"", "\"more\":{},\"version\"")).ok());
+}
+
+Test(platform, announcements, .description = "A target's announcement names it by its path")
+{
+    const FleetCall call = beat(Beat);
+    const RegisteredTarget &target = std::get<AnnounceTarget>(call).target;
+    cr_assert_eq(target.target, TargetId("i-1"));
+    cr_assert_eq(target.born, 17);
+    cr_assert_eq(target.phase, TargetPhase::Ready);
+    cr_assert(!target.reportsPrimary);
+}
+
+Test(platform, foreign_announcements,
+     .description = "An announcement of another writer names no target")
+{
+    for (const std::string &faulty :
+         {replaced(Beat, "\"ready\"", "\"sleeping\""), replaced(Beat, "\"replica\"", "\"king\""),
+          replaced(Beat, "\"sequence\":4", "\"sequence\":\"4\""),
+          replaced(Beat, "\"born\":17", "\"born\":1.5"), replaced(Beat, "\"service\":\"s\",", ""),
+          std::string("\xff\xfe"), std::string()})
+        cr_assert(std::holds_alternative<InvalidCall>(beat(faulty)), "%s", faulty.c_str());
+}
+
+Test(platform, other_calls, .description = "Other methods and paths are unknown")
+{
+    cr_assert(std::holds_alternative<UnknownCall>(decodeCall({"GET", "/", ""})));
+    cr_assert(std::holds_alternative<UnknownCall>(
+        decodeCall({"GET", "/api/Configuration.Replace", Document})));
+    cr_assert(std::holds_alternative<ReadConfiguration>(
+        decodeCall({"GET", "/api/Configuration.Get?x=1", ""})));
+    cr_assert(std::holds_alternative<AskReadiness>(decodeCall({"GET", "/api/readiness", ""})));
+    const FleetCall left = decodeCall(post("/api/Instances.Leave/i-7", ""));
+    cr_assert_eq(std::get<TargetLeft>(left).target, TargetId("i-7"));
+}
+
+Test(platform, promotion, .description = "A promotion carries holder and token; 409 is a refusal")
+{
+    const HttpCall call = encodePromotion("10.0.0.1:1", InstanceId("n"),
+                                          {GroupId("s"), TargetId("i"), 42}, TimePoint());
+    cr_assert_eq(call.headers[0].second, "n");
+    cr_assert_eq(call.headers[1].second, "42");
+    cr_assert_eq(decodePromotion(200), PromotionOutcome::Accepted);
+    cr_assert_eq(decodePromotion(409), PromotionOutcome::Refused);
+    cr_assert_eq(decodePromotion(429), PromotionOutcome::Unknown);
+    cr_assert_eq(decodePromotion(absl::UnavailableError("x")), PromotionOutcome::Unknown);
+}
+
+Test(platform, statements, .description = "Each kind of statement is understood")
+{
+    const auto parsed = [](const std::string &line) {
+        return std::get<TextStatement>(parseCallerLine("QUERY id " + line));
+    };
+    cr_assert_eq(parsed("BEGIN").kind, TextStatementKind::Begin);
+    cr_assert(parsed("BEGIN READ").readOnly);
+    cr_assert_eq(parsed("READ 1a4").kind, TextStatementKind::Read);
+    cr_assert_eq(parsed("WRITE 1a4 data").text, "WRITE 1a4 data");
+    cr_assert_eq(parsed("SET colour very red").argument, "very red");
+    cr_assert(!parsed("PREPARE s WRITE q2c").readOnly);
+    cr_assert_eq(parsed("EXECUTE s 1a4 data").argument, "1a4 data");
+    for (const std::string line : {"", "READ", "BEGIN WORK", "AFTER 3.4 READ x", "STATUS",
+                                   "DISCARD", "PREPARE s DROP q", "SET", "COMMIT now"})
+        cr_assert_eq(parsed(line).kind, TextStatementKind::Malformed, "%s", line.c_str());
+    cr_assert(std::holds_alternative<Unreadable>(parseCallerLine("HELLO")));
+    cr_assert(std::holds_alternative<Unreadable>(parseCallerLine("QUERY")));
+    cr_assert(std::holds_alternative<SessionEnd>(parseCallerLine("TERMINATE")));
+}
+
+Test(platform, lines, .description = "Lines are found however the bytes are cut")
+{
+    const std::string bytes = "one\r\ntwo words\r\n\r\nthree\r\n";
+    for (std::size_t cut = 0; cut <= bytes.size(); ++cut) {
+        LineReader reader;
+        std::vector<std::string> lines;
+        for (const std::string &part : {bytes.substr(0, cut), bytes.substr(cut)}) {
+            reader.append(part);
+            while (const auto line = reader.next())
+                lines.push_back(*line);
+        }
+        cr_assert_eq(lines.size(), 4);
+        cr_assert_eq(lines[1], "two words");
+    }
+}
+
+Test(platform, answers, .description = "A target's rows and signature reach the caller unchanged")
+{
+    AnswerAssembler assembler;
+    cr_assert_eq(assembler.add("DATAROW qhzk"), AnswerAssembler::Result::Incomplete);
+    cr_assert_eq(assembler.add("COMPLETE 7.1f3.c"), AnswerAssembler::Result::Incomplete);
+    cr_assert_eq(assembler.add("READY I 3.1209"), AnswerAssembler::Result::Complete);
+    const StatementAnswer answer = assembler.take();
+    cr_assert_eq(answer.position->position, 1209);
+    cr_assert_eq(encodeAnswer(answer), "DATAROW qhzk\r\nCOMPLETE 7.1f3.c\r\nREADY I 3.1209\r\n");
+    AnswerAssembler strange;
+    cr_assert_eq(strange.add("NONSENSE"), AnswerAssembler::Result::Malformed);
+    cr_assert_eq(strange.add("READY Q -"), AnswerAssembler::Result::Malformed);
+    cr_assert_eq(strange.add("ERROR UNHEARD x"), AnswerAssembler::Result::Malformed);
+}
+
+Test(platform, commands, .description = "Commands carry the position and the renamed statement")
+{
+    TargetCommand read;
+    read.id = "5c";
+    read.text = "READ 1a4";
+    read.minimum = LogPosition{3, 1207};
+    cr_assert_eq(encodeTargetCommand(read), "QUERY 5c AFTER 3.1207 READ 1a4\r\n");
+    TargetCommand execute;
+    execute.kind = TargetCommandKind::Execute;
+    execute.id = "6d";
+    execute.name = "p3";
+    execute.argument = "1a4 data";
+    cr_assert_eq(encodeTargetCommand(execute), "QUERY 6d EXECUTE p3 1a4 data\r\n");
+    const auto row = parseStatusRow("DATAROW replica 3 3.1209 0 12 2 17\r\n");
+    cr_assert_eq(row->received.position, 1209);
+    cr_assert_eq(row->term, 3);
+    cr_assert(!row->isPrimary);
+    cr_assert(!parseStatusRow(""));
+}
+
+Test(platform, settings, .description = "Settings name the faulty field")
+{
+    const std::string text =
+        R"({"node_name":"n","ip_address":"10.1.0.8","zone":"z","listen_addresses":{"control":"10.1.0.8:1"},)"
+        R"("internal_port_range":[7440,7455],"seed_nodes":["10.1.0.8:1"],"bootstrap":true,"later":{}})";
+    const auto settings = parseProcessSettings(text);
+    cr_assert(settings.ok());
+    cr_assert_eq(settings->firstInternalPort, 7440);
+    cr_assert(settings->callerAddress.empty());
+    cr_assert(!parseProcessSettings("{}").ok());
+    cr_assert(!parseProcessSettings(replaced(text, "[7440,7455]", "7440")).ok());
+    cr_assert(!readProcessSettings("/nowhere/settings.json").ok());
+}
