--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -179,6 +179,7 @@
 
 void FleetProgram::event(std::string_view name, const FleetEventFields &fields)
 {
+    this->metrics.count(name);
     this->sampler.log(name, fields, false, EventLoop::now());
 }
 
@@ -290,6 +291,10 @@
 
 void FleetProgram::served(const HttpRequest &request, const HttpAnswer &answer)
 {
+    if (request.method == "GET" && request.target == MetricsPath) {
+        answer(metricsResponse(this->metrics));
+        return;
+    }
     const TimePoint now = EventLoop::now();
     const platform::FleetCall call = platform::decodeCall(request);
     const auto finish = [this, answer, target = request.target](const HttpResponse &accepted) {
--- a/src/programs/fleet/fleet_program.hpp
+++ b/src/programs/fleet/fleet_program.hpp
@@ -10,6 +10,7 @@
 #include "programs/control/quorum_links.hpp"
 #include "programs/fleet/target_probes.hpp"
 #include "programs/support/event_sampler.hpp"
+#include "programs/support/metrics_book.hpp"
 #include "rhubarbweir/coordination/fleet/fleet_controller.hpp"
 #include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
@@ -52,6 +53,7 @@
     std::string self;
     EventLoop loop;
     EventSampler sampler;
+    MetricsBook metrics;
     DiskWriter disk;
     ControlGate gate;
     QuorumLinks links;
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -117,7 +117,14 @@
     hooks.observationsChanged = [this] {
         this->link.renewNow();
     };
+    hooks.finished = [this](RouteConsistency consistency, std::optional<StatementFault> fault,
+                            Duration took) {
+        this->metrics.measure(nameOf(consistency), took);
+        if (fault)
+            this->metrics.count(absl::StrCat("fault_", std::string(nameOf(*fault))));
+    };
     hooks.event = [this](std::string_view event, const PoolerEventFields &fields, bool sampled) {
+        this->metrics.count(event);
         this->sampler.log(event, fields, sampled, EventLoop::now());
     };
     return hooks;
@@ -215,6 +222,10 @@
 
 void PoolerProgram::served(const HttpRequest &request, const HttpAnswer &answer)
 {
+    if (request.method == "GET" && request.target == MetricsPath) {
+        answer(metricsResponse(this->metrics));
+        return;
+    }
     const platform::FleetCall call = platform::decodeCall(request);
     if (!std::holds_alternative<platform::AskReadiness>(call)) {
         answer(platform::encodeUnknown());
--- a/src/programs/pooler/pooler_program.hpp
+++ b/src/programs/pooler/pooler_program.hpp
@@ -7,6 +7,7 @@
 #include "programs/pooler/fleet_link.hpp"
 #include "programs/pooler/target_streams.hpp"
 #include "programs/support/event_sampler.hpp"
+#include "programs/support/metrics_book.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 #include "rhubarbweir/transport/http.hpp"
 
@@ -39,6 +40,7 @@
     std::uint64_t incarnation;
     EventLoop loop;
     EventSampler sampler;
+    MetricsBook metrics;
     SessionPooler pooler;
     TargetStreams targets;
     CallerStreams callers;
--- /dev/null
+++ b/src/programs/support/metrics_book.cpp
@@ -0,0 +1,91 @@
+// See metrics_book.hpp.
+#include "programs/support/metrics_book.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <boost/histogram.hpp>
+
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace rhubarbweir {
+
+namespace {
+
+namespace bh = boost::histogram;
+
+// Powers of two of a millisecond.
+using LatencyAxis = bh::axis::regular<double, bh::axis::transform::log>;
+constexpr unsigned LatencyBuckets = 13;
+constexpr double LatencyFirstMs = 1;
+constexpr double LatencyLastMs = 8192;
+
+using Latencies = decltype(bh::make_histogram_with(
+    std::vector<std::uint64_t>(), LatencyAxis(LatencyBuckets, LatencyFirstMs, LatencyLastMs)));
+
+Latencies makeLatencies()
+{
+    return bh::make_histogram_with(std::vector<std::uint64_t>(),
+                                   LatencyAxis(LatencyBuckets, LatencyFirstMs, LatencyLastMs));
+}
+
+} // namespace
+
+struct MetricsBook::Histograms
+{
+    std::map<std::string, Latencies, std::less<>> byName;
+};
+
+MetricsBook::MetricsBook()
+    : histograms(std::make_unique<Histograms>())
+{
+}
+
+MetricsBook::~MetricsBook() = default;
+
+void MetricsBook::count(std::string_view counter)
+{
+    const auto found = this->counters.find(counter);
+    if (found == this->counters.end())
+        this->counters.emplace(std::string(counter), 1);
+    else
+        ++found->second;
+}
+
+void MetricsBook::measure(std::string_view name, Duration latency)
+{
+    auto found = this->histograms->byName.find(name);
+    if (found == this->histograms->byName.end())
+        found = this->histograms->byName.emplace(std::string(name), makeLatencies()).first;
+    found->second(std::chrono::duration<double, std::milli>(latency).count());
+}
+
+std::string MetricsBook::text() const
+{
+    std::string lines;
+    for (const auto &[name, value] : this->counters)
+        absl::StrAppend(&lines, "rhubarbweir_events_total{event=\"", name, "\"} ", value, "\n");
+    for (const auto &[name, latencies] : this->histograms->byName) {
+        std::uint64_t below = 0;
+        for (const auto &bucket : bh::indexed(latencies, bh::coverage::all)) {
+            below += *bucket;
+            const double upper = bucket.bin().upper();
+            const std::string bound =
+                upper > LatencyLastMs ? std::string("+Inf") : absl::StrCat(upper);
+            absl::StrAppend(&lines, "rhubarbweir_latency_ms_bucket{kind=\"", name, "\",le=\"",
+                            bound, "\"} ", below, "\n");
+        }
+    }
+    return lines;
+}
+
+HttpResponse metricsResponse(const MetricsBook &metrics)
+{
+    HttpResponse response;
+    response.status = 200;
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = metrics.text();
+    return response;
+}
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -3,11 +3,13 @@
 
 #include "rhubarbweir/coordination/control/control_messages.hpp"
 #include "rhubarbweir/coordination/control/control_settings.hpp"
+#include "rhubarbweir/coordination/sessions/route_table.hpp"
 #include "rhubarbweir/coordination/sessions/statement.hpp"
 #include "rhubarbweir/state/fleet_state.hpp"
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -77,6 +79,8 @@
     std::function<void(ConnectionId)> closeTarget;
     // What this pooler sees of targets changed; it should be reported at once.
     std::function<void()> observationsChanged;
+    // A statement was answered, for counters and histograms; no fault for a success.
+    std::function<void(RouteConsistency, std::optional<StatementFault>, Duration)> finished;
     // A decision about one statement or a change of belief. `sampled` marks ordinary successes.
     std::function<void(std::string_view event, const PoolerEventFields &, bool sampled)> event;
 };
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -249,6 +249,8 @@
 void SessionPooler::finish(Session &session, const StatementAnswer &answer, TimePoint now)
 {
     this->logStatement(session, answer.fault ? nameOf(*answer.fault) : "ok", now, !answer.fault);
+    this->hooks.finished(session.work->route.consistency, answer.fault,
+                         std::chrono::duration_cast<Duration>(now - session.work->arrivedAt));
     session.work.reset();
     session.transactionActivity = now;
     this->hooks.answer(session.number, answer);
