--- a/src/rhubarbweir/coordination/fleet/primary_watch.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_watch.cpp
@@ -36,6 +36,8 @@
                             TimePoint now)
 {
     Report &report = this->reports[run];
+    if (now >= report.expiresAt)
+        report.since = now;
     report.expiresAt = now + this->settings.reportLifetime;
     report.complaints.clear();
     for (const TargetObservation &observation : observations) {
@@ -67,7 +69,9 @@
 {
     PrimaryEvidence evidence;
     for (const auto &[run, report] : this->reports) {
-        if (now >= report.expiresAt || !leases.hasLease(run, now))
+        // A pooler that was out of touch tells at first what it saw on the far side of a cut.
+        const bool isSettled = now >= report.since + this->settings.reportLifetime;
+        if (!isSettled || now >= report.expiresAt || !leases.hasLease(run, now))
             continue;
         ++evidence.poolers;
         evidence.complaints += report.complaints.count(target);
--- a/src/rhubarbweir/coordination/fleet/primary_watch.hpp
+++ b/src/rhubarbweir/coordination/fleet/primary_watch.hpp
@@ -54,6 +54,8 @@
 private:
     struct Report
     {
+        // From here on the pooler has reported without a gap.
+        TimePoint since;
         TimePoint expiresAt;
         std::map<TargetId, ObservedState> complaints;
     };
