--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -29,7 +29,7 @@
 constexpr std::chrono::seconds ReplaceAfter{6};
 // Length of a pooler's lease. Longer than an election and the return of a control instance; a
 // lost primary waits for it only when a pooler that held it fell silent too.
-constexpr std::chrono::milliseconds LeaseLength{4000};
+constexpr std::chrono::milliseconds LeaseLength{8000};
 
 std::uint64_t randomSeed()
 {
