Give each holder of a promotion a token of its own

Change: the token is the log index of the leader's own committed choice. Test new_holder, red before.

--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -426,7 +426,7 @@
     ports.stepDown = this->hooks.stepDown;
     ports.mayBeUsed = [this, group](TimePoint now) {
         const PrimaryAuthority *authority = this->fleet.authority(group);
-        return authority == nullptr || this->mayBeUsedBefore(authority->token, now);
+        return authority == nullptr || this->mayBeUsedBefore(authority->revokedAt, now);
     };
     ports.reachability = [this](const TargetId &target) {
         return this->watch.reachability(target, this->roundTime);
--- a/src/rhubarbweir/coordination/fleet/primary_change.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.cpp
@@ -98,8 +98,9 @@
                        {"answered", absl::StrCat(this->answers.size())},
                        {"awaited", absl::StrCat(this->awaited.size())}});
     this->chosen = *best;
-    if (authority.candidate != *best)
-        this->ports.propose(ChooseCandidate{this->group, authority.generation, *best});
+    if (!this->isOwnChoice(authority))
+        this->ports.propose(ChooseCandidate{this->group, authority.generation, *best,
+                                            this->settings.lease.instance});
 }
 
 // A target that leads already needs no promotion: a former call took effect, or the primary was
@@ -170,6 +171,12 @@
     return this->answers.at(candidate).received < former->second.received;
 }
 
+bool PrimaryChange::isOwnChoice(const PrimaryAuthority &authority) const
+{
+    return authority.candidate == this->chosen
+           && authority.chooser == this->settings.lease.instance;
+}
+
 void PrimaryChange::promote(const PrimaryAuthority &authority, TimePoint now)
 {
     if (now >= this->leadDeadline) {
@@ -177,7 +184,7 @@
         return;
     }
     // The choice is committed first, so that a new leader goes on with it.
-    if (authority.candidate != this->chosen || now < this->promoteAt)
+    if (!this->isOwnChoice(authority) || now < this->promoteAt)
         return;
     this->promoteAt = now + this->settings.promotionInterval;
     this->ports.event("promotion_requested", {{"group", this->group.value},
--- a/src/rhubarbweir/coordination/fleet/primary_change.hpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.hpp
@@ -57,6 +57,8 @@
                                    const PrimaryAuthority &authority) const;
     bool awaitsCatchUp(const TargetId &candidate, const PrimaryAuthority &authority,
                        TimePoint now) const;
+    // Whether the choice is committed under this instance's name.
+    bool isOwnChoice(const PrimaryAuthority &authority) const;
     void promote(const PrimaryAuthority &authority, TimePoint now);
     void awaitLead(const FleetState &state, const PrimaryAuthority &authority, TimePoint now);
     void grant(const PrimaryAuthority &authority, const TargetId &primary);
--- a/src/rhubarbweir/protocol/fleet_codec.cpp
+++ b/src/rhubarbweir/protocol/fleet_codec.cpp
@@ -14,7 +14,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordTarget, target)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GrantAuthority, group, generation, primary)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RevokeAuthority, group, generation)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ChooseCandidate, group, generation, candidate)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ChooseCandidate, group, generation, candidate, chooser)
 
 // Found by the library through argument-dependent lookup.
 static void to_json(nlohmann::json &to, const FleetState::Snapshot &snapshot)
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -131,7 +131,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegisteredTarget, target, group, address, failureDomain, phase,
                                    slots, born, sequence, reportsPrimary)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrimaryAuthority, group, generation, primary, former, candidate,
-                                   token)
+                                   revokedAt, chooser, token)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetView, revision, targets, authorities, controls)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetLease, sequence, leaseFor, view, poolers,
                                    configurationVersion, configuration)
--- a/src/rhubarbweir/state/fleet_state.cpp
+++ b/src/rhubarbweir/state/fleet_state.cpp
@@ -97,6 +97,8 @@
     authority.primary = command.primary;
     authority.former = {};
     authority.candidate = {};
+    authority.chooser = {};
+    authority.revokedAt = 0;
     authority.token = 0;
     this->revision = index;
     return true;
@@ -113,18 +115,22 @@
     authority.former = authority.primary;
     authority.primary = {};
     authority.candidate = {};
-    authority.token = index;
+    authority.chooser = {};
+    authority.revokedAt = index;
+    authority.token = 0;
     this->revision = index;
     return true;
 }
 
-bool FleetState::applyCommand(std::uint64_t, const ChooseCandidate &command)
+bool FleetState::applyCommand(std::uint64_t index, const ChooseCandidate &command)
 {
     const auto found = this->primaries.find(command.group);
     if (found == this->primaries.end() || found->second.generation != command.generation
         || !found->second.primary.empty())
         return false;
     found->second.candidate = command.candidate;
+    found->second.chooser = command.chooser;
+    found->second.token = index;
     return true;
 }
 
--- a/src/rhubarbweir/state/fleet_state.hpp
+++ b/src/rhubarbweir/state/fleet_state.hpp
@@ -64,7 +64,11 @@
     TargetId former;
     // Chosen for promotion; empty until the choice is committed.
     TargetId candidate;
-    // Log index that began the running change; the fencing token of its promotion.
+    // Log index that took the authority away.
+    std::uint64_t revokedAt = 0;
+    // Control instance that chose the candidate, and the log index of its choice: the fencing token
+    // of its promotion. Another instance makes a choice of its own, so its token is higher.
+    InstanceId chooser;
     std::uint64_t token = 0;
 };
 
@@ -111,6 +115,7 @@
     GroupId group;
     std::uint64_t generation = 0;
     TargetId candidate;
+    InstanceId chooser;
 };
 
 using FleetCommand = std::variant<StoreConfiguration, RecordTarget, GrantAuthority, RevokeAuthority,
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -20,10 +20,24 @@
 public:
     static inline const GroupId Group{"g"};
 
-    FleetFixture()
-        : controller(makeSettings(), this->makeHooks())
+    explicit FleetFixture(const std::string &instance = "c1")
+        : controller(makeSettings(instance), this->makeHooks())
     {
+        this->isLeader = instance == "c1";
+        this->controller.leadershipChanged(this->now);
         this->isLeader = true;
+    }
+
+    // Goes on where `other` is, as another instance that leads now.
+    void takeOver(const FleetFixture &other)
+    {
+        this->now = other.now;
+        this->lastIndex = other.lastIndex;
+        this->dead = other.dead;
+        this->leading = other.leading;
+        this->term = other.term;
+        this->positions = other.positions;
+        this->controller.restored(other.controller.state().snapshot(), this->now);
         this->controller.leadershipChanged(this->now);
     }
 
@@ -165,9 +179,10 @@
     FleetController controller;
 
 private:
-    static FleetSettings makeSettings()
+    static FleetSettings makeSettings(const std::string &instance)
     {
         FleetSettings settings;
+        settings.lease.instance = InstanceId(instance);
         settings.lease.leaseFor = milliseconds(4000);
         return settings;
     }
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -241,6 +241,20 @@
     cr_assert_eq(fleet.promotions.front().target, fleet.promotions.back().target);
 }
 
+Test(fleet_controller, new_holder,
+     .description = "Another leader goes on with a promotion under a higher token")
+{
+    RunningFleet first;
+    first.losePrimary();
+    first.renewBoth({"t1"});
+    first.advance(milliseconds(200));
+    FleetFixture second("c2");
+    second.takeOver(first);
+    second.advance(milliseconds(5000));
+    cr_assert(!second.promotions.empty());
+    cr_assert_gt(second.promotions.front().token, first.promotions.back().token);
+}
+
 Test(fleet_controller, refused_call,
      .description = "A candidate that died meanwhile is replaced by another one")
 {
