--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -137,8 +137,8 @@
         this->pooler.targetOpened(connection, position, EventLoop::now());
         this->settle();
     };
-    hooks.answered = [this](ConnectionId connection, StatementAnswer answer) {
-        this->pooler.targetAnswered(connection, std::move(answer), EventLoop::now());
+    hooks.answered = [this](ConnectionId connection, const StatementAnswer &answer) {
+        this->pooler.targetAnswered(connection, answer, EventLoop::now());
         this->settle();
     };
     hooks.closed = [this](ConnectionId connection, TargetFailure failure) {
--- a/src/programs/pooler/target_streams.cpp
+++ b/src/programs/pooler/target_streams.cpp
@@ -117,9 +117,9 @@
     }
     if (result == Result::Incomplete)
         return true;
-    StatementAnswer answer = link.assembler.take();
+    const StatementAnswer answer = link.assembler.take();
     if (link.isOpen) {
-        this->hooks.answered(id, std::move(answer));
+        this->hooks.answered(id, answer);
     } else {
         link.isOpen = true;
         this->hooks.opened(id, answer.position);
--- a/src/programs/pooler/target_streams.hpp
+++ b/src/programs/pooler/target_streams.hpp
@@ -17,7 +17,7 @@
 struct TargetStreamHooks
 {
     std::function<void(ConnectionId, std::optional<LogPosition>)> opened;
-    std::function<void(ConnectionId, StatementAnswer)> answered;
+    std::function<void(ConnectionId, const StatementAnswer &)> answered;
     std::function<void(ConnectionId, TargetFailure)> closed;
 };
 
--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -46,7 +46,7 @@
     this->release(*connection, now);
 }
 
-void SessionPooler::targetAnswered(ConnectionId id, StatementAnswer answer, TimePoint now)
+void SessionPooler::targetAnswered(ConnectionId id, const StatementAnswer &answer, TimePoint now)
 {
     PooledConnection *connection = this->book.connection(id);
     if (connection == nullptr)
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -62,6 +62,7 @@
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<TargetId> ids;
+    ids.reserve(ranked.size());
     for (const auto &[delay, id] : ranked)
         ids.push_back(id);
     return ids;
@@ -253,9 +254,8 @@
     const auto found = this->preparedNames.find(key);
     if (found != this->preparedNames.end())
         return found->second;
-    const std::string name = absl::StrCat("p", this->preparedNames.size());
-    this->preparedNames.emplace(key, name);
-    return name;
+    return this->preparedNames.emplace(key, absl::StrCat("p", this->preparedNames.size()))
+        .first->second;
 }
 
 void SessionPooler::sendStatement(Session &session, PooledConnection &connection, TimePoint now)
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -30,7 +30,7 @@
     // Targets. The hook PoolerHooks::openTarget starts a connection.
     void targetOpened(ConnectionId connection, const std::optional<LogPosition> &position,
                       TimePoint now);
-    void targetAnswered(ConnectionId connection, StatementAnswer answer, TimePoint now);
+    void targetAnswered(ConnectionId connection, const StatementAnswer &answer, TimePoint now);
     void targetClosed(ConnectionId connection, TargetFailure failure, TimePoint now);
 
     // Control.
--- a/src/rhubarbweir/transport/event_loop.cpp
+++ b/src/rhubarbweir/transport/event_loop.cpp
@@ -71,7 +71,7 @@
 
 } // namespace
 
-void EventLoop::onStopSignal(std::function<void(int)> handler)
+void EventLoop::onStopSignal(const std::function<void(int)> &handler)
 {
     this->parts->signals.clear();
     this->parts->signals.add(SIGTERM);
--- a/src/rhubarbweir/transport/event_loop.hpp
+++ b/src/rhubarbweir/transport/event_loop.hpp
@@ -32,7 +32,7 @@
     // Runs `work` every `interval` from now on, until the loop ends.
     void every(Duration interval, std::function<void()> work);
     // Calls `handler` with the signal's number on SIGTERM and SIGINT.
-    void onStopSignal(std::function<void(int)> handler);
+    void onStopSignal(const std::function<void(int)> &handler);
     // Calls `handler` on SIGHUP.
     void onReloadSignal(std::function<void()> handler);
 
--- a/src/rhubarbweir/transport/http.cpp
+++ b/src/rhubarbweir/transport/http.cpp
@@ -76,9 +76,9 @@
 private:
     void received(std::string_view bytes)
     {
-        static const http_parser_settings Callbacks = makeCallbacks();
+        static const http_parser_settings callbacks = makeCallbacks();
         const std::size_t parsed =
-            http_parser_execute(&this->parser, &Callbacks, bytes.data(), bytes.size());
+            http_parser_execute(&this->parser, &callbacks, bytes.data(), bytes.size());
         if (this->parser.upgrade != 0 || parsed != bytes.size()) {
             this->isOver = true;
             HttpResponse refusal;
