--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t MaxInternalConnections = 1024;
 constexpr std::size_t MaxCallConnections = 256;
 constexpr std::chrono::milliseconds PromotionTimeout{1000};
+// Pause before the process ends after its disk refused a write; full disks last for seconds.
+constexpr std::chrono::milliseconds DiskRetryPause{1500};
 // A new leader must be found well within a lease, but not because a disk or a processor stalled
 // for a moment.
 constexpr std::chrono::milliseconds QuorumHeartbeat{75};
@@ -131,7 +133,7 @@
     this->settle();
     this->loop.run();
     logEvent(LogLevel::Info, "control_stopped", {});
-    return absl::OkStatus();
+    return this->failed ? absl::UnavailableError("the disk failed") : absl::OkStatus();
 }
 
 FleetHooks FleetProgram::fleetHooks()
@@ -269,12 +271,20 @@
             } else {
                 logEvent(LogLevel::Error, "disk_failed", {{"cause", status.ToString()}});
                 this->quorum.persistFailed(token, EventLoop::now());
+                this->restartLater();
             }
             this->settle();
         });
     });
 }
 
+// What is on the disk is unknown now: only a new start, which reads it again, may vote.
+void FleetProgram::restartLater()
+{
+    this->failed = true;
+    this->loop.schedule(EventLoop::now() + DiskRetryPause, [this] { this->loop.stop(); });
+}
+
 void FleetProgram::promote(const PromotionRequest &request)
 {
     const HttpCall call =
--- a/src/programs/fleet/fleet_program.hpp
+++ b/src/programs/fleet/fleet_program.hpp
@@ -36,6 +36,7 @@
     void received(ConnectionId connection, const Message &message);
     void applied(std::uint64_t index, const std::string &payload);
     void persist(const PersistBatch &batch);
+    void restartLater();
     void promote(const PromotionRequest &request);
     void served(const HttpRequest &request, const HttpAnswer &answer);
     HttpResponse outcomeOf(FleetCallOutcome outcome, const std::string &target,
@@ -66,6 +67,7 @@
     TimePoint armedFor = TimePoint::max();
     bool wasLeader = false;
     bool stopping = false;
+    bool failed = false;
 };
 
 } // namespace rhubarbweir
--- a/tests/fakes/pooler_fixture.hpp
+++ b/tests/fakes/pooler_fixture.hpp
@@ -275,6 +275,8 @@
         };
         hooks.observationsChanged = [] {
         };
+        hooks.finished = [](RouteConsistency, std::optional<StatementFault>, Duration) {
+        };
         hooks.event = [](std::string_view, const PoolerEventFields &, bool) {
         };
         return hooks;
