--- a/src/programs/control/control_program.cpp
+++ b/src/programs/control/control_program.cpp
@@ -60,6 +60,12 @@
 
 ControlProgram::ControlProgram(ControlRunSettings runSettings)
     : settings(std::move(runSettings))
+    , timer(control,
+            [this] {
+                this->quorum.advance(EventLoop::now());
+                this->node.advance(EventLoop::now());
+                this->settle();
+            })
     , gate(network, settings.listenAddress, settings.maxConnections, this->gateHooks())
     , links(network, settings.control.instance, allPeers(settings.quorum))
     , node(settings.control, this->quorumPort(), stateCodec(), this->controlHooks(), randomSeed())
@@ -292,17 +298,7 @@
         this->knowsLeader = !leaderId.empty();
         this->node.leadershipChanged(EventLoop::now());
     }
-    const TimePoint deadline = std::min(this->quorum.nextDeadline(), this->node.nextDeadline());
-    if (deadline >= this->armedFor)
-        return;
-    this->armedFor = deadline;
-    this->control.schedule(deadline, [this, deadline] {
-        if (this->armedFor == deadline)
-            this->armedFor = TimePoint::max();
-        this->quorum.advance(EventLoop::now());
-        this->node.advance(EventLoop::now());
-        this->settle();
-    });
+    this->timer.wakeAt(std::min(this->quorum.nextDeadline(), this->node.nextDeadline()));
 }
 
 std::vector<VoterStatus> ControlProgram::voterStatuses() const
--- a/src/programs/control/control_program.hpp
+++ b/src/programs/control/control_program.hpp
@@ -8,6 +8,7 @@
 #include "rhubarbweir/coordination/control/control_node.hpp"
 #include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
+#include "rhubarbweir/transport/wake_timer.hpp"
 
 #include <atomic>
 #include <thread>
@@ -53,6 +54,7 @@
     ControlRunSettings settings;
     EventLoop network;
     EventLoop control;
+    WakeTimer timer;
     DiskWriter disk;
     ControlGate gate;
     QuorumLinks links;
@@ -63,7 +65,6 @@
     // Last leadership that the node was told of.
     bool wasLeader = false;
     InstanceId lastLeader;
-    TimePoint armedFor = TimePoint::max();
     // Written by the control thread, read by the network thread for health checks.
     std::atomic<bool> knowsLeader{false};
     bool stopping = false;
--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -95,6 +95,12 @@
     : settings(std::move(processSettings))
     , settingsPath(std::move(path))
     , self(selfAddress(this->settings))
+    , timer(this->loop,
+            [this] {
+                this->quorum.advance(EventLoop::now());
+                this->controller.advance(EventLoop::now());
+                this->settle();
+            })
     , gate(this->loop, this->self, MaxInternalConnections, this->gateHooks())
     , links(this->loop, InstanceId(this->self), quorumSettings(this->settings).initialVoters)
     , probes(this->loop, this->settings.instance.value,
@@ -163,7 +169,7 @@
     hooks.sendToPooler = [this](ConnectionId connection, const FleetReply &reply) {
         this->gate.send(connection, toMessage(reply));
     };
-    hooks.probe = [this](const RegisteredTarget &target, std::uint64_t) {
+    hooks.probe = [this](const RegisteredTarget &target) {
         // Not from within the controller's own call.
         this->loop.post([this, target] { this->probes.probe(target); });
     };
@@ -363,16 +369,7 @@
     const TimePoint deadline =
         std::min(this->quorum.nextDeadline(),
                  this->wasLeader ? this->controller.nextDeadline() : TimePoint::max());
-    if (deadline >= this->armedFor)
-        return;
-    this->armedFor = deadline;
-    this->loop.schedule(deadline, [this, deadline] {
-        if (this->armedFor == deadline)
-            this->armedFor = TimePoint::max();
-        this->quorum.advance(EventLoop::now());
-        this->controller.advance(EventLoop::now());
-        this->settle();
-    });
+    this->timer.wakeAt(deadline);
 }
 
 void FleetProgram::reload()
--- a/src/programs/fleet/fleet_program.hpp
+++ b/src/programs/fleet/fleet_program.hpp
@@ -15,6 +15,7 @@
 #include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 #include "rhubarbweir/transport/http.hpp"
+#include "rhubarbweir/transport/wake_timer.hpp"
 
 #include <map>
 
@@ -53,6 +54,7 @@
     // This instance's internal address; also its identity among control instances.
     std::string self;
     EventLoop loop;
+    WakeTimer timer;
     EventSampler sampler;
     MetricsBook metrics;
     DiskWriter disk;
@@ -64,7 +66,6 @@
     HttpListener calls;
     // Other control instances by the connection that they opened.
     std::map<ConnectionId, InstanceId> peers;
-    TimePoint armedFor = TimePoint::max();
     bool wasLeader = false;
     bool stopping = false;
     bool failed = false;
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -5,9 +5,9 @@
 #include "rhubarbweir/coordination/control/control_messages.hpp"
 #include "rhubarbweir/transport/web_socket.hpp"
 
-#include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -61,6 +61,11 @@
     : settings(std::move(processSettings))
     , settingsPath(std::move(path))
     , incarnation(randomIncarnation())
+    , timer(this->loop,
+            [this] {
+                this->pooler.advance(EventLoop::now());
+                this->settle();
+            })
     , pooler(poolerSettings(this->settings), this->poolerHooks())
     , targets(this->loop, this->settings.instance.value, this->targetHooks())
     , callers(this->loop, this->settings.callerAddress,
@@ -237,16 +242,7 @@
 
 void PoolerProgram::settle()
 {
-    const TimePoint deadline = this->pooler.nextDeadline();
-    if (deadline >= this->armedFor)
-        return;
-    this->armedFor = deadline;
-    this->loop.schedule(deadline, [this, deadline] {
-        if (this->armedFor == deadline)
-            this->armedFor = TimePoint::max();
-        this->pooler.advance(EventLoop::now());
-        this->settle();
-    });
+    this->timer.wakeAt(this->pooler.nextDeadline());
 }
 
 void PoolerProgram::reload()
--- a/src/programs/pooler/pooler_program.hpp
+++ b/src/programs/pooler/pooler_program.hpp
@@ -10,6 +10,7 @@
 #include "programs/support/metrics_book.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 #include "rhubarbweir/transport/http.hpp"
+#include "rhubarbweir/transport/wake_timer.hpp"
 
 namespace rhubarbweir {
 
@@ -39,6 +40,7 @@
     std::string settingsPath;
     std::uint64_t incarnation;
     EventLoop loop;
+    WakeTimer timer;
     EventSampler sampler;
     MetricsBook metrics;
     SessionPooler pooler;
@@ -50,7 +52,6 @@
     TimePoint stopBy = TimePoint::max();
     TimePoint closeFrom = TimePoint::max();
     TimePoint refuseFrom = TimePoint::max();
-    TimePoint armedFor = TimePoint::max();
 };
 
 // Internal address of the control instance that serves operators at `controlAddress`.
--- a/src/programs/proxy/control_link.cpp
+++ b/src/programs/proxy/control_link.cpp
@@ -15,7 +15,12 @@
 } // namespace
 
 ControlLink::ControlLink(ViewSubscriberSettings settings, ControlLinkHooks hooks)
-    : client(loop)
+    : timer(loop,
+            [this] {
+                this->subscriber.advance(EventLoop::now());
+                this->arm();
+            })
+    , client(loop)
     , subscriber(
           std::move(settings),
           ViewSubscriberHooks{[this](const RenewLease &renewal) {
@@ -121,16 +126,7 @@
 
 void ControlLink::arm()
 {
-    const TimePoint deadline = this->subscriber.nextDeadline();
-    if (deadline >= this->armedFor)
-        return;
-    this->armedFor = deadline;
-    this->loop.schedule(deadline, [this, deadline] {
-        if (this->armedFor == deadline)
-            this->armedFor = TimePoint::max();
-        this->subscriber.advance(EventLoop::now());
-        this->arm();
-    });
+    this->timer.wakeAt(this->subscriber.nextDeadline());
 }
 
 } // namespace rhubarbweir
--- a/src/programs/proxy/control_link.hpp
+++ b/src/programs/proxy/control_link.hpp
@@ -3,6 +3,7 @@
 
 #include "rhubarbweir/coordination/proxy/view_subscriber.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
+#include "rhubarbweir/transport/wake_timer.hpp"
 #include "rhubarbweir/transport/web_socket.hpp"
 
 #include <string>
@@ -40,13 +41,13 @@
     void arm();
 
     EventLoop loop;
+    WakeTimer timer;
     WebSocketClient client;
     ViewSubscriber subscriber;
     ConnectionPtr connection;
     // Number of the newest connection attempt; older ones are dropped.
     std::uint64_t currentAttempt = 0;
     // When the next advance() is scheduled.
-    TimePoint armedFor = TimePoint::max();
     std::thread thread;
 };
 
--- a/src/programs/proxy/proxy_program.cpp
+++ b/src/programs/proxy/proxy_program.cpp
@@ -63,6 +63,11 @@
 
 ProxyProgram::ProxyProgram(ProxyRunSettings programSettings)
     : settings(std::move(programSettings))
+    , timer(traffic,
+            [this] {
+                this->node.advance(EventLoop::now());
+                this->arm();
+            })
     , node(settings.proxy, seedOf(settings), this->nodeHooks())
     , peers(traffic, settings.proxy.instance, this->peerHooks())
     , targets(traffic, this->targetHooks())
@@ -286,16 +291,7 @@
 
 void ProxyProgram::arm()
 {
-    const TimePoint deadline = this->node.nextDeadline();
-    if (deadline >= this->armedFor)
-        return;
-    this->armedFor = deadline;
-    this->traffic.schedule(deadline, [this, deadline] {
-        if (this->armedFor == deadline)
-            this->armedFor = TimePoint::max();
-        this->node.advance(EventLoop::now());
-        this->arm();
-    });
+    this->timer.wakeAt(this->node.nextDeadline());
 }
 
 } // namespace rhubarbweir
--- a/src/programs/proxy/proxy_program.hpp
+++ b/src/programs/proxy/proxy_program.hpp
@@ -7,6 +7,7 @@
 #include "programs/proxy/target_links.hpp"
 #include "rhubarbweir/coordination/proxy/proxy_node.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
+#include "rhubarbweir/transport/wake_timer.hpp"
 
 namespace rhubarbweir {
 
@@ -47,6 +48,7 @@
 
     ProxyRunSettings settings;
     EventLoop traffic;
+    WakeTimer timer;
     ProxyNode node;
     PeerLinks peers;
     TargetLinks targets;
@@ -55,7 +57,6 @@
     bool hasLease = false;
     bool draining = false;
     // When the next advance() is scheduled.
-    TimePoint armedFor = TimePoint::max();
 };
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -392,7 +392,7 @@
     if (now < due)
         return;
     due = now + SuspicionInterval;
-    this->hooks.probe(target, 0);
+    this->hooks.probe(target);
 }
 
 void FleetController::revoke(const PrimaryAuthority &authority, const std::string &cause,
@@ -419,9 +419,7 @@
     ports.propose = [this](const FleetCommand &command) {
         this->propose(command, {}, this->roundTime);
     };
-    ports.probe = [this](const RegisteredTarget &target) {
-        this->hooks.probe(target, 0);
-    };
+    ports.probe = this->hooks.probe;
     ports.promote = this->hooks.promote;
     ports.stepDown = this->hooks.stepDown;
     ports.mayBeUsed = [this, group](TimePoint now) {
@@ -438,10 +436,10 @@
 void FleetController::probed(const RegisteredTarget &target,
                              const std::optional<TargetProbe> &result, TimePoint now)
 {
-    this->watch.probed(target.target, result.has_value(), now);
+    this->watch.probed(target.target, result.has_value());
     const auto change = this->changes.find(target.group);
     if (change != this->changes.end())
-        change->second.probed(target.target, result, now);
+        change->second.probed(target.target, result);
     this->wakeAt = std::min(this->wakeAt, now);
 }
 
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -106,7 +106,7 @@
     std::function<std::vector<std::string>()> controlAddresses;
     std::function<void(ConnectionId, const FleetReply &)> sendToPooler;
     // Answered through FleetController::probed().
-    std::function<void(const RegisteredTarget &, std::uint64_t probeId)> probe;
+    std::function<void(const RegisteredTarget &)> probe;
     // Answered through FleetController::promotionAnswered().
     std::function<void(const PromotionRequest &)> promote;
     // Tells a deposed primary to follow `term`. Best effort.
--- a/src/rhubarbweir/coordination/fleet/primary_change.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.cpp
@@ -232,10 +232,8 @@
     this->ports.probe(*candidate);
 }
 
-void PrimaryChange::probed(const TargetId &target, const std::optional<TargetProbe> &result,
-                           TimePoint now)
+void PrimaryChange::probed(const TargetId &target, const std::optional<TargetProbe> &result)
 {
-    (void)now;
     this->settled.insert(target);
     if (result)
         this->answers[target] = *result;
--- a/src/rhubarbweir/coordination/fleet/primary_change.hpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.hpp
@@ -36,7 +36,7 @@
 
     void advance(const FleetState &state, TimePoint now);
     // Empty when the target did not answer.
-    void probed(const TargetId &target, const std::optional<TargetProbe> &result, TimePoint now);
+    void probed(const TargetId &target, const std::optional<TargetProbe> &result);
     void promotionAnswered(PromotionOutcome outcome, TimePoint now);
 
 private:
--- a/src/rhubarbweir/coordination/fleet/primary_watch.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_watch.cpp
@@ -46,14 +46,13 @@
     }
 }
 
-void PrimaryWatch::probed(const TargetId &target, bool answered, TimePoint now)
+void PrimaryWatch::probed(const TargetId &target, bool answered)
 {
     if (answered) {
         this->failedProbes.erase(target);
         return;
     }
     ++this->failedProbes[target];
-    (void)now;
 }
 
 void PrimaryWatch::forgive(const TargetId &target, TimePoint now)
--- a/src/rhubarbweir/coordination/fleet/primary_watch.hpp
+++ b/src/rhubarbweir/coordination/fleet/primary_watch.hpp
@@ -43,7 +43,7 @@
     void heartbeat(const TargetId &target, TimePoint now);
     void reported(const ProxyRun &run, const std::vector<TargetObservation> &observations,
                   TimePoint now);
-    void probed(const TargetId &target, bool answered, TimePoint now);
+    void probed(const TargetId &target, bool answered);
     // Forgets what was held against the target.
     void forgive(const TargetId &target, TimePoint now);
 
--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -174,12 +174,10 @@
         if (connection.isDamaged)
             this->dropConnection(id);
     }
-    const SessionNumber number = session.number;
     this->finish(session, delivered, now);
     if (PooledConnection *kept = this->book.connection(id);
         isDecided && kept != nullptr && kept->owner == 0 && kept->awaited.empty())
         this->release(*kept, now);
-    (void)number;
 }
 
 void SessionPooler::statementFailed(Session &session, PooledConnection &connection,
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -211,7 +211,7 @@
         hooks.sendToPooler = [this](ConnectionId connection, const FleetReply &reply) {
             this->sent.emplace_back(connection, reply);
         };
-        hooks.probe = [this](const RegisteredTarget &asked, std::uint64_t) {
+        hooks.probe = [this](const RegisteredTarget &asked) {
             this->probes.push_back(asked);
         };
         hooks.promote = [this](const PromotionRequest &request) {
