--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -37,7 +37,6 @@
 PoolerSettings poolerSettings(const platform::ProcessSettings &settings)
 {
     PoolerSettings pooler;
-    pooler.instance = settings.instance;
     pooler.failureDomain = settings.failureDomain;
     return pooler;
 }
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -22,7 +22,6 @@
 
 struct PoolerSettings
 {
-    InstanceId instance;
     FailureDomainId failureDomain;
 
     // A target that answers nothing for this long counts as silent; a multiple of the longest
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -53,7 +53,6 @@
     const AuthorityView &authorityView() const { return this->view; }
     std::vector<TargetObservation> observations() const { return this->book.observations(); }
     std::size_t sessionCount() const { return this->sessions.size(); }
-    std::size_t connectionCount() { return this->book.connections().size(); }
 
 private:
     // session_pooler.cpp: callers' statements.
--- a/tests/fakes/pooler_fixture.hpp
+++ b/tests/fakes/pooler_fixture.hpp
@@ -233,7 +233,6 @@
     static PoolerSettings makeSettings()
     {
         PoolerSettings settings;
-        settings.instance = InstanceId("p");
         settings.failureDomain = FailureDomainId("d-t2");
         return settings;
     }
