Register poolers in the fleet's replicated state

And a new leader waited 8.4 s for every lease of the former one before any promotion, as it knew no holder by name. Ruled out: start of the processes (2 ms), statements in flight. Change: a start of a pooler is registered by a committed entry before its first lease. The count of poolers outlives leaders; starts that may have left connections behind are told beside it, and a share above the resting one waits for them. A promotion waits only for registered starts that have not reported the new view. A late renewal of an earlier start no longer ends the present one. The test new_leader keeps its bound, with one of two poolers silent; new_leader_heard_all is the case in which nobody has to be waited for.

--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -214,7 +214,8 @@
                      {{"cause", table.status().ToString()}});
     }
     if (sentAt)
-        this->pooler.leaseReceived(*sentAt + lease.leaseFor, lease.poolers, now);
+        this->pooler.leaseReceived(*sentAt + lease.leaseFor, lease.poolers, lease.formerPoolers,
+                                   now);
     if (this->pooler.isReady())
         this->callers.openWaiting();
     const AuthorityView &view = this->pooler.authorityView();
--- a/src/rhubarbweir/coordination/control/lease_book.cpp
+++ b/src/rhubarbweir/coordination/control/lease_book.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-// An ended run is remembered for so many leases, to refuse it if it comes back.
-constexpr int RememberedLeases = 30;
-
 Duration withDrift(const ControlSettings &settings)
 {
     return settings.leaseFor + settings.leaseFor / settings.driftDivisor;
@@ -102,10 +99,12 @@
 
 bool LeaseBook::mayUseBefore(const ProxyRun &run, std::uint64_t revision, TimePoint now) const
 {
+    const ProxyLease *lease = this->find(run);
+    if (lease != nullptr && lease->revision >= revision)
+        return false;
     if (now < this->officeGraceEnd)
         return true;
-    const ProxyLease *lease = this->find(run);
-    if (lease == nullptr || lease->revision >= revision)
+    if (lease == nullptr)
         return false;
     return std::any_of(lease->granted.begin(), lease->granted.end(), [&](const GrantedLease &each) {
         return each.revision < revision && now < each.endsAt;
--- a/src/rhubarbweir/coordination/control/lease_book.hpp
+++ b/src/rhubarbweir/coordination/control/lease_book.hpp
@@ -63,6 +63,9 @@
 class LeaseBook
 {
 public:
+    // An ended run is remembered for so many leases, to refuse it if it comes back.
+    static constexpr int RememberedLeases = 30;
+
     explicit LeaseBook(const ControlSettings &controlSettings);
 
     // Notes a renewal. Null when a later run of the proxy renewed before.
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -16,6 +16,11 @@
 constexpr std::chrono::milliseconds ChangeInterval{10};
 // Pause between two probes of a suspected primary.
 constexpr std::chrono::milliseconds SuspicionInterval{300};
+// Targets drop the connections of an unreachable machine after this.
+constexpr std::chrono::seconds ConnectionLinger{3};
+// A pooler without a lease counts for its share of connections for this long; longer than most cuts
+// and freezes.
+constexpr std::chrono::seconds PoolerMemory{15};
 
 RegisteredTarget material(RegisteredTarget target)
 {
@@ -23,6 +28,14 @@
     return target;
 }
 
+// Whether poolers must hear of it at once.
+bool changesView(const FleetCommand &command)
+{
+    return !std::holds_alternative<ChooseCandidate>(command)
+           && !std::holds_alternative<RegisterPooler>(command)
+           && !std::holds_alternative<ForgetPooler>(command);
+}
+
 } // namespace
 
 FleetController::FleetController(FleetSettings fleetSettings, FleetHooks fleetHooks)
@@ -50,7 +63,11 @@
     this->deniesSince.clear();
     this->heard.clear();
     this->versions.clear();
+    this->pendingRenewals.clear();
+    this->registeredAt.clear();
+    this->registryProposedUntil.clear();
     if (isLeader) {
+        this->leadsSince = now;
         this->leases.beginOffice(now);
         this->watch.reset(now);
         this->wakeAt = now;
@@ -82,12 +99,16 @@
             this->hooks.event("authority_revoked",
                               {{"group", revoked->group.value}, {"index", absl::StrCat(index)}});
     }
+    if (const auto *registered = std::get_if<RegisterPooler>(&command))
+        this->poolerRegistered({registered->pooler, registered->incarnation}, now);
+    if (const auto *forgotten = std::get_if<ForgetPooler>(&command))
+        this->poolerForgotten({forgotten->pooler, forgotten->incarnation});
     if (this->fleet.configuration().version != version)
         this->hooks.event("configuration_stored",
                           {{"version", absl::StrCat(this->fleet.configuration().version)},
                            {"index", absl::StrCat(index)}});
     if (this->leads) {
-        if (changed && !std::holds_alternative<ChooseCandidate>(command))
+        if (changed && changesView(command))
             this->pushView(now);
         this->wakeAt = now;
     }
@@ -227,6 +248,11 @@
         this->hooks.sendToPooler(connection, FleetRedirect{this->hooks.leaderAddress()});
         return;
     }
+    // A late message of a start that ended must not end the present one.
+    const ProxyRun run{message.proxy, message.incarnation};
+    const PoolerRun *registered = this->fleet.findPooler(run.proxy, run.incarnation);
+    if (registered != nullptr && registered->hasEnded)
+        return;
     ProxyLease *lease = this->leases.renew(connection, message, now);
     if (lease == nullptr)
         return;
@@ -235,10 +261,95 @@
     const bool saysMore = !message.observations.empty() || lease->revision < message.revision;
     if (saysMore || !this->changes.empty())
         this->wakeAt = std::min(this->wakeAt, now);
+    if (registered == nullptr) {
+        this->registerPooler(run, {message.sequence, message.configurationVersion}, now);
+        return;
+    }
     this->leases.grant(*lease, this->fleet.viewRevision(), now);
     this->sendLease(*lease, message.sequence, message.configurationVersion, now);
 }
 
+// A lease is given only to a committed registration, so that a new leader knows all who may hold
+// one.
+void FleetController::registerPooler(const ProxyRun &run, const PendingRenewal &renewal,
+                                     TimePoint now)
+{
+    this->pendingRenewals[run] = renewal;
+    TimePoint &until = this->registryProposedUntil[run];
+    if (now < until)
+        return;
+    until = now + this->settings.proposalPatience;
+    this->propose(RegisterPooler{run.proxy, run.incarnation}, {}, now);
+}
+
+void FleetController::poolerRegistered(const ProxyRun &run, TimePoint now)
+{
+    this->hooks.event("pooler_registered", {{"pooler", run.proxy.value},
+                                            {"incarnation", absl::StrCat(run.incarnation)},
+                                            {"poolers", absl::StrCat(this->fleet.livePoolers())}});
+    this->registryProposedUntil.erase(run);
+    const auto pending = this->pendingRenewals.find(run);
+    if (!this->leads || pending == this->pendingRenewals.end())
+        return;
+    this->registeredAt[run] = now;
+    const PendingRenewal renewal = pending->second;
+    this->pendingRenewals.erase(pending);
+    const auto lease = this->leases.all().find(run);
+    if (lease == this->leases.all().end() || lease->second.connection == 0
+        || lease->second.isRetired)
+        return;
+    this->leases.grant(lease->second, this->fleet.viewRevision(), now);
+    this->sendLease(lease->second, renewal.sequence, renewal.configurationVersion, now);
+}
+
+void FleetController::poolerForgotten(const ProxyRun &run)
+{
+    this->registryProposedUntil.erase(run);
+    this->registeredAt.erase(run);
+}
+
+// Removes starts that hold no lease, and remembers those that ended for as long as the lease book.
+void FleetController::forgetPoolers(TimePoint now)
+{
+    for (const PoolerRun &registered : this->fleet.poolers()) {
+        const ProxyRun run{registered.pooler, registered.incarnation};
+        const ProxyLease *lease = this->leases.find(run);
+        const TimePoint endsAt = lease == nullptr
+                                     ? this->leases.graceEnd()
+                                     : std::max(lease->endsAt, this->leases.graceEnd());
+        const Duration memory = registered.hasEnded
+                                    ? this->settings.lease.leaseFor * LeaseBook::RememberedLeases
+                                    : Duration(PoolerMemory);
+        TimePoint &until = this->registryProposedUntil[run];
+        if (now < endsAt + memory || now < until)
+            continue;
+        until = now + this->settings.proposalPatience;
+        this->hooks.event("pooler_forgotten",
+                          {{"pooler", run.proxy.value},
+                           {"incarnation", absl::StrCat(run.incarnation)},
+                           {"cause", registered.hasEnded ? "ended" : "no_lease"}});
+        this->propose(ForgetPooler{run.proxy, run.incarnation}, {}, now);
+    }
+}
+
+// Starts that ended so recently that targets may hold their connections: one for each pooler that
+// has just registered and, while this leader is new, for each that it has not heard.
+std::size_t FleetController::formerPoolers(TimePoint now) const
+{
+    std::size_t count = 0;
+    for (const PoolerRun &registered : this->fleet.poolers()) {
+        if (registered.hasEnded)
+            continue;
+        const ProxyRun run{registered.pooler, registered.incarnation};
+        const auto since = this->registeredAt.find(run);
+        if (since != this->registeredAt.end() && now < since->second + ConnectionLinger)
+            ++count;
+        else if (now < this->leadsSince + ConnectionLinger && this->leases.find(run) == nullptr)
+            ++count;
+    }
+    return count;
+}
+
 void FleetController::sendLease(ProxyLease &lease, std::uint64_t sequence,
                                 std::uint64_t configurationVersion, TimePoint now)
 {
@@ -246,7 +357,9 @@
     message.sequence = sequence;
     message.leaseFor = this->settings.lease.leaseFor;
     message.view.revision = this->fleet.viewRevision();
-    message.poolers = static_cast<std::uint32_t>(std::max<std::size_t>(1, this->poolerCount(now)));
+    message.poolers =
+        static_cast<std::uint32_t>(std::max<std::size_t>(1, this->fleet.livePoolers()));
+    message.formerPoolers = static_cast<std::uint32_t>(this->formerPoolers(now));
     message.configurationVersion = this->fleet.configuration().version;
     if (lease.revision < message.view.revision || sequence == 0) {
         for (const auto &[id, target] : this->fleet.targets()) {
@@ -276,25 +389,16 @@
     this->leases.connectionClosed(connection);
 }
 
-std::size_t FleetController::poolerCount(TimePoint now) const
-{
-    std::size_t count = 0;
-    for (const auto &[run, lease] : this->leases.all()) {
-        if (!lease.isRetired && now < lease.endsAt)
-            ++count;
-    }
-    return count;
-}
-
 bool FleetController::mayBeUsedBefore(std::uint64_t revision, TimePoint now) const
 {
-    if (now < this->leases.graceEnd())
-        return true;
-    return std::any_of(
-        this->leases.all().begin(), this->leases.all().end(), [&](const auto &entry) {
-            // A later start of the same pooler proves that this one ended.
-            return !entry.second.isRetired && this->leases.mayUseBefore(entry.first, revision, now);
-        });
+    const std::vector<PoolerRun> &runs = this->fleet.poolers();
+    return std::any_of(runs.begin(), runs.end(), [&](const PoolerRun &registered) {
+        const ProxyRun run{registered.pooler, registered.incarnation};
+        const ProxyLease *lease = this->leases.find(run);
+        // A later start of the same pooler proves that this one ended.
+        const bool hasEnded = registered.hasEnded || (lease != nullptr && lease->isRetired);
+        return !hasEnded && this->leases.mayUseBefore(run, revision, now);
+    });
 }
 
 // Primaries.
@@ -309,6 +413,7 @@
     if (!this->canDecide(now))
         return;
     this->leases.forgetOld(now);
+    this->forgetPoolers(now);
     this->grantFirstAuthorities(now);
     this->superviseGroups(now);
     if (!this->changes.empty())
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -48,10 +48,15 @@
                            TimePoint now);
 
     const FleetState &state() const { return this->fleet; }
-    // Poolers under a lease.
-    std::size_t poolerCount(TimePoint now) const;
 
 private:
+    // A renewal that waits for the registration of its sender.
+    struct PendingRenewal
+    {
+        std::uint64_t sequence = 0;
+        std::uint64_t configurationVersion = 0;
+    };
+
     struct PendingCall
     {
         FleetCallDone done;
@@ -63,6 +68,11 @@
     void finishCalls(std::uint64_t index, FleetCallOutcome outcome);
     void failAllCalls();
     void expireCalls(TimePoint now);
+    void registerPooler(const ProxyRun &run, const PendingRenewal &renewal, TimePoint now);
+    void poolerRegistered(const ProxyRun &run, TimePoint now);
+    void poolerForgotten(const ProxyRun &run);
+    void forgetPoolers(TimePoint now);
+    std::size_t formerPoolers(TimePoint now) const;
     void sendLease(ProxyLease &lease, std::uint64_t sequence, std::uint64_t configurationVersion,
                    TimePoint now);
     void pushView(TimePoint now);
@@ -85,6 +95,13 @@
     TimePoint wakeAt;
     // Time of the running advance().
     TimePoint roundTime;
+    std::map<ProxyRun, PendingRenewal> pendingRenewals;
+    // When a pooler registered under this leader.
+    std::map<ProxyRun, TimePoint> registeredAt;
+    // Proposed registrations and removals, until when they are waited for.
+    std::map<ProxyRun, TimePoint> registryProposedUntil;
+    // When this instance began to lead.
+    TimePoint leadsSince;
     // Configuration version that each pooler reported last.
     std::map<ProxyRun, std::uint64_t> versions;
     // Newest call of each target, also those that changed nothing.
--- a/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
@@ -30,8 +30,10 @@
     // Counted by the pooler from when it sent the renewal.
     Duration leaseFor{};
     FleetView view;
-    // Poolers alive, for their shares of each target's connections.
+    // Registered poolers, for their shares of each target's connections.
     std::uint32_t poolers = 1;
+    // Former starts of poolers whose connections targets may still hold.
+    std::uint32_t formerPoolers = 0;
     std::uint64_t configurationVersion = 0;
     // Empty when the pooler has this version already.
     OpaqueBytes configuration;
--- a/src/rhubarbweir/coordination/sessions/authority_view.cpp
+++ b/src/rhubarbweir/coordination/sessions/authority_view.cpp
@@ -6,13 +6,6 @@
 
 namespace rhubarbweir {
 
-namespace {
-
-// Longer than most cuts and freezes.
-constexpr std::chrono::seconds PoolerMemory{15};
-
-} // namespace
-
 bool AuthorityView::update(const FleetView &next)
 {
     if (next.revision <= this->view.revision)
@@ -40,12 +33,10 @@
     this->leaseEnd = std::max(this->leaseEnd, end);
 }
 
-void AuthorityView::setPoolers(std::uint32_t count, TimePoint now)
+void AuthorityView::setPoolers(std::uint32_t live, std::uint32_t former)
 {
-    if (count < this->poolerCount && now < this->poolersSeenAt + PoolerMemory)
-        return;
-    this->poolerCount = std::max<std::uint32_t>(1, count);
-    this->poolersSeenAt = now;
+    this->livePoolers = std::max<std::uint32_t>(1, live);
+    this->formerPoolers = former;
 }
 
 std::optional<TargetId> AuthorityView::primary(const GroupId &group, TimePoint now) const
--- a/src/rhubarbweir/coordination/sessions/authority_view.hpp
+++ b/src/rhubarbweir/coordination/sessions/authority_view.hpp
@@ -17,9 +17,8 @@
     bool updateRoutes(RouteTable table);
     // A lease counts from when its renewal was sent.
     void extendLease(TimePoint end);
-    // A lower count takes effect only when it has stayed: poolers that are out of touch for a while
-    // still hold their connections.
-    void setPoolers(std::uint32_t count, TimePoint now);
+    // `former` starts of poolers have ended, but targets may still hold their connections.
+    void setPoolers(std::uint32_t live, std::uint32_t former);
 
     bool leaseValid(TimePoint now) const { return now < this->leaseEnd; }
     // The target that may be used as the group's primary now; empty without authority.
@@ -37,7 +36,9 @@
     std::uint64_t revision() const { return this->view.revision; }
     const std::map<TargetId, RegisteredTarget> &targets() const { return this->targetsById; }
     const std::vector<std::string> &controls() const { return this->view.controls; }
-    std::uint32_t poolers() const { return this->poolerCount; }
+    std::uint32_t poolers() const { return this->livePoolers; }
+    // All that may hold connections to a target now.
+    std::uint32_t connectionHolders() const { return this->livePoolers + this->formerPoolers; }
 
 private:
     FleetView view;
@@ -45,9 +46,8 @@
     std::map<GroupId, PrimaryAuthority> authorities;
     RouteTable table;
     TimePoint leaseEnd;
-    std::uint32_t poolerCount = 1;
-    // When the count was last seen as high as it is held.
-    TimePoint poolersSeenAt;
+    std::uint32_t livePoolers = 1;
+    std::uint32_t formerPoolers = 0;
 };
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -378,8 +378,7 @@
             const bool leaves = record == nullptr || record->target.phase != TargetPhase::Ready;
             const bool isSurplus = record != nullptr
                                    && now >= connection.idleSince + this->settings.surplusIdle
-                                   && record->connections.size() + this->settings.surplusConnections
-                                          > this->connectionShare(*record);
+                                   && record->connections.size() > this->restingShare(*record);
             if (leaves || isSurplus)
                 surplus.push_back(id);
         }
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -110,12 +110,15 @@
 std::uint32_t SessionPooler::restingShare(const TargetRecord &record) const
 {
     const std::uint32_t limit = this->view.limits(record.target.group).maxConnections;
-    return std::max<std::uint32_t>(1, limit / 2 / this->view.poolers());
+    return std::max<std::uint32_t>(1, limit / 2 / this->view.connectionHolders());
 }
 
+// Above the resting share only while all who may hold connections fit in half of the limit.
 std::uint32_t SessionPooler::connectionShare(const TargetRecord &record) const
 {
-    return this->restingShare(record) + this->settings.surplusConnections;
+    const std::uint32_t limit = this->view.limits(record.target.group).maxConnections;
+    const bool mayExceed = limit / 2 >= this->view.connectionHolders();
+    return this->restingShare(record) + (mayExceed ? this->settings.surplusConnections : 0);
 }
 
 void SessionPooler::openIfAllowed(const TargetId &id, TimePoint now)
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -331,11 +331,12 @@
     this->serveQueue(now);
 }
 
-void SessionPooler::leaseReceived(TimePoint end, std::uint32_t poolers, TimePoint now)
+void SessionPooler::leaseReceived(TimePoint end, std::uint32_t poolers, std::uint32_t formerPoolers,
+                                  TimePoint now)
 {
     const bool hadLease = this->view.leaseValid(now);
     this->view.extendLease(end);
-    this->view.setPoolers(poolers, now);
+    this->view.setPoolers(poolers, formerPoolers);
     if (!hadLease) {
         this->keepWarm(now);
         this->hooks.event("lease_regained", {{"view", absl::StrCat(this->view.revision())}}, false);
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -36,7 +36,8 @@
     // Control.
     void viewReceived(const FleetView &view, TimePoint now);
     void routesReceived(RouteTable table, TimePoint now);
-    void leaseReceived(TimePoint end, std::uint32_t poolers, TimePoint now);
+    void leaseReceived(TimePoint end, std::uint32_t poolers, std::uint32_t formerPoolers,
+                       TimePoint now);
 
     void advance(TimePoint now);
     // When advance() is due.
--- a/src/rhubarbweir/protocol/fleet_codec.cpp
+++ b/src/rhubarbweir/protocol/fleet_codec.cpp
@@ -15,6 +15,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GrantAuthority, group, generation, primary)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RevokeAuthority, group, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ChooseCandidate, group, generation, candidate, chooser)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PoolerRun, pooler, incarnation, hasEnded)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegisterPooler, pooler, incarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForgetPooler, pooler, incarnation)
 
 // Found by the library through argument-dependent lookup.
 static void to_json(nlohmann::json &to, const FleetState::Snapshot &snapshot)
@@ -22,7 +25,8 @@
     to = {{"revision", snapshot.revision},
           {"configuration", snapshot.configuration},
           {"targets", snapshot.targets},
-          {"authorities", snapshot.authorities}};
+          {"authorities", snapshot.authorities},
+          {"poolers", snapshot.poolers}};
 }
 
 static void from_json(const nlohmann::json &from, FleetState::Snapshot &snapshot)
@@ -31,6 +35,7 @@
     from.at("configuration").get_to(snapshot.configuration);
     from.at("targets").get_to(snapshot.targets);
     from.at("authorities").get_to(snapshot.authorities);
+    from.at("poolers").get_to(snapshot.poolers);
 }
 
 namespace {
@@ -38,7 +43,7 @@
 using nlohmann::json;
 
 // Raised when the form changes.
-constexpr unsigned FleetFormatVersion = 1;
+constexpr unsigned FleetFormatVersion = 2;
 
 template<std::size_t Index = 0>
 FleetCommand commandOf(std::size_t index, const json &body)
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -133,7 +133,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrimaryAuthority, group, generation, primary, former, candidate,
                                    revokedAt, chooser, token)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetView, revision, targets, authorities, controls)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetLease, sequence, leaseFor, view, poolers,
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetLease, sequence, leaseFor, view, poolers, formerPoolers,
                                    configurationVersion, configuration)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetRedirect, leader)
 
--- a/src/rhubarbweir/state/fleet_state.cpp
+++ b/src/rhubarbweir/state/fleet_state.cpp
@@ -1,6 +1,7 @@
 // See fleet_state.hpp.
 #include "rhubarbweir/state/fleet_state.hpp"
 
+#include <algorithm>
 #include <tuple>
 
 namespace rhubarbweir {
@@ -134,6 +135,43 @@
     return true;
 }
 
+const PoolerRun *FleetState::findPooler(const InstanceId &pooler, std::uint64_t incarnation) const
+{
+    const auto found =
+        std::find_if(this->poolerRuns.begin(), this->poolerRuns.end(), [&](const PoolerRun &run) {
+            return run.pooler == pooler && run.incarnation == incarnation;
+        });
+    return found == this->poolerRuns.end() ? nullptr : &*found;
+}
+
+std::size_t FleetState::livePoolers() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(this->poolerRuns.begin(), this->poolerRuns.end(),
+                      [](const PoolerRun &run) { return !run.hasEnded; }));
+}
+
+bool FleetState::applyCommand(std::uint64_t, const RegisterPooler &command)
+{
+    if (this->findPooler(command.pooler, command.incarnation) != nullptr)
+        return false;
+    for (PoolerRun &run : this->poolerRuns)
+        run.hasEnded = run.hasEnded || run.pooler == command.pooler;
+    this->poolerRuns.push_back({command.pooler, command.incarnation, false});
+    return true;
+}
+
+bool FleetState::applyCommand(std::uint64_t, const ForgetPooler &command)
+{
+    const auto gone = std::remove_if(
+        this->poolerRuns.begin(), this->poolerRuns.end(), [&command](const PoolerRun &run) {
+            return run.pooler == command.pooler && run.incarnation == command.incarnation;
+        });
+    const bool changed = gone != this->poolerRuns.end();
+    this->poolerRuns.erase(gone, this->poolerRuns.end());
+    return changed;
+}
+
 FleetState::Snapshot FleetState::snapshot() const
 {
     Snapshot whole;
@@ -143,6 +181,7 @@
         whole.targets.push_back(target);
     for (const auto &[group, authority] : this->primaries)
         whole.authorities.push_back(authority);
+    whole.poolers = this->poolerRuns;
     return whole;
 }
 
@@ -156,6 +195,7 @@
         this->registered[target.target] = target;
     for (const PrimaryAuthority &authority : snapshot.authorities)
         this->primaries[authority.group] = authority;
+    this->poolerRuns = snapshot.poolers;
 }
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/state/fleet_state.hpp
+++ b/src/rhubarbweir/state/fleet_state.hpp
@@ -118,8 +118,34 @@
     InstanceId chooser;
 };
 
+// One start of a pooler's process that may be given a lease.
+struct PoolerRun
+{
+    InstanceId pooler;
+    // New for each start of the process.
+    std::uint64_t incarnation = 0;
+    // A later start of the same pooler registered. Never undone, so that a late message of this
+    // start ends nothing.
+    bool hasEnded = false;
+};
+
+// Precedes the first lease of a pooler's start, and ends earlier starts. Without effect for a start
+// that ended.
+struct RegisterPooler
+{
+    InstanceId pooler;
+    std::uint64_t incarnation = 0;
+};
+
+// The start holds no lease any more.
+struct ForgetPooler
+{
+    InstanceId pooler;
+    std::uint64_t incarnation = 0;
+};
+
 using FleetCommand = std::variant<StoreConfiguration, RecordTarget, GrantAuthority, RevokeAuthority,
-                                  ChooseCandidate>;
+                                  ChooseCandidate, RegisterPooler, ForgetPooler>;
 
 class FleetState
 {
@@ -138,6 +164,11 @@
     // belongs to a later start.
     bool accepts(const RegisteredTarget &target) const;
     const PrimaryAuthority *authority(const GroupId &group) const;
+    const std::vector<PoolerRun> &poolers() const { return this->poolerRuns; }
+    // Null for an unknown one.
+    const PoolerRun *findPooler(const InstanceId &pooler, std::uint64_t incarnation) const;
+    // Poolers whose last start is known.
+    std::size_t livePoolers() const;
 
     // The whole state, for snapshots.
     struct Snapshot
@@ -146,6 +177,7 @@
         ConfigurationDocument configuration;
         std::vector<RegisteredTarget> targets;
         std::vector<PrimaryAuthority> authorities;
+        std::vector<PoolerRun> poolers;
     };
     Snapshot snapshot() const;
     void restore(const Snapshot &snapshot);
@@ -156,12 +188,16 @@
     bool applyCommand(std::uint64_t index, const GrantAuthority &command);
     bool applyCommand(std::uint64_t index, const RevokeAuthority &command);
     bool applyCommand(std::uint64_t index, const ChooseCandidate &command);
+    bool applyCommand(std::uint64_t index, const RegisterPooler &command);
+    bool applyCommand(std::uint64_t index, const ForgetPooler &command);
     void dropSupersededAt(const RegisteredTarget &target);
 
     std::uint64_t revision = 0;
     ConfigurationDocument held;
     std::map<TargetId, RegisteredTarget> registered;
     std::map<GroupId, PrimaryAuthority> primaries;
+    // At most one run of a pooler has not ended.
+    std::vector<PoolerRun> poolerRuns;
 };
 
 // Whether `next` was sent after `known`, which has the same target id.
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -106,6 +106,18 @@
         for (const std::string &name : complaints)
             message.observations.push_back({TargetId(name), Group, ObservedState::Broken});
         this->controller.receiveFromPooler(this->connectionOf(pooler), message, this->now);
+        this->commit();
+    }
+
+    // The newest lease sent to the pooler; null when it got none.
+    const FleetLease *lastLease(const std::string &pooler)
+    {
+        for (auto entry = this->sent.rbegin(); entry != this->sent.rend(); ++entry) {
+            const auto *lease = std::get_if<FleetLease>(&entry->second);
+            if (entry->first == this->connectionOf(pooler) && lease != nullptr)
+                return lease;
+        }
+        return nullptr;
     }
 
     ConnectionId connectionOf(const std::string &pooler)
@@ -124,9 +136,18 @@
         }
     }
 
+    // The leadership is lost and gained again; what the leader alone knew is gone.
+    void changeLeader()
+    {
+        this->isLeader = false;
+        this->controller.leadershipChanged(this->now);
+        this->isLeader = true;
+        this->controller.leadershipChanged(this->now);
+    }
+
     void commit()
     {
-        while (!this->log.empty()) {
+        while (!this->holdsCommits && !this->log.empty()) {
             const auto [index, command] = this->log.front();
             this->log.pop_front();
             this->controller.applied(index, command, this->now);
@@ -165,6 +186,8 @@
     TimePoint now = TimePoint(std::chrono::seconds(1000));
     bool isLeader = false;
     bool hasLease = true;
+    // Proposals stay uncommitted.
+    bool holdsCommits = false;
     std::uint64_t sequence = 0;
     std::uint64_t lastIndex = 0;
     std::uint64_t term = 1;
--- a/tests/fakes/pooler_fixture.hpp
+++ b/tests/fakes/pooler_fixture.hpp
@@ -87,7 +87,7 @@
 
     void extendLease(Duration length)
     {
-        this->pooler.leaseReceived(this->now + length, 1, this->now);
+        this->pooler.leaseReceived(this->now + length, 1, 0, this->now);
     }
 
     // A later view with another authority.
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -215,17 +215,92 @@
 {
     RunningFleet fleet;
     fleet.losePrimary();
-    fleet.isLeader = false;
-    fleet.controller.leadershipChanged(fleet.now);
-    fleet.isLeader = true;
-    fleet.controller.leadershipChanged(fleet.now);
-    fleet.renewBoth({"t1"});
+    fleet.changeLeader();
+    fleet.renew("p1", fleet.revision(), {"t1"});
     fleet.advance(milliseconds(3900));
     cr_assert(fleet.promotions.empty());
     fleet.advance(milliseconds(800));
     cr_assert(!fleet.promotions.empty());
 }
 
+Test(fleet_controller, new_leader_heard_all,
+     .description = "A new leader that heard every registered pooler does not wait for old leases")
+{
+    RunningFleet fleet;
+    fleet.losePrimary();
+    fleet.changeLeader();
+    fleet.renew("p1", fleet.revision(), {"t1"});
+    fleet.renew("p2", fleet.revision() - 1, {"t1"});
+    fleet.advance(milliseconds(500));
+    cr_assert(fleet.promotions.empty());
+    fleet.renew("p2", fleet.revision(), {"t1"});
+    fleet.advance(milliseconds(100));
+    cr_assert_eq(fleet.promotions.size(), 1);
+}
+
+Test(fleet_controller, registered_before_lease,
+     .description = "A pooler gets its first lease once its registration is committed")
+{
+    FleetFixture fleet;
+    fleet.holdsCommits = true;
+    fleet.renew("p1", 0);
+    cr_assert_null(fleet.lastLease("p1"));
+    fleet.holdsCommits = false;
+    fleet.commit();
+    cr_assert_not_null(fleet.lastLease("p1"));
+    cr_assert_eq(fleet.lastLease("p1")->sequence, fleet.sequence);
+}
+
+Test(fleet_controller, late_renewal,
+     .description = "A late renewal of an earlier start does not end the present one")
+{
+    FleetFixture fleet;
+    fleet.renew("p1", 0, {}, 1);
+    fleet.renew("p1", 0, {}, 2);
+    fleet.changeLeader();
+    fleet.sent.clear();
+    fleet.renew("p1", 0, {}, 1);
+    cr_assert_null(fleet.lastLease("p1"));
+    fleet.renew("p1", 0, {}, 2);
+    cr_assert_not_null(fleet.lastLease("p1"));
+}
+
+Test(fleet_controller, former_poolers,
+     .description = "Poolers that have just started count twice, and unheard ones too")
+{
+    FleetFixture fleet;
+    fleet.renew("p1", 0);
+    fleet.renew("p2", 0);
+    fleet.advance(milliseconds(5000));
+    fleet.renew("p1", 0);
+    cr_assert_eq(fleet.lastLease("p1")->poolers, 2);
+    cr_assert_eq(fleet.lastLease("p1")->formerPoolers, 0);
+    fleet.changeLeader();
+    fleet.renew("p1", 0, {}, 2);
+    cr_assert_eq(fleet.lastLease("p1")->poolers, 2);
+    cr_assert_eq(fleet.lastLease("p1")->formerPoolers, 2);
+    fleet.renew("p2", 0);
+    fleet.renew("p1", 0, {}, 2);
+    cr_assert_eq(fleet.lastLease("p1")->formerPoolers, 1);
+    fleet.advance(milliseconds(3000));
+    fleet.renew("p1", 0, {}, 2);
+    cr_assert_eq(fleet.lastLease("p1")->formerPoolers, 0);
+}
+
+Test(fleet_controller, forgotten_pooler,
+     .description = "A pooler that stays away counts for a while and is then forgotten")
+{
+    FleetFixture fleet;
+    fleet.renew("p1", 0);
+    fleet.renew("p2", 0);
+    fleet.advance(std::chrono::seconds(15));
+    fleet.renew("p1", 0);
+    cr_assert_eq(fleet.lastLease("p1")->poolers, 2);
+    fleet.advance(std::chrono::seconds(15));
+    fleet.renew("p1", 0);
+    cr_assert_eq(fleet.lastLease("p1")->poolers, 1);
+}
+
 Test(fleet_controller, lost_call,
      .description = "A promotion without an answer is asked for again with the same token")
 {
