Start elections after 200 to 350 ms of silence

Cause: after a kill of all processes 0.4 s passed between the start of the control instances and an election, half of the time without service. Ruled out: start of the processes, recovery of the log (1 to 2 ms). Change: the least and the greatest silence, 300 and 600 ms before; a heartbeat comes every 75 ms and two may be lost.

--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -25,8 +25,8 @@
 // A new leader must be found well within a lease, but not because a disk or a processor stalled
 // for a moment.
 constexpr std::chrono::milliseconds QuorumHeartbeat{75};
-constexpr std::chrono::milliseconds ElectionTimeoutMin{300};
-constexpr std::chrono::milliseconds ElectionTimeoutMax{600};
+constexpr std::chrono::milliseconds ElectionTimeoutMin{200};
+constexpr std::chrono::milliseconds ElectionTimeoutMax{350};
 // A silent voter is replaced after this; it is longer than most freezes and cuts.
 constexpr std::chrono::seconds ReplaceAfter{6};
 // Length of a pooler's lease. Longer than an election and the return of a control instance; a
