Relieve a primary that serves all reads alone

Ruled out: a pause or a stale belief at the poolers: the replicas answer that they lack the position each time. Change: poolers report such groups with their renewals. When a third of them do for 500 ms, the leader makes a planned change: the replica that has received all leads, and the former primary serves reads as a replica that is not behind. It needs every pooler that may hold a lease in touch, is given up when one does not acknowledge within 500 ms or no replica has received all, and comes at most once in 10 s a group. A primary that is only slow is not replaced.

--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -194,6 +194,7 @@
     message.configurationVersion = this->pooler.authorityView().routes().version;
     message.draining = this->stopBy != TimePoint::max();
     message.observations = this->pooler.observations();
+    message.overloadedGroups = this->pooler.overloadedGroups(EventLoop::now());
     return message;
 }
 
--- a/src/rhubarbweir/coordination/control/control_messages.hpp
+++ b/src/rhubarbweir/coordination/control/control_messages.hpp
@@ -116,6 +116,8 @@
     std::vector<TargetObservation> observations;
     // Version of the operators' configuration document that a session pooler has in force.
     std::uint64_t configurationVersion = 0;
+    // Groups whose primary alone serves all reads of a session pooler, and serves them late.
+    std::vector<GroupId> overloadedGroups;
 };
 
 struct LeaseGranted
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -59,7 +59,9 @@
     this->leads = isLeader;
     this->changes.clear();
     this->proposedUntil.clear();
-    this->formerLost.clear();
+    this->changeCauses.clear();
+    this->overloadedSince.clear();
+    this->relievedAt.clear();
     this->deniesSince.clear();
     this->heard.clear();
     this->versions.clear();
@@ -86,7 +88,7 @@
         this->proposedUntil.erase(granted->group);
         if (changed) {
             this->changes.erase(granted->group);
-            this->formerLost.erase(granted->group);
+            this->changeCauses.erase(granted->group);
             this->watch.forgive(granted->primary, now);
             this->hooks.event("authority_granted", {{"group", granted->group.value},
                                                     {"target", granted->primary.value},
@@ -256,7 +258,7 @@
     ProxyLease *lease = this->leases.renew(connection, message, now);
     if (lease == nullptr)
         return;
-    this->watch.reported(lease->run, message.observations, now);
+    this->watch.reported(lease->run, message, now);
     this->versions[lease->run] = message.configurationVersion;
     const bool saysMore = !message.observations.empty() || lease->revision < message.revision;
     if (saysMore || !this->changes.empty())
@@ -447,10 +449,12 @@
     if (authority.primary.empty()) {
         auto change = this->changes.find(authority.group);
         if (change == this->changes.end()) {
-            const bool lost = this->formerLost[authority.group];
+            const auto known = this->changeCauses.find(authority.group);
+            const ChangeCause cause =
+                known == this->changeCauses.end() ? ChangeCause::PrimaryLeaves : known->second;
             change = this->changes
                          .emplace(std::piecewise_construct, std::forward_as_tuple(authority.group),
-                                  std::forward_as_tuple(this->settings, authority.group, lost,
+                                  std::forward_as_tuple(this->settings, authority.group, cause,
                                                         this->changePorts(authority.group), now))
                          .first;
         }
@@ -459,15 +463,15 @@
     }
     const RegisteredTarget *primary = this->fleet.find(authority.primary);
     if (primary == nullptr || primary->phase == TargetPhase::Left) {
-        this->revoke(authority, "primary_gone", true, {}, now);
+        this->revoke(authority, "primary_gone", ChangeCause::PrimaryLost, {}, now);
         return;
     }
     if (primary->phase == TargetPhase::Draining) {
-        this->revoke(authority, "primary_draining", false, {}, now);
+        this->revoke(authority, "primary_draining", ChangeCause::PrimaryLeaves, {}, now);
         return;
     }
     if (this->deniesRole(*primary, now)) {
-        this->revoke(authority, "primary_denies_role", false, {}, now);
+        this->revoke(authority, "primary_denies_role", ChangeCause::PrimaryLeaves, {}, now);
         return;
     }
     const PrimaryEvidence evidence = this->watch.judge(authority.primary, this->leases, now);
@@ -476,9 +480,40 @@
                                      {"failed_probes", absl::StrCat(evidence.failedProbes)},
                                      {"overdue", evidence.heartbeatOverdue ? "yes" : "no"}};
     if (evidence.verdict == PrimaryVerdict::Lost)
-        this->revoke(authority, "primary_lost", true, fields, now);
+        this->revoke(authority, "primary_lost", ChangeCause::PrimaryLost, fields, now);
     else if (evidence.verdict == PrimaryVerdict::Suspected)
         this->probeSuspected(*primary, now);
+    else if (this->needsRelief(authority.group, now))
+        this->revoke(authority, "primary_overloaded", ChangeCause::PrimaryOverloaded, fields, now);
+}
+
+// Whether a revocation would have to wait for a pooler that may hold a lease and says nothing.
+bool FleetController::hasSilentPooler(TimePoint now) const
+{
+    const std::vector<PoolerRun> &runs = this->fleet.poolers();
+    return std::any_of(runs.begin(), runs.end(), [&](const PoolerRun &registered) {
+        if (registered.hasEnded)
+            return false;
+        const ProxyLease *lease = this->leases.find({registered.pooler, registered.incarnation});
+        if (lease == nullptr)
+            return now < this->leases.graceEnd();
+        const bool isRecent =
+            now < lease->endsAt - this->settings.lease.leaseFor + this->settings.reportLifetime;
+        return !lease->isRetired && now < lease->endsAt && !isRecent;
+    });
+}
+
+bool FleetController::needsRelief(const GroupId &group, TimePoint now)
+{
+    if (!this->watch.isOverloaded(group, this->leases, now)) {
+        this->overloadedSince.erase(group);
+        return false;
+    }
+    const TimePoint since = this->overloadedSince.emplace(group, now).first->second;
+    const auto relieved = this->relievedAt.find(group);
+    return now >= since + this->settings.overloadPatience && !this->hasSilentPooler(now)
+           && (relieved == this->relievedAt.end()
+               || now >= relieved->second + this->settings.reliefInterval);
 }
 
 bool FleetController::deniesRole(const RegisteredTarget &primary, TimePoint now)
@@ -501,13 +536,16 @@
 }
 
 void FleetController::revoke(const PrimaryAuthority &authority, const std::string &cause,
-                             bool isFormerLost, const FleetEventFields &evidence, TimePoint now)
+                             ChangeCause changeCause, const FleetEventFields &evidence,
+                             TimePoint now)
 {
     TimePoint &until = this->proposedUntil[authority.group];
     if (now < until)
         return;
     until = now + this->settings.proposalPatience;
-    this->formerLost[authority.group] = isFormerLost;
+    this->changeCauses[authority.group] = changeCause;
+    if (changeCause == ChangeCause::PrimaryOverloaded)
+        this->relievedAt[authority.group] = now;
     this->deniesSince.erase(authority.primary);
     FleetEventFields fields = {{"group", authority.group.value},
                                {"primary", authority.primary.value},
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -79,8 +79,10 @@
     void superviseGroups(TimePoint now);
     void superviseGroup(const PrimaryAuthority &authority, TimePoint now);
     void grantFirstAuthorities(TimePoint now);
-    void revoke(const PrimaryAuthority &authority, const std::string &cause, bool formerLost,
-                const FleetEventFields &evidence, TimePoint now);
+    void revoke(const PrimaryAuthority &authority, const std::string &cause,
+                ChangeCause changeCause, const FleetEventFields &evidence, TimePoint now);
+    bool needsRelief(const GroupId &group, TimePoint now);
+    bool hasSilentPooler(TimePoint now) const;
     bool deniesRole(const RegisteredTarget &primary, TimePoint now);
     PrimaryChangePorts changePorts(const GroupId &group);
     bool mayBeUsedBefore(std::uint64_t revision, TimePoint now) const;
@@ -111,7 +113,11 @@
     std::map<GroupId, PrimaryChange> changes;
     // Groups with a proposed authority command, until when it is waited for.
     std::map<GroupId, TimePoint> proposedUntil;
-    std::map<GroupId, bool> formerLost;
+    std::map<GroupId, ChangeCause> changeCauses;
+    // Since when a primary was reported as overloaded without a break, and when its group was
+    // relieved last.
+    std::map<GroupId, TimePoint> overloadedSince;
+    std::map<GroupId, TimePoint> relievedAt;
     std::map<TargetId, TimePoint> probeAt;
     // Since when a primary's own reports say that it is a replica.
     std::map<TargetId, TimePoint> deniesSince;
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -34,6 +34,12 @@
     Duration catchUpPatience = std::chrono::milliseconds(2000);
     // The same after the primary was lost: a few times the usual replication lag.
     Duration lostCatchUpPatience = std::chrono::milliseconds(150);
+    // The same when the primary is only overloaded; then it goes on.
+    Duration reliefPatience = std::chrono::milliseconds(500);
+    // A primary is relieved after it was overloaded for this long without a break.
+    Duration overloadPatience = std::chrono::milliseconds(500);
+    // Least time between two reliefs of a group; a few times the length of a change.
+    Duration reliefInterval = std::chrono::milliseconds(10000);
     // Pause between two probes of one target: a tenth of the shortest promotion.
     Duration probeInterval = std::chrono::milliseconds(50);
     // Pause before a promotion without an answer is asked for again.
--- a/src/rhubarbweir/coordination/fleet/primary_change.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.cpp
@@ -9,14 +9,29 @@
 
 namespace rhubarbweir {
 
-PrimaryChange::PrimaryChange(const FleetSettings &fleetSettings, GroupId groupId, bool isFormerLost,
-                             PrimaryChangePorts changePorts, TimePoint now)
+namespace {
+
+Duration catchUpPatience(const FleetSettings &settings, ChangeCause cause)
+{
+    switch (cause) {
+    case ChangeCause::PrimaryLost:
+        return settings.lostCatchUpPatience;
+    case ChangeCause::PrimaryOverloaded:
+        return settings.reliefPatience;
+    default:
+        return settings.catchUpPatience;
+    }
+}
+
+} // namespace
+
+PrimaryChange::PrimaryChange(const FleetSettings &fleetSettings, GroupId groupId,
+                             ChangeCause changeCause, PrimaryChangePorts changePorts, TimePoint now)
     : settings(fleetSettings)
     , group(std::move(groupId))
-    , formerLost(isFormerLost)
+    , cause(changeCause)
     , ports(std::move(changePorts))
-    , catchUpDeadline(
-          now + (isFormerLost ? fleetSettings.lostCatchUpPatience : fleetSettings.catchUpPatience))
+    , catchUpDeadline(now + catchUpPatience(fleetSettings, changeCause))
 {
 }
 
@@ -28,6 +43,9 @@
     if (this->step == Step::AwaitHolders && !this->ports.mayBeUsed(now)) {
         this->ports.event("former_primary_unused", {{"group", this->group.value}});
         this->enterSurvey(now);
+    } else if (this->step == Step::AwaitHolders && this->mayGoBack(*authority)
+               && now >= this->catchUpDeadline) {
+        this->giveUpRelief(*authority, now);
     }
     if (this->step == Step::Survey)
         this->survey(state, *authority, now);
@@ -56,7 +74,7 @@
     for (const auto &[id, target] : state.targets()) {
         if (target.group != this->group || target.phase == TargetPhase::Left)
             continue;
-        if (!this->formerLost || id != authority.former)
+        if (this->cause != ChangeCause::PrimaryLost || id != authority.former)
             this->awaited.insert(id);
         this->ports.probe(target);
     }
@@ -74,9 +92,9 @@
     this->probeAll(state, authority, now);
     const bool isDecided =
         this->isComplete() || now >= this->surveyDeadline || this->hasCaughtUp(state, authority);
-    if (!isDecided)
+    if (!isDecided || this->awaitsRelief(state, authority, now))
         return;
-    if (this->adoptLeading(state, authority))
+    if (this->cause != ChangeCause::PrimaryOverloaded && this->adoptLeading(state, authority))
         return;
     const std::optional<TargetId> best = this->choose(state, authority);
     if (!best) {
@@ -152,6 +170,31 @@
     return best;
 }
 
+bool PrimaryChange::awaitsRelief(const FleetState &state, const PrimaryAuthority &authority,
+                                 TimePoint now)
+{
+    if (!this->mayGoBack(authority) || this->hasCaughtUp(state, authority))
+        return false;
+    if (now >= this->catchUpDeadline)
+        this->giveUpRelief(authority, now);
+    return true;
+}
+
+// With a choice made, a call for it may take effect: the change goes on.
+bool PrimaryChange::mayGoBack(const PrimaryAuthority &authority) const
+{
+    return this->cause == ChangeCause::PrimaryOverloaded && authority.candidate.empty();
+}
+
+void PrimaryChange::giveUpRelief(const PrimaryAuthority &authority, TimePoint now)
+{
+    this->ports.event("relief_given_up", {{"group", this->group.value},
+                                          {"surveyed", this->step == Step::Survey ? "yes" : "no"},
+                                          {"answered", absl::StrCat(this->answers.size())}});
+    this->proposedUntil = now + this->settings.proposalPatience;
+    this->grant(authority, authority.former);
+}
+
 // Whether a replica is known to hold all that the former primary does: no other can be better.
 bool PrimaryChange::hasCaughtUp(const FleetState &state, const PrimaryAuthority &authority) const
 {
--- a/src/rhubarbweir/coordination/fleet/primary_change.hpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.hpp
@@ -14,6 +14,23 @@
 
 namespace rhubarbweir {
 
+enum class ChangeCause {
+    // It does not answer, or left.
+    PrimaryLost,
+    // It will end soon, or says that it does not lead.
+    PrimaryLeaves,
+    // It serves all reads alone, as its replicas are behind. The former primary, as a replica, is
+    // not behind.
+    PrimaryOverloaded,
+};
+
+template<>
+struct EnumNames<ChangeCause>
+{
+    static constexpr std::string_view Names[] = {"primary_lost", "primary_leaves",
+                                                 "primary_overloaded"};
+};
+
 // What a change asks of its controller.
 struct PrimaryChangePorts
 {
@@ -30,8 +47,7 @@
 class PrimaryChange
 {
 public:
-    // `formerLost`: the former primary is not waited for.
-    PrimaryChange(const FleetSettings &settings, GroupId group, bool formerLost,
+    PrimaryChange(const FleetSettings &settings, GroupId group, ChangeCause cause,
                   PrimaryChangePorts ports, TimePoint now);
 
     void advance(const FleetState &state, TimePoint now);
@@ -55,6 +71,10 @@
     bool adoptLeading(const FleetState &state, const PrimaryAuthority &authority);
     std::optional<TargetId> choose(const FleetState &state,
                                    const PrimaryAuthority &authority) const;
+    // An overloaded primary gives way only to a replica that has caught up; else it goes on.
+    bool awaitsRelief(const FleetState &state, const PrimaryAuthority &authority, TimePoint now);
+    bool mayGoBack(const PrimaryAuthority &authority) const;
+    void giveUpRelief(const PrimaryAuthority &authority, TimePoint now);
     bool awaitsCatchUp(const TargetId &candidate, const PrimaryAuthority &authority,
                        TimePoint now) const;
     // Whether the choice is committed under this instance's name.
@@ -65,7 +85,7 @@
 
     const FleetSettings &settings;
     GroupId group;
-    bool formerLost;
+    ChangeCause cause;
     PrimaryChangePorts ports;
     Step step = Step::AwaitHolders;
     TimePoint surveyDeadline;
--- a/src/rhubarbweir/coordination/fleet/primary_watch.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_watch.cpp
@@ -11,6 +11,8 @@
 constexpr unsigned ConvincingProbes = 2;
 // A target is overdue after missing one announcement and half of the next interval.
 constexpr double OverdueIntervals = 2.5;
+// Poolers with few callers of a group may not see its overload.
+constexpr std::size_t OverloadShare = 3;
 
 } // namespace
 
@@ -32,15 +34,15 @@
     this->heardAt[target] = now;
 }
 
-void PrimaryWatch::reported(const ProxyRun &run, const std::vector<TargetObservation> &observations,
-                            TimePoint now)
+void PrimaryWatch::reported(const ProxyRun &run, const RenewLease &renewal, TimePoint now)
 {
     Report &report = this->reports[run];
     if (now >= report.expiresAt)
         report.since = now;
     report.expiresAt = now + this->settings.reportLifetime;
     report.complaints.clear();
-    for (const TargetObservation &observation : observations) {
+    report.overloaded = {renewal.overloadedGroups.begin(), renewal.overloadedGroups.end()};
+    for (const TargetObservation &observation : renewal.observations) {
         if (observation.state != ObservedState::Alive)
             report.complaints[observation.target] = observation.state;
     }
@@ -63,14 +65,33 @@
         report.complaints.erase(target);
 }
 
+// A pooler that was out of touch tells at first what it saw on the far side of a cut.
+bool PrimaryWatch::counts(const ProxyRun &run, const Report &report, const LeaseBook &leases,
+                          TimePoint now) const
+{
+    const bool isSettled = now >= report.since + this->settings.reportLifetime;
+    return isSettled && now < report.expiresAt && leases.hasLease(run, now);
+}
+
+bool PrimaryWatch::isOverloaded(const GroupId &group, const LeaseBook &leases, TimePoint now) const
+{
+    std::size_t poolers = 0;
+    std::size_t complaints = 0;
+    for (const auto &[run, report] : this->reports) {
+        if (!this->counts(run, report, leases, now))
+            continue;
+        ++poolers;
+        complaints += report.overloaded.count(group);
+    }
+    return complaints * OverloadShare > poolers;
+}
+
 PrimaryEvidence PrimaryWatch::judge(const TargetId &target, const LeaseBook &leases,
                                     TimePoint now) const
 {
     PrimaryEvidence evidence;
     for (const auto &[run, report] : this->reports) {
-        // A pooler that was out of touch tells at first what it saw on the far side of a cut.
-        const bool isSettled = now >= report.since + this->settings.reportLifetime;
-        if (!isSettled || now >= report.expiresAt || !leases.hasLease(run, now))
+        if (!this->counts(run, report, leases, now))
             continue;
         ++evidence.poolers;
         evidence.complaints += report.complaints.count(target);
--- a/src/rhubarbweir/coordination/fleet/primary_watch.hpp
+++ b/src/rhubarbweir/coordination/fleet/primary_watch.hpp
@@ -8,6 +8,7 @@
 #include "rhubarbweir/coordination/fleet/fleet_settings.hpp"
 
 #include <map>
+#include <set>
 
 namespace rhubarbweir {
 
@@ -41,23 +42,29 @@
     // Forgets everything: this instance became the leader.
     void reset(TimePoint now);
     void heartbeat(const TargetId &target, TimePoint now);
-    void reported(const ProxyRun &run, const std::vector<TargetObservation> &observations,
-                  TimePoint now);
+    void reported(const ProxyRun &run, const RenewLease &report, TimePoint now);
     void probed(const TargetId &target, bool answered);
     // Forgets what was held against the target.
     void forgive(const TargetId &target, TimePoint now);
 
     PrimaryEvidence judge(const TargetId &target, const LeaseBook &leases, TimePoint now) const;
+    // Whether many poolers report the group's primary as overloaded while no replica can help.
+    bool isOverloaded(const GroupId &group, const LeaseBook &leases, TimePoint now) const;
     // Poolers that reach the target less those that complain of it.
     int reachability(const TargetId &target, TimePoint now) const;
 
 private:
+    struct Report;
+    bool counts(const ProxyRun &run, const Report &report, const LeaseBook &leases,
+                TimePoint now) const;
+
     struct Report
     {
         // From here on the pooler has reported without a gap.
         TimePoint since;
         TimePoint expiresAt;
         std::map<TargetId, ObservedState> complaints;
+        std::set<GroupId> overloaded;
     };
 
     const FleetSettings &settings;
--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -92,6 +92,8 @@
     record->position = answer.position;
     if (!answer.fault)
         record->laggingPause = Duration::zero();
+    if (!answer.fault && awaited.minimum)
+        record->behindSince.reset();
     const bool counts = awaited.generation != 0
                         && awaited.generation == this->view.generation(connection.group)
                         && this->view.knownPrimary(connection.group) == connection.target;
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -61,6 +61,8 @@
     // from a usual replication lag to the time in which callers give up.
     Duration laggingPause = std::chrono::milliseconds(30);
     Duration laggingPauseCap = std::chrono::milliseconds(240);
+    // A replica that lacked all asked positions for this long is behind: a few times the usual lag.
+    Duration behindAfter = std::chrono::milliseconds(300);
     // Statements that wait, over all groups; beyond it new ones are refused.
     std::size_t queueLimit = 512;
 };
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -344,6 +344,17 @@
     }
 }
 
+std::vector<GroupId> SessionPooler::overloadedGroups(TimePoint now) const
+{
+    std::vector<GroupId> overloaded;
+    for (const auto &[group, limits] : this->view.routes().groups) {
+        const std::optional<TargetId> primary = this->view.primary(group, now);
+        if (primary && this->book.isOverloaded(group, *primary, now))
+            overloaded.push_back(group);
+    }
+    return overloaded;
+}
+
 // Time.
 
 TimePoint SessionPooler::nextDeadline() const
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -53,6 +53,8 @@
     bool isReady() const { return this->view.routes().version != 0 && this->view.revision() != 0; }
     const AuthorityView &authorityView() const { return this->view; }
     std::vector<TargetObservation> observations() const { return this->book.observations(); }
+    // Groups whose primary serves all reads alone, and late.
+    std::vector<GroupId> overloadedGroups(TimePoint now) const;
     std::size_t sessionCount() const { return this->sessions.size(); }
 
 private:
--- a/src/rhubarbweir/coordination/sessions/target_book.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_book.cpp
@@ -189,6 +189,8 @@
     if (record == nullptr)
         return;
     record->lacked = minimum;
+    if (!record->behindSince)
+        record->behindSince = now;
     record->laggingPause = std::clamp(record->laggingPause * 2, this->settings.laggingPause,
                                       this->settings.laggingPauseCap);
     record->laggingUntil = now + record->laggingPause;
@@ -252,6 +254,25 @@
     return seen;
 }
 
+bool TargetBook::isOverloaded(const GroupId &group, const TargetId &primary, TimePoint now) const
+{
+    const TargetRecord *leading = this->find(primary);
+    if (leading == nullptr
+        || (leading->delay <= this->settings.slowAnswer
+            && leading->busyPause < this->settings.busyPause))
+        return false;
+    bool hasReplica = false;
+    for (const auto &[id, record] : this->targets) {
+        if (record.target.group != group || id == primary
+            || record.target.phase != TargetPhase::Ready)
+            continue;
+        if (!record.behindSince || now < *record.behindSince + this->settings.behindAfter)
+            return false;
+        hasReplica = true;
+    }
+    return hasReplica;
+}
+
 Duration TargetBook::expectedDelay(const TargetRecord &record, bool isPrimary,
                                    const std::optional<LogPosition> &minimum) const
 {
--- a/src/rhubarbweir/coordination/sessions/target_book.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_book.hpp
@@ -74,6 +74,8 @@
     bool hasRoom() const { return this->inFlight < static_cast<unsigned>(this->window); }
     // A replica that lacked a position is not asked for it, or a later one, before this.
     LogPosition lacked;
+    // Since when it has lacked every position that it was asked for.
+    std::optional<TimePoint> behindSince;
     TimePoint laggingUntil;
     Duration laggingPause{0};
     // Nothing new is sent before this.
@@ -118,6 +120,8 @@
     // Marks targets that owe an answer for too long. True when a state changed.
     bool findSilent(TimePoint now);
     std::vector<TargetObservation> observations() const;
+    // Whether every replica of the group is behind for a while, and the primary answers late.
+    bool isOverloaded(const GroupId &group, const TargetId &primary, TimePoint now) const;
 
     // Expected time until an answer, for choosing between targets.
     Duration expectedDelay(const TargetRecord &record, bool isPrimary,
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -74,7 +74,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetObservation, target, group, state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ObserverReport, instance, failureDomain, observations)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RenewLease, proxy, address, failureDomain, incarnation, sequence,
-                                   revision, draining, groups, observations, configurationVersion)
+                                   revision, draining, groups, observations, configurationVersion,
+                                   overloadedGroups)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseGranted, sequence, leaseFor, delta)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseRefused, sequence, leaderAddress)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewChanged, delta)
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -96,7 +96,8 @@
     }
 
     void renew(const std::string &pooler, std::uint64_t revision,
-               const std::vector<std::string> &complaints = {}, std::uint64_t incarnation = 1)
+               const std::vector<std::string> &complaints = {}, std::uint64_t incarnation = 1,
+               bool isOverloaded = false)
     {
         RenewLease message;
         message.proxy = InstanceId(pooler);
@@ -105,6 +106,8 @@
         message.revision = revision;
         for (const std::string &name : complaints)
             message.observations.push_back({TargetId(name), Group, ObservedState::Broken});
+        if (isOverloaded)
+            message.overloadedGroups.push_back(Group);
         this->controller.receiveFromPooler(this->connectionOf(pooler), message, this->now);
         this->commit();
     }
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -37,6 +37,17 @@
         this->renew("p2", this->revision(), complaints);
     }
 
+    // Both poolers report the group as overloaded, every 300 ms.
+    void reportOverload(int rounds)
+    {
+        for (int round = 0; round < rounds; ++round) {
+            this->renew("p1", this->revision(), {}, 1, true);
+            this->renew("p2", this->revision(), {}, 1, true);
+            this->beat();
+            this->advance(milliseconds(300));
+        }
+    }
+
     // The primary dies and both poolers say so.
     void losePrimary()
     {
@@ -362,6 +373,81 @@
     cr_assert_eq(fleet.promotions.back().target, TargetId("t2"));
 }
 
+Test(fleet_controller, relief,
+     .description = "An overloaded primary whose replicas are behind gives way to one of them")
+{
+    RunningFleet fleet;
+    for (const std::string target : {"t1", "t2", "t3"})
+        fleet.positions[TargetId(target)] = {1, 20};
+    fleet.reportOverload(1);
+    cr_assert_eq(fleet.authority().primary, TargetId("t1"));
+    fleet.reportOverload(1);
+    cr_assert(fleet.authority().primary.empty());
+    fleet.renewBoth();
+    fleet.advance(milliseconds(200));
+    cr_assert_eq(fleet.promotions.size(), 1);
+    cr_assert_neq(fleet.promotions.back().target, TargetId("t1"));
+    fleet.answerPromotion(PromotionOutcome::Accepted);
+    fleet.advance(milliseconds(200));
+    cr_assert_eq(fleet.authority().primary, fleet.leading);
+    // Not again so soon.
+    fleet.reportOverload(8);
+    cr_assert_eq(fleet.authority().primary, fleet.leading);
+}
+
+Test(fleet_controller, relief_given_up,
+     .description = "An overloaded primary goes on when no replica has received all it holds")
+{
+    RunningFleet fleet;
+    fleet.positions[TargetId("t1")] = {1, 20};
+    fleet.positions[TargetId("t2")] = {1, 15};
+    fleet.reportOverload(2);
+    cr_assert(fleet.authority().primary.empty());
+    fleet.renewBoth();
+    fleet.advance(milliseconds(1000));
+    cr_assert(fleet.promotions.empty());
+    cr_assert_eq(fleet.authority().primary, TargetId("t1"));
+}
+
+Test(fleet_controller, relief_beside_silence,
+     .description = "No primary is relieved while a pooler that may hold a lease is silent")
+{
+    RunningFleet fleet;
+    fleet.renew("p3", fleet.revision());
+    fleet.advance(milliseconds(1700));
+    fleet.reportOverload(4);
+    cr_assert_eq(fleet.authority().primary, TargetId("t1"));
+    cr_assert(fleet.promotions.empty());
+}
+
+Test(fleet_controller, unanswered_relief,
+     .description = "A relief that a pooler does not acknowledge is given up")
+{
+    RunningFleet fleet;
+    for (const std::string target : {"t1", "t2", "t3"})
+        fleet.positions[TargetId(target)] = {1, 20};
+    fleet.reportOverload(2);
+    cr_assert(fleet.authority().primary.empty());
+    fleet.renew("p1", fleet.revision());
+    fleet.advance(milliseconds(700));
+    cr_assert(fleet.promotions.empty());
+    cr_assert_eq(fleet.authority().primary, TargetId("t1"));
+}
+
+Test(fleet_controller, unconfirmed_overload,
+     .description = "Few poolers' reports of overload relieve nobody")
+{
+    RunningFleet fleet;
+    for (int round = 0; round < 20; ++round) {
+        fleet.renew("p1", fleet.revision(), {}, 1, round >= 10);
+        fleet.renew("p2", fleet.revision());
+        fleet.renew("p3", fleet.revision());
+        fleet.beat();
+        fleet.advance(milliseconds(500));
+    }
+    cr_assert_eq(fleet.authority().primary, TargetId("t1"));
+}
+
 Test(fleet_controller, false_alarm,
      .description = "A primary that can be reached again gets its authority back")
 {
