Keep poolers without a lease in the lease book

Ruled out: processor quota, refused proposals, a connection that closed. Change: a renewal counts as the end of a lease at that moment, for the memory of the book. The registration is logged by the leader only, with its outcome. Test: fleet_controller/registered_before_lease, red before.

--- a/src/rhubarbweir/coordination/control/lease_book.cpp
+++ b/src/rhubarbweir/coordination/control/lease_book.cpp
@@ -31,6 +31,8 @@
     lease.failureDomain = message.failureDomain;
     lease.hasView = lease.hasView && lease.connection == connection;
     lease.connection = connection;
+    // One without a lease yet is remembered as well.
+    lease.endsAt = std::max(lease.endsAt, now);
     // Messages of a former connection may come late.
     lease.revision = std::max(lease.revision, message.revision);
     lease.subscription = message.groups;
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -286,9 +286,6 @@
 
 void FleetController::poolerRegistered(const ProxyRun &run, TimePoint now)
 {
-    this->hooks.event("pooler_registered", {{"pooler", run.proxy.value},
-                                            {"incarnation", absl::StrCat(run.incarnation)},
-                                            {"poolers", absl::StrCat(this->fleet.livePoolers())}});
     this->registryProposedUntil.erase(run);
     const auto pending = this->pendingRenewals.find(run);
     if (!this->leads || pending == this->pendingRenewals.end())
@@ -297,8 +294,13 @@
     const PendingRenewal renewal = pending->second;
     this->pendingRenewals.erase(pending);
     const auto lease = this->leases.all().find(run);
-    if (lease == this->leases.all().end() || lease->second.connection == 0
-        || lease->second.isRetired)
+    const bool mayAnswer = lease != this->leases.all().end() && lease->second.connection != 0
+                           && !lease->second.isRetired;
+    this->hooks.event("pooler_registered", {{"pooler", run.proxy.value},
+                                            {"incarnation", absl::StrCat(run.incarnation)},
+                                            {"poolers", absl::StrCat(this->fleet.livePoolers())},
+                                            {"lease", mayAnswer ? "granted" : "awaits_renewal"}});
+    if (!mayAnswer)
         return;
     this->leases.grant(lease->second, this->fleet.viewRevision(), now);
     this->sendLease(lease->second, renewal.sequence, renewal.configurationVersion, now);
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -255,6 +255,7 @@
     FleetFixture fleet;
     fleet.holdsCommits = true;
     fleet.renew("p1", 0);
+    fleet.advance(milliseconds(200));
     cr_assert_null(fleet.lastLease("p1"));
     fleet.holdsCommits = false;
     fleet.commit();
