Ask a control instance that knows no leader again on the same connection

Cause: while no leader was known, poolers closed the connection, waited 100 ms and opened one to the next instance: 16 handshakes a round at instances that had to elect, and leases 30 to 260 ms after the leader. Change: the connection is kept for 8 questions, 40 ms apart; then the next instance is tried, as this one may be cut off.

--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -19,6 +19,10 @@
 // A lost opening packet is sent again after a second; a new attempt is quicker.
 constexpr std::chrono::milliseconds ConnectTimeout{250};
 constexpr std::chrono::milliseconds RetryPause{100};
+// A control instance that knows no leader is asked again after this, a part of an election, and
+// left for another one after so many times: it may be cut off from the others.
+constexpr std::chrono::milliseconds LeaderlessPause{40};
+constexpr unsigned LeaderlessPolls = 8;
 
 } // namespace
 
@@ -105,6 +109,7 @@
     this->address = target;
     this->heardAt = EventLoop::now();
     this->sentAt.clear();
+    this->leaderlessPolls = 0;
     opened->onMessage = [this](const Message &message) {
         this->receive(message);
     };
@@ -119,6 +124,7 @@
 {
     if (const auto *lease = std::get_if<FleetLease>(&message)) {
         this->heardAt = EventLoop::now();
+        this->leaderlessPolls = 0;
         std::optional<TimePoint> asked;
         const auto found = this->sentAt.find(lease->sequence);
         if (found != this->sentAt.end()) {
@@ -133,9 +139,17 @@
 
 void FleetLink::redirect(const std::string &leader)
 {
+    const bool isElsewhere = !leader.empty() && leader != this->address;
+    if (!isElsewhere && ++this->leaderlessPolls <= LeaderlessPolls) {
+        this->loop.schedule(EventLoop::now() + LeaderlessPause, [this, asked = this->connection] {
+            if (this->connection == asked)
+                this->renewNow();
+        });
+        return;
+    }
     const ConnectionPtr former = std::exchange(this->connection, nullptr);
     former->close(CloseReason::Normal);
-    if (!leader.empty() && leader != this->address) {
+    if (isElsewhere) {
         this->connect(leader);
         return;
     }
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -60,6 +60,8 @@
     // Renewals that were not answered, by sequence.
     std::map<std::uint64_t, TimePoint> sentAt;
     TimePoint heardAt;
+    // Answers in a row that named no leader.
+    unsigned leaderlessPolls = 0;
 };
 
 } // namespace rhubarbweir
