Keep all shares of a target's connections below its limit

Ruled out: acknowledgements of the revocation (19 ms), a busy status. Change: a share is at most the limit, less four for control instances, divided by all who may hold connections. Tests: shares_below_limit and shares_after_a_restart, red without the bound; overloaded_primary.

--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -113,12 +113,15 @@
     return std::max<std::uint32_t>(1, limit / 2 / this->view.connectionHolders());
 }
 
-// Above the resting share only while all who may hold connections fit in half of the limit.
+// All shares together stay below the limit, so that control can always ask the target.
 std::uint32_t SessionPooler::connectionShare(const TargetRecord &record) const
 {
     const std::uint32_t limit = this->view.limits(record.target.group).maxConnections;
-    const bool mayExceed = limit / 2 >= this->view.connectionHolders();
-    return this->restingShare(record) + (mayExceed ? this->settings.surplusConnections : 0);
+    const std::uint32_t forPoolers =
+        limit > this->settings.controlConnections ? limit - this->settings.controlConnections : 1;
+    const std::uint32_t most =
+        std::max<std::uint32_t>(1, forPoolers / this->view.connectionHolders());
+    return std::min(most, this->restingShare(record) + this->settings.surplusConnections);
 }
 
 void SessionPooler::openIfAllowed(const TargetId &id, TimePoint now)
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -43,8 +43,10 @@
     Duration surplusIdle = std::chrono::milliseconds(1000);
     // Attempts of one statement at targets.
     unsigned maxAttempts = 5;
-    // Connections above the pooler's share while statements wait.
+    // Connections above the pooler's resting share while statements wait.
     std::uint32_t surplusConnections = 2;
+    // Connections of a target that are left to control instances, one each.
+    std::uint32_t controlConnections = 4;
     // Expected extra delay of a target in another failure domain: one round trip between domains.
     Duration otherDomainDelay = std::chrono::milliseconds(3);
     // Answers slower than this, on average, mean that statements queue up at the target; about
--- a/tests/unit/session_pooler.tests.cpp
+++ b/tests/unit/session_pooler.tests.cpp
@@ -450,3 +450,83 @@
     fixture.ask(session, Kind::Commit, "c");
     cr_assert_eq(*fixture.lastAnswer(session).fault, StatementFault::Aborted);
 }
+
+namespace {
+
+std::size_t openTo(const PoolerFixture &fixture, const TargetId &target)
+{
+    std::size_t count = 0;
+    for (const auto &[connection, at] : fixture.targetOf)
+        count += at == target && fixture.closedConnections.count(connection) == 0 ? 1 : 0;
+    return count;
+}
+
+// Six transactions at the primary, each on a connection of its own where there is one.
+void beginSix(PoolerFixture &fixture)
+{
+    for (int number = 0; number < 6; ++number) {
+        const SessionNumber session = fixture.open("latest");
+        fixture.ask(session, TextStatementKind::Begin, absl::StrCat("b", number));
+        fixture.ask(session, TextStatementKind::Read, absl::StrCat("r", number));
+        fixture.answerAll();
+    }
+}
+
+// A bounded read that every replica answers as lagging and the primary late.
+void readLate(PoolerFixture &fixture, const std::string &id, bool areReplicasBehind)
+{
+    const SessionNumber session = fixture.open("bounded");
+    fixture.ask(session, TextStatementKind::Read, id);
+    for (int round = 0; round < 10 && fixture.answerCount(session) == 0; ++round) {
+        fixture.openConnections();
+        if (fixture.unanswered.empty()) {
+            fixture.advance(milliseconds(10));
+            continue;
+        }
+        const bool isReplica = fixture.unanswered.front().target != PoolerFixture::Primary;
+        if (!isReplica)
+            fixture.advance(milliseconds(150));
+        fixture.answerNext(isReplica && areReplicasBehind
+                               ? std::optional<StatementFault>(StatementFault::Lagging)
+                               : std::nullopt);
+    }
+    fixture.pooler.sessionClosed(session, fixture.now);
+}
+
+} // namespace
+
+Test(session_pooler, shares_below_limit,
+     .description = "The shares of all poolers together stay below a target's limit")
+{
+    PoolerFixture fixture;
+    fixture.pooler.leaseReceived(fixture.now + milliseconds(4000), 18, 0, fixture.now);
+    fixture.warmUp();
+    beginSix(fixture);
+    cr_assert_eq(openTo(fixture, PoolerFixture::Primary), 2);
+}
+
+Test(session_pooler, shares_after_a_restart,
+     .description = "Connections that former poolers may have left open count as theirs")
+{
+    PoolerFixture fixture;
+    fixture.pooler.leaseReceived(fixture.now + milliseconds(4000), 18, 18, fixture.now);
+    fixture.warmUp();
+    beginSix(fixture);
+    cr_assert_eq(openTo(fixture, PoolerFixture::Primary), 1);
+}
+
+Test(session_pooler, overloaded_primary,
+     .description = "A primary that serves all reads alone and late is reported")
+{
+    PoolerFixture fixture;
+    fixture.warmUp();
+    for (int round = 0; round < 8; ++round) {
+        readLate(fixture, absl::StrCat("q", round), true);
+        fixture.extendLease(milliseconds(4000));
+    }
+    cr_assert_eq(fixture.pooler.overloadedGroups(fixture.now).size(), 1);
+    // Past the pause after which a replica is asked again.
+    fixture.advance(milliseconds(300));
+    readLate(fixture, "fresh", false);
+    cr_assert(fixture.pooler.overloadedGroups(fixture.now).empty());
+}
