Let a leaving primary serve on for a while beside a silent pooler

Change: while a pooler that may hold a lease is silent, the change begins 3 s later at most. Test: fleet_controller/planned_beside_silence.

--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -61,6 +61,7 @@
     this->proposedUntil.clear();
     this->changeCauses.clear();
     this->overloadedSince.clear();
+    this->drainingSince.clear();
     this->relievedAt.clear();
     this->deniesSince.clear();
     this->heard.clear();
@@ -469,7 +470,10 @@
         return;
     }
     if (primary->phase == TargetPhase::Draining) {
-        this->revoke(authority, "primary_draining", ChangeCause::PrimaryLeaves, {}, now);
+        // It serves on for a while: better than no primary while a silent pooler's lease ends.
+        const TimePoint since = this->drainingSince.emplace(authority.primary, now).first->second;
+        if (!this->hasSilentPooler(now) || now >= since + this->settings.drainPatience)
+            this->revoke(authority, "primary_draining", ChangeCause::PrimaryLeaves, {}, now);
         return;
     }
     if (this->deniesRole(*primary, now)) {
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -119,6 +119,8 @@
     std::map<GroupId, TimePoint> overloadedSince;
     std::map<GroupId, TimePoint> relievedAt;
     std::map<TargetId, TimePoint> probeAt;
+    // When a primary was first seen to leave.
+    std::map<TargetId, TimePoint> drainingSince;
     // Since when a primary's own reports say that it is a replica.
     std::map<TargetId, TimePoint> deniesSince;
 };
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -30,6 +30,9 @@
     Duration reportLifetime = std::chrono::milliseconds(1600);
     // A survey of a group's targets ends after this, once one has answered.
     Duration surveyPatience = std::chrono::milliseconds(500);
+    // A leaving primary is kept so long while a pooler is silent; well within the time for which
+    // targets serve after they were told to leave.
+    Duration drainPatience = std::chrono::milliseconds(3000);
     // A planned change waits so long for a replica to reach the primary's position.
     Duration catchUpPatience = std::chrono::milliseconds(2000);
     // The same after the primary was lost: a few times the usual replication lag.
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -374,6 +374,21 @@
     cr_assert_eq(fleet.promotions.back().target, TargetId("t2"));
 }
 
+Test(fleet_controller, planned_beside_silence,
+     .description = "A leaving primary serves on for a while beside a silent pooler, but not long")
+{
+    RunningFleet fleet;
+    fleet.renew("p3", fleet.revision());
+    fleet.advance(milliseconds(1900));
+    fleet.renewBoth();
+    fleet.announce(FleetFixture::target("t1", true, ++fleet.sequence, TargetPhase::Draining));
+    fleet.advance(milliseconds(1000));
+    fleet.renewBoth();
+    cr_assert_eq(fleet.authority().primary, TargetId("t1"));
+    fleet.advance(milliseconds(2100));
+    cr_assert(fleet.authority().primary.empty());
+}
+
 Test(fleet_controller, relief,
      .description = "An overloaded primary whose replicas are behind gives way to one of them")
 {
