Refuse soon what needs a primary once a group was long without one

Change: 1.3 s after the authority or the lease ended, longer than a planned change takes, such statements are refused after a fifth of their objective. Test: session_pooler/long_vacancy.

--- a/src/rhubarbweir/coordination/sessions/authority_view.cpp
+++ b/src/rhubarbweir/coordination/sessions/authority_view.cpp
@@ -6,7 +6,7 @@
 
 namespace rhubarbweir {
 
-bool AuthorityView::update(const FleetView &next)
+bool AuthorityView::update(const FleetView &next, TimePoint now)
 {
     if (next.revision <= this->view.revision)
         return false;
@@ -15,8 +15,13 @@
     for (const RegisteredTarget &target : next.targets)
         this->targetsById[target.target] = target;
     this->authorities.clear();
-    for (const PrimaryAuthority &authority : next.authorities)
+    for (const PrimaryAuthority &authority : next.authorities) {
         this->authorities[authority.group] = authority;
+        if (authority.primary.empty())
+            this->vacantSince.emplace(authority.group, now);
+        else
+            this->vacantSince.erase(authority.group);
+    }
     return true;
 }
 
@@ -47,6 +52,17 @@
     return known;
 }
 
+std::optional<TimePoint> AuthorityView::withoutPrimarySince(const GroupId &group,
+                                                            TimePoint now) const
+{
+    const auto vacant = this->vacantSince.find(group);
+    if (vacant != this->vacantSince.end())
+        return vacant->second;
+    if (!this->leaseValid(now))
+        return this->leaseEnd;
+    return std::nullopt;
+}
+
 TargetId AuthorityView::knownPrimary(const GroupId &group) const
 {
     const auto found = this->authorities.find(group);
--- a/src/rhubarbweir/coordination/sessions/authority_view.hpp
+++ b/src/rhubarbweir/coordination/sessions/authority_view.hpp
@@ -13,7 +13,7 @@
 {
 public:
     // Never goes back to an older revision. True when the view changed.
-    bool update(const FleetView &view);
+    bool update(const FleetView &view, TimePoint now);
     bool updateRoutes(RouteTable table);
     // A lease counts from when its renewal was sent.
     void extendLease(TimePoint end);
@@ -23,6 +23,8 @@
     bool leaseValid(TimePoint now) const { return now < this->leaseEnd; }
     // The target that may be used as the group's primary now; empty without authority.
     std::optional<TargetId> primary(const GroupId &group, TimePoint now) const;
+    // Since when no target may be used as the group's primary; empty when one may.
+    std::optional<TimePoint> withoutPrimarySince(const GroupId &group, TimePoint now) const;
     // The primary by the view alone, whether or not a lease allows its use.
     TargetId knownPrimary(const GroupId &group) const;
     // 0 for an unknown group.
@@ -44,6 +46,8 @@
     FleetView view;
     std::map<TargetId, RegisteredTarget> targetsById;
     std::map<GroupId, PrimaryAuthority> authorities;
+    // When the view took a group's primary away.
+    std::map<GroupId, TimePoint> vacantSince;
     RouteTable table;
     TimePoint leaseEnd;
     std::uint32_t livePoolers = 1;
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -86,9 +86,24 @@
         }
     }
     session.work->stage = WorkStage::Queued;
+    if (this->isHopeless(session, now))
+        session.work->queueDeadline =
+            std::min(session.work->queueDeadline,
+                     session.work->arrivedAt
+                         + session.work->route.latencyObjective / this->settings.hopelessDivisor);
     this->enqueue(session);
 }
 
+// Whether only a primary could serve it and the group has been without one for longer than a
+// planned change takes.
+bool SessionPooler::isHopeless(const Session &session, TimePoint now) const
+{
+    const StatementWork &work = *session.work;
+    const auto since = this->view.withoutPrimarySince(work.route.group, now);
+    return since && now >= *since + this->settings.vacancyPatience
+           && (work.needsPrimary || !this->requiredPosition(session, now));
+}
+
 void SessionPooler::enqueue(const Session &session)
 {
     const StatementWork &work = *session.work;
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -43,6 +43,11 @@
     Duration surplusIdle = std::chrono::milliseconds(1000);
     // Attempts of one statement at targets.
     unsigned maxAttempts = 5;
+    // A group without a primary for longer than this will not have one within the time of a
+    // statement; longer than a planned change.
+    Duration vacancyPatience = std::chrono::milliseconds(1300);
+    // What then needs the primary is refused after this part of its latency objective.
+    unsigned hopelessDivisor = 5;
     // Connections above the pooler's resting share while statements wait.
     std::uint32_t surplusConnections = 2;
     // Connections of a target that are left to control instances, one each.
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -301,7 +301,7 @@
     std::map<GroupId, std::uint64_t> generations;
     for (const PrimaryAuthority &authority : next.authorities)
         generations[authority.group] = this->view.logGeneration(authority.group);
-    if (!this->view.update(next))
+    if (!this->view.update(next, now))
         return;
     for (const auto &[group, generation] : generations) {
         if (this->view.logGeneration(group) == generation)
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -79,6 +79,7 @@
     std::vector<TargetId> candidates(const Session &session, TimePoint now) const;
     std::optional<LogPosition> requiredPosition(const Session &session, TimePoint now) const;
     bool mayUse(const TargetRecord &record, TimePoint now) const;
+    bool isHopeless(const Session &session, TimePoint now) const;
     void enqueue(const Session &session);
     void dequeue(SessionNumber number);
     void openIfAllowed(const TargetId &target, TimePoint now);
--- a/tests/unit/session_pooler.tests.cpp
+++ b/tests/unit/session_pooler.tests.cpp
@@ -530,3 +530,21 @@
     readLate(fixture, "fresh", false);
     cr_assert(fixture.pooler.overloadedGroups(fixture.now).empty());
 }
+
+Test(session_pooler, long_vacancy,
+     .description = "What needs a primary is refused soon once the group was long without one")
+{
+    PoolerFixture fixture;
+    fixture.warmUp();
+    fixture.changeAuthority(2, TargetId());
+    const SessionNumber early = fixture.open("latest");
+    fixture.ask(early, TextStatementKind::Read, "early");
+    fixture.advance(milliseconds(200));
+    cr_assert_eq(fixture.answerCount(early), 0);
+    fixture.advance(milliseconds(1200));
+    cr_assert_eq(fixture.lastAnswer(early).fault, StatementFault::Busy);
+    const SessionNumber late = fixture.open("latest");
+    fixture.ask(late, TextStatementKind::Read, "late");
+    fixture.advance(milliseconds(100));
+    cr_assert_eq(fixture.lastAnswer(late).fault, StatementFault::Busy);
+}
