Let no connection rest where a target has fewer than there are poolers

Change: where a target's connections, less those for control, do not give one to each pooler, none rests: it closes a second after its use. Elsewhere one rests, also beside added instances, where half of the limit was too few. Tests: scarce_connections.

--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -120,22 +120,35 @@
     }
 }
 
+// Connections of the target that all poolers together may open: control can always ask it.
+std::uint32_t SessionPooler::connectionsForPoolers(const TargetRecord &record) const
+{
+    const std::uint32_t limit = this->view.limits(record.target.group).maxConnections;
+    return limit > this->settings.controlConnections ? limit - this->settings.controlConnections
+                                                     : 1;
+}
+
+// Whether there are connections enough for one of each pooler to rest.
+bool SessionPooler::mayRest(const TargetRecord &record) const
+{
+    return this->connectionsForPoolers(record) >= this->view.connectionHolders();
+}
+
 // Connections that may rest open. Half of the target's limit stays free: a machine that lost power
-// holds its connections for seconds, and its successor needs some of its own meanwhile.
+// holds its connections for seconds, and its successor needs some of its own meanwhile. With fewer
+// connections than poolers none rests: each closes soon after its use.
 std::uint32_t SessionPooler::restingShare(const TargetRecord &record) const
 {
+    if (!this->mayRest(record))
+        return 0;
     const std::uint32_t limit = this->view.limits(record.target.group).maxConnections;
     return std::max<std::uint32_t>(1, limit / 2 / this->view.connectionHolders());
 }
 
-// All shares together stay below the limit, so that control can always ask the target.
 std::uint32_t SessionPooler::connectionShare(const TargetRecord &record) const
 {
-    const std::uint32_t limit = this->view.limits(record.target.group).maxConnections;
-    const std::uint32_t forPoolers =
-        limit > this->settings.controlConnections ? limit - this->settings.controlConnections : 1;
-    const std::uint32_t most =
-        std::max<std::uint32_t>(1, forPoolers / this->view.connectionHolders());
+    const std::uint32_t most = std::max<std::uint32_t>(1, this->connectionsForPoolers(record)
+                                                              / this->view.connectionHolders());
     return std::min(most, this->restingShare(record) + this->settings.surplusConnections);
 }
 
@@ -148,12 +161,6 @@
     this->hooks.openTarget(connection.id, record->target);
 }
 
-// Whether there are connections enough for one of each pooler to rest.
-bool SessionPooler::mayRest(const TargetRecord &record) const
-{
-    return this->view.limits(record.target.group).maxConnections / 2 >= this->view.poolers();
-}
-
 // Keeps one connection to each target, so that the first statement need not wait for it.
 void SessionPooler::keepWarm(TimePoint now)
 {
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -84,6 +84,7 @@
     void dequeue(SessionNumber number);
     void openIfAllowed(const TargetId &target, TimePoint now);
     void keepWarm(TimePoint now);
+    std::uint32_t connectionsForPoolers(const TargetRecord &record) const;
     std::uint32_t restingShare(const TargetRecord &record) const;
     bool mayRest(const TargetRecord &record) const;
     std::uint32_t connectionShare(const TargetRecord &record) const;
--- a/tests/unit/session_pooler.tests.cpp
+++ b/tests/unit/session_pooler.tests.cpp
@@ -548,3 +548,16 @@
     fixture.advance(milliseconds(100));
     cr_assert_eq(fixture.lastAnswer(late).fault, StatementFault::Busy);
 }
+
+Test(session_pooler, scarce_connections,
+     .description = "With fewer connections than poolers none rests open, and one serves a use")
+{
+    PoolerFixture fixture;
+    fixture.pooler.leaseReceived(fixture.now + milliseconds(4000), 37, 0, fixture.now);
+    fixture.warmUp();
+    cr_assert_eq(openTo(fixture, PoolerFixture::Primary), 1);
+    fixture.advance(milliseconds(1500));
+    cr_assert_eq(openTo(fixture, PoolerFixture::Primary), 0);
+    beginSix(fixture);
+    cr_assert_eq(openTo(fixture, PoolerFixture::Primary), 1);
+}
