--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -16,11 +16,6 @@
 constexpr std::chrono::milliseconds ChangeInterval{10};
 // Pause between two probes of a suspected primary.
 constexpr std::chrono::milliseconds SuspicionInterval{300};
-// Targets drop the connections of an unreachable machine after this.
-constexpr std::chrono::seconds ConnectionLinger{3};
-// A pooler without a lease counts for its share of connections for this long; longer than most cuts
-// and freezes.
-constexpr std::chrono::seconds PoolerMemory{15};
 
 RegisteredTarget material(RegisteredTarget target)
 {
@@ -42,6 +37,7 @@
     : settings(std::move(fleetSettings))
     , hooks(std::move(fleetHooks))
     , leases(this->settings.lease)
+    , registry(this->settings, this->fleet, this->leases, this->registryPorts())
     , watch(this->settings)
 {
 }
@@ -66,12 +62,9 @@
     this->deniesSince.clear();
     this->heard.clear();
     this->versions.clear();
-    this->pendingRenewals.clear();
-    this->registeredAt.clear();
-    this->registryProposedUntil.clear();
     if (isLeader) {
-        this->leadsSince = now;
         this->leases.beginOffice(now);
+        this->registry.beginOffice(now);
         this->watch.reset(now);
         this->wakeAt = now;
     } else {
@@ -105,7 +98,7 @@
     if (const auto *registered = std::get_if<RegisterPooler>(&command))
         this->poolerRegistered({registered->pooler, registered->incarnation}, now);
     if (const auto *forgotten = std::get_if<ForgetPooler>(&command))
-        this->poolerForgotten({forgotten->pooler, forgotten->incarnation});
+        this->registry.removed({forgotten->pooler, forgotten->incarnation});
     if (this->fleet.configuration().version != version)
         this->hooks.event("configuration_stored",
                           {{"version", absl::StrCat(this->fleet.configuration().version)},
@@ -265,35 +258,19 @@
     if (saysMore || !this->changes.empty())
         this->wakeAt = std::min(this->wakeAt, now);
     if (registered == nullptr) {
-        this->registerPooler(run, {message.sequence, message.configurationVersion}, now);
+        this->registry.add(run, {message.sequence, message.configurationVersion}, now);
         return;
     }
     this->leases.grant(*lease, this->fleet.viewRevision(), now);
     this->sendLease(*lease, message.sequence, message.configurationVersion, now);
 }
 
-// A lease is given only to a committed registration, so that a new leader knows all who may hold
-// one.
-void FleetController::registerPooler(const ProxyRun &run, const PendingRenewal &renewal,
-                                     TimePoint now)
-{
-    this->pendingRenewals[run] = renewal;
-    TimePoint &until = this->registryProposedUntil[run];
-    if (now < until)
-        return;
-    until = now + this->settings.proposalPatience;
-    this->propose(RegisterPooler{run.proxy, run.incarnation}, {}, now);
-}
-
+// A pooler's start is registered: the renewal that waited for it is answered.
 void FleetController::poolerRegistered(const ProxyRun &run, TimePoint now)
 {
-    this->registryProposedUntil.erase(run);
-    const auto pending = this->pendingRenewals.find(run);
-    if (!this->leads || pending == this->pendingRenewals.end())
+    const std::optional<PendingRenewal> renewal = this->registry.committed(run, now);
+    if (!this->leads || !renewal)
         return;
-    this->registeredAt[run] = now;
-    const PendingRenewal renewal = pending->second;
-    this->pendingRenewals.erase(pending);
     const auto lease = this->leases.all().find(run);
     const bool mayAnswer = lease != this->leases.all().end() && lease->second.connection != 0
                            && !lease->second.isRetired;
@@ -304,55 +281,7 @@
     if (!mayAnswer)
         return;
     this->leases.grant(lease->second, this->fleet.viewRevision(), now);
-    this->sendLease(lease->second, renewal.sequence, renewal.configurationVersion, now);
-}
-
-void FleetController::poolerForgotten(const ProxyRun &run)
-{
-    this->registryProposedUntil.erase(run);
-    this->registeredAt.erase(run);
-}
-
-// Removes starts that hold no lease, and remembers those that ended for as long as the lease book.
-void FleetController::forgetPoolers(TimePoint now)
-{
-    for (const PoolerRun &registered : this->fleet.poolers()) {
-        const ProxyRun run{registered.pooler, registered.incarnation};
-        const ProxyLease *lease = this->leases.find(run);
-        const TimePoint endsAt = lease == nullptr
-                                     ? this->leases.graceEnd()
-                                     : std::max(lease->endsAt, this->leases.graceEnd());
-        const Duration memory = registered.hasEnded
-                                    ? this->settings.lease.leaseFor * LeaseBook::RememberedLeases
-                                    : Duration(PoolerMemory);
-        TimePoint &until = this->registryProposedUntil[run];
-        if (now < endsAt + memory || now < until)
-            continue;
-        until = now + this->settings.proposalPatience;
-        this->hooks.event("pooler_forgotten",
-                          {{"pooler", run.proxy.value},
-                           {"incarnation", absl::StrCat(run.incarnation)},
-                           {"cause", registered.hasEnded ? "ended" : "no_lease"}});
-        this->propose(ForgetPooler{run.proxy, run.incarnation}, {}, now);
-    }
-}
-
-// Starts that ended so recently that targets may hold their connections: one for each pooler that
-// has just registered and, while this leader is new, for each that it has not heard.
-std::size_t FleetController::formerPoolers(TimePoint now) const
-{
-    std::size_t count = 0;
-    for (const PoolerRun &registered : this->fleet.poolers()) {
-        if (registered.hasEnded)
-            continue;
-        const ProxyRun run{registered.pooler, registered.incarnation};
-        const auto since = this->registeredAt.find(run);
-        if (since != this->registeredAt.end() && now < since->second + ConnectionLinger)
-            ++count;
-        else if (now < this->leadsSince + ConnectionLinger && this->leases.find(run) == nullptr)
-            ++count;
-    }
-    return count;
+    this->sendLease(lease->second, renewal->sequence, renewal->configurationVersion, now);
 }
 
 void FleetController::sendLease(ProxyLease &lease, std::uint64_t sequence,
@@ -364,7 +293,7 @@
     message.view.revision = this->fleet.viewRevision();
     message.poolers =
         static_cast<std::uint32_t>(std::max<std::size_t>(1, this->fleet.livePoolers()));
-    message.formerPoolers = static_cast<std::uint32_t>(this->formerPoolers(now));
+    message.formerPoolers = static_cast<std::uint32_t>(this->registry.formerRuns(now));
     message.configurationVersion = this->fleet.configuration().version;
     if (lease.revision < message.view.revision || sequence == 0) {
         for (const auto &[id, target] : this->fleet.targets()) {
@@ -394,18 +323,6 @@
     this->leases.connectionClosed(connection);
 }
 
-bool FleetController::mayBeUsedBefore(std::uint64_t revision, TimePoint now) const
-{
-    const std::vector<PoolerRun> &runs = this->fleet.poolers();
-    return std::any_of(runs.begin(), runs.end(), [&](const PoolerRun &registered) {
-        const ProxyRun run{registered.pooler, registered.incarnation};
-        const ProxyLease *lease = this->leases.find(run);
-        // A later start of the same pooler proves that this one ended.
-        const bool hasEnded = registered.hasEnded || (lease != nullptr && lease->isRetired);
-        return !hasEnded && this->leases.mayUseBefore(run, revision, now);
-    });
-}
-
 // Primaries.
 
 void FleetController::advance(TimePoint now)
@@ -418,7 +335,7 @@
     if (!this->canDecide(now))
         return;
     this->leases.forgetOld(now);
-    this->forgetPoolers(now);
+    this->registry.forgetOld(now);
     this->grantFirstAuthorities(now);
     this->superviseGroups(now);
     if (!this->changes.empty())
@@ -472,7 +389,7 @@
     if (primary->phase == TargetPhase::Draining) {
         // It serves on for a while: better than no primary while a silent pooler's lease ends.
         const TimePoint since = this->drainingSince.emplace(authority.primary, now).first->second;
-        if (!this->hasSilentPooler(now) || now >= since + this->settings.drainPatience)
+        if (!this->registry.hasSilent(now) || now >= since + this->settings.drainPatience)
             this->revoke(authority, "primary_draining", ChangeCause::PrimaryLeaves, {}, now);
         return;
     }
@@ -493,22 +410,6 @@
         this->revoke(authority, "primary_overloaded", ChangeCause::PrimaryOverloaded, fields, now);
 }
 
-// Whether a revocation would have to wait for a pooler that may hold a lease and says nothing.
-bool FleetController::hasSilentPooler(TimePoint now) const
-{
-    const std::vector<PoolerRun> &runs = this->fleet.poolers();
-    return std::any_of(runs.begin(), runs.end(), [&](const PoolerRun &registered) {
-        if (registered.hasEnded)
-            return false;
-        const ProxyLease *lease = this->leases.find({registered.pooler, registered.incarnation});
-        if (lease == nullptr)
-            return now < this->leases.graceEnd();
-        const bool isRecent =
-            now < lease->endsAt - this->settings.lease.leaseFor + this->settings.reportLifetime;
-        return !lease->isRetired && now < lease->endsAt && !isRecent;
-    });
-}
-
 bool FleetController::needsRelief(const GroupId &group, TimePoint now)
 {
     if (!this->watch.isOverloaded(group, this->leases, now)) {
@@ -517,7 +418,7 @@
     }
     const TimePoint since = this->overloadedSince.emplace(group, now).first->second;
     const auto relieved = this->relievedAt.find(group);
-    return now >= since + this->settings.overloadPatience && !this->hasSilentPooler(now)
+    return now >= since + this->settings.overloadPatience && !this->registry.hasSilent(now)
            && (relieved == this->relievedAt.end()
                || now >= relieved->second + this->settings.reliefInterval);
 }
@@ -562,6 +463,16 @@
     this->propose(RevokeAuthority{authority.group, authority.generation}, {}, now);
 }
 
+PoolerRegistryPorts FleetController::registryPorts()
+{
+    PoolerRegistryPorts ports;
+    ports.propose = [this](const FleetCommand &command, TimePoint now) {
+        this->propose(command, {}, now);
+    };
+    ports.event = this->hooks.event;
+    return ports;
+}
+
 PrimaryChangePorts FleetController::changePorts(const GroupId &group)
 {
     PrimaryChangePorts ports;
@@ -573,7 +484,7 @@
     ports.stepDown = this->hooks.stepDown;
     ports.mayBeUsed = [this, group](TimePoint now) {
         const PrimaryAuthority *authority = this->fleet.authority(group);
-        return authority == nullptr || this->mayBeUsedBefore(authority->revokedAt, now);
+        return authority == nullptr || this->registry.mayUseBefore(authority->revokedAt, now);
     };
     ports.reachability = [this](const TargetId &target) {
         return this->watch.reachability(target, this->roundTime);
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -7,6 +7,7 @@
 // with that entry, or its older leases have ended.
 #pragma once
 
+#include "rhubarbweir/coordination/fleet/pooler_registry.hpp"
 #include "rhubarbweir/coordination/fleet/primary_change.hpp"
 
 #include <deque>
@@ -50,13 +51,6 @@
     const FleetState &state() const { return this->fleet; }
 
 private:
-    // A renewal that waits for the registration of its sender.
-    struct PendingRenewal
-    {
-        std::uint64_t sequence = 0;
-        std::uint64_t configurationVersion = 0;
-    };
-
     struct PendingCall
     {
         FleetCallDone done;
@@ -68,11 +62,7 @@
     void finishCalls(std::uint64_t index, FleetCallOutcome outcome);
     void failAllCalls();
     void expireCalls(TimePoint now);
-    void registerPooler(const ProxyRun &run, const PendingRenewal &renewal, TimePoint now);
     void poolerRegistered(const ProxyRun &run, TimePoint now);
-    void poolerForgotten(const ProxyRun &run);
-    void forgetPoolers(TimePoint now);
-    std::size_t formerPoolers(TimePoint now) const;
     void sendLease(ProxyLease &lease, std::uint64_t sequence, std::uint64_t configurationVersion,
                    TimePoint now);
     void pushView(TimePoint now);
@@ -82,28 +72,21 @@
     void revoke(const PrimaryAuthority &authority, const std::string &cause,
                 ChangeCause changeCause, const FleetEventFields &evidence, TimePoint now);
     bool needsRelief(const GroupId &group, TimePoint now);
-    bool hasSilentPooler(TimePoint now) const;
     bool deniesRole(const RegisteredTarget &primary, TimePoint now);
+    PoolerRegistryPorts registryPorts();
     PrimaryChangePorts changePorts(const GroupId &group);
-    bool mayBeUsedBefore(std::uint64_t revision, TimePoint now) const;
     void probeSuspected(const RegisteredTarget &target, TimePoint now);
 
     FleetSettings settings;
     FleetHooks hooks;
     FleetState fleet;
     LeaseBook leases;
+    PoolerRegistry registry;
     PrimaryWatch watch;
     bool leads = false;
     TimePoint wakeAt;
     // Time of the running advance().
     TimePoint roundTime;
-    std::map<ProxyRun, PendingRenewal> pendingRenewals;
-    // When a pooler registered under this leader.
-    std::map<ProxyRun, TimePoint> registeredAt;
-    // Proposed registrations and removals, until when they are waited for.
-    std::map<ProxyRun, TimePoint> registryProposedUntil;
-    // When this instance began to lead.
-    TimePoint leadsSince;
     // Configuration version that each pooler reported last.
     std::map<ProxyRun, std::uint64_t> versions;
     // Newest call of each target, also those that changed nothing.
--- /dev/null
+++ b/src/rhubarbweir/coordination/fleet/pooler_registry.cpp
@@ -0,0 +1,141 @@
+// See pooler_registry.hpp.
+#include "rhubarbweir/coordination/fleet/pooler_registry.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Targets drop the connections of an unreachable machine after this.
+constexpr std::chrono::seconds ConnectionLinger{3};
+// A pooler without a lease counts for its share of connections for this long; longer than most cuts
+// and freezes.
+constexpr std::chrono::seconds PoolerMemory{15};
+
+ProxyRun runOf(const PoolerRun &registered)
+{
+    return {registered.pooler, registered.incarnation};
+}
+
+} // namespace
+
+PoolerRegistry::PoolerRegistry(const FleetSettings &fleetSettings, const FleetState &fleetState,
+                               const LeaseBook &leaseBook, PoolerRegistryPorts registryPorts)
+    : settings(fleetSettings)
+    , state(fleetState)
+    , leases(leaseBook)
+    , ports(std::move(registryPorts))
+{
+}
+
+void PoolerRegistry::beginOffice(TimePoint now)
+{
+    this->leadsSince = now;
+    this->pending.clear();
+    this->registeredAt.clear();
+    this->proposedUntil.clear();
+}
+
+void PoolerRegistry::add(const ProxyRun &run, const PendingRenewal &renewal, TimePoint now)
+{
+    this->pending[run] = renewal;
+    TimePoint &until = this->proposedUntil[run];
+    if (now < until)
+        return;
+    until = now + this->settings.proposalPatience;
+    this->ports.propose(RegisterPooler{run.proxy, run.incarnation}, now);
+}
+
+std::optional<PendingRenewal> PoolerRegistry::committed(const ProxyRun &run, TimePoint now)
+{
+    this->proposedUntil.erase(run);
+    const auto waiting = this->pending.find(run);
+    if (waiting == this->pending.end())
+        return std::nullopt;
+    this->registeredAt[run] = now;
+    const PendingRenewal renewal = waiting->second;
+    this->pending.erase(waiting);
+    return renewal;
+}
+
+void PoolerRegistry::removed(const ProxyRun &run)
+{
+    this->proposedUntil.erase(run);
+    this->registeredAt.erase(run);
+}
+
+void PoolerRegistry::forgetOld(TimePoint now)
+{
+    // A copy: a proposal may change the state at once.
+    const std::vector<PoolerRun> runs = this->state.poolers();
+    for (const PoolerRun &registered : runs) {
+        const ProxyRun run = runOf(registered);
+        const ProxyLease *lease = this->leases.find(run);
+        const TimePoint endsAt = lease == nullptr
+                                     ? this->leases.graceEnd()
+                                     : std::max(lease->endsAt, this->leases.graceEnd());
+        // One that ended is remembered as long as in the lease book, to refuse late messages.
+        const Duration memory = registered.hasEnded
+                                    ? this->settings.lease.leaseFor * LeaseBook::RememberedLeases
+                                    : Duration(PoolerMemory);
+        if (now < endsAt + memory)
+            continue;
+        TimePoint &until = this->proposedUntil[run];
+        if (now < until)
+            continue;
+        until = now + this->settings.proposalPatience;
+        this->ports.event("pooler_forgotten",
+                          {{"pooler", run.proxy.value},
+                           {"incarnation", absl::StrCat(run.incarnation)},
+                           {"cause", registered.hasEnded ? "ended" : "no_lease"}});
+        this->ports.propose(ForgetPooler{run.proxy, run.incarnation}, now);
+    }
+}
+
+std::size_t PoolerRegistry::formerRuns(TimePoint now) const
+{
+    const std::vector<PoolerRun> &runs = this->state.poolers();
+    const auto mayLinger = [this, now](const PoolerRun &registered) {
+        if (registered.hasEnded)
+            return false;
+        const ProxyRun run = runOf(registered);
+        const auto since = this->registeredAt.find(run);
+        if (since != this->registeredAt.end())
+            return now < since->second + ConnectionLinger;
+        return now < this->leadsSince + ConnectionLinger && this->leases.find(run) == nullptr;
+    };
+    return static_cast<std::size_t>(std::count_if(runs.begin(), runs.end(), mayLinger));
+}
+
+bool PoolerRegistry::hasSilent(TimePoint now) const
+{
+    const std::vector<PoolerRun> &runs = this->state.poolers();
+    return std::any_of(runs.begin(), runs.end(), [this, now](const PoolerRun &registered) {
+        if (registered.hasEnded)
+            return false;
+        const ProxyLease *lease = this->leases.find(runOf(registered));
+        if (lease == nullptr)
+            return now < this->leases.graceEnd();
+        const bool isRecent =
+            now < lease->endsAt - this->settings.lease.leaseFor + this->settings.reportLifetime;
+        return !lease->isRetired && now < lease->endsAt && !isRecent;
+    });
+}
+
+bool PoolerRegistry::mayUseBefore(std::uint64_t revision, TimePoint now) const
+{
+    const std::vector<PoolerRun> &runs = this->state.poolers();
+    return std::any_of(runs.begin(), runs.end(), [&](const PoolerRun &registered) {
+        const ProxyRun run = runOf(registered);
+        const ProxyLease *lease = this->leases.find(run);
+        // A later start of the same pooler proves that this one ended.
+        const bool hasEnded = registered.hasEnded || (lease != nullptr && lease->isRetired);
+        return !hasEnded && this->leases.mayUseBefore(run, revision, now);
+    });
+}
+
+} // namespace rhubarbweir
