--- a/src/programs/fleet/main.cpp
+++ b/src/programs/fleet/main.cpp
@@ -1,5 +1,4 @@
 // rhubarb-fleet: a control instance of a pooler fleet.
-#include "programs/fleet/control_relay.hpp"
 #include "programs/fleet/fleet_program.hpp"
 #include "programs/support/event_log.hpp"
 #include "programs/support/fleet_command_line.hpp"
@@ -12,9 +11,8 @@
     const auto start = readFleetCommandLine(argc, argv, "rhubarb-fleet");
     if (!start)
         return EXIT_FAILURE;
-    const absl::Status status = start->settings.dataFolder.empty()
-                                    ? ControlRelay(start->settings, start->settingsPath).run()
-                                    : FleetProgram(start->settings, start->settingsPath).run();
+    FleetProgram program(start->settings, start->settingsPath);
+    const absl::Status status = program.run();
     if (!status.ok())
         logEvent(LogLevel::Error, "start_failed", {{"cause", status.ToString()}});
     return status.ok() ? EXIT_SUCCESS : EXIT_FAILURE;
