Look poolers up by key and count them once

Starts are kept by pooler and incarnation, the live ones are counted as they change, and former starts are those that registered in the last 3 s and those not heard by a new leader, as before.

--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -252,6 +252,7 @@
     ProxyLease *lease = this->leases.renew(connection, message, now);
     if (lease == nullptr)
         return;
+    this->registry.heard(run);
     this->watch.reported(lease->run, message, now);
     this->versions[lease->run] = message.configurationVersion;
     const bool saysMore = !message.observations.empty() || lease->revision < message.revision;
--- a/src/rhubarbweir/coordination/fleet/pooler_registry.cpp
+++ b/src/rhubarbweir/coordination/fleet/pooler_registry.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace rhubarbweir {
@@ -35,11 +36,22 @@
 void PoolerRegistry::beginOffice(TimePoint now)
 {
     this->leadsSince = now;
+    this->heardRuns.clear();
     this->pending.clear();
     this->registeredAt.clear();
     this->proposedUntil.clear();
 }
 
+void PoolerRegistry::heard(const ProxyRun &run)
+{
+    const auto first = this->heardRuns.lower_bound({run.proxy, 0});
+    if (first != this->heardRuns.end() && *first == run)
+        return;
+    if (first != this->heardRuns.end() && first->proxy == run.proxy)
+        this->heardRuns.erase(first);
+    this->heardRuns.insert(run);
+}
+
 void PoolerRegistry::add(const ProxyRun &run, const PendingRenewal &renewal, TimePoint now)
 {
     this->pending[run] = renewal;
@@ -66,13 +78,14 @@
 {
     this->proposedUntil.erase(run);
     this->registeredAt.erase(run);
+    this->heardRuns.erase(run);
 }
 
 void PoolerRegistry::forgetOld(TimePoint now)
 {
     // A copy: a proposal may change the state at once.
-    const std::vector<PoolerRun> runs = this->state.poolers();
-    for (const PoolerRun &registered : runs) {
+    const PoolerRuns runs = this->state.poolers();
+    for (const auto &[key, registered] : runs) {
         const ProxyRun run = runOf(registered);
         const ProxyLease *lease = this->leases.find(run);
         const TimePoint endsAt = lease == nullptr
@@ -96,25 +109,24 @@
     }
 }
 
-std::size_t PoolerRegistry::formerRuns(TimePoint now) const
+std::size_t PoolerRegistry::formerRuns(TimePoint now)
 {
-    const std::vector<PoolerRun> &runs = this->state.poolers();
-    const auto mayLinger = [this, now](const PoolerRun &registered) {
-        if (registered.hasEnded)
-            return false;
-        const ProxyRun run = runOf(registered);
-        const auto since = this->registeredAt.find(run);
-        if (since != this->registeredAt.end())
-            return now < since->second + ConnectionLinger;
-        return now < this->leadsSince + ConnectionLinger && this->leases.find(run) == nullptr;
-    };
-    return static_cast<std::size_t>(std::count_if(runs.begin(), runs.end(), mayLinger));
+    for (auto entry = this->registeredAt.begin(); entry != this->registeredAt.end();) {
+        const bool isOver = now >= entry->second + ConnectionLinger;
+        entry = isOver ? this->registeredAt.erase(entry) : std::next(entry);
+    }
+    std::size_t unheard = 0;
+    if (now < this->leadsSince + ConnectionLinger)
+        unheard =
+            this->state.livePoolers() - std::min(this->state.livePoolers(), this->heardRuns.size());
+    return this->registeredAt.size() + unheard;
 }
 
 bool PoolerRegistry::hasSilent(TimePoint now) const
 {
-    const std::vector<PoolerRun> &runs = this->state.poolers();
-    return std::any_of(runs.begin(), runs.end(), [this, now](const PoolerRun &registered) {
+    const PoolerRuns &runs = this->state.poolers();
+    return std::any_of(runs.begin(), runs.end(), [this, now](const auto &entry) {
+        const PoolerRun &registered = entry.second;
         if (registered.hasEnded)
             return false;
         const ProxyLease *lease = this->leases.find(runOf(registered));
@@ -128,8 +140,9 @@
 
 bool PoolerRegistry::mayUseBefore(std::uint64_t revision, TimePoint now) const
 {
-    const std::vector<PoolerRun> &runs = this->state.poolers();
-    return std::any_of(runs.begin(), runs.end(), [&](const PoolerRun &registered) {
+    const PoolerRuns &runs = this->state.poolers();
+    return std::any_of(runs.begin(), runs.end(), [&](const auto &entry) {
+        const PoolerRun &registered = entry.second;
         const ProxyRun run = runOf(registered);
         const ProxyLease *lease = this->leases.find(run);
         // A later start of the same pooler proves that this one ended.
--- a/src/rhubarbweir/coordination/fleet/pooler_registry.hpp
+++ b/src/rhubarbweir/coordination/fleet/pooler_registry.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace rhubarbweir {
 
@@ -35,6 +36,8 @@
 
     // This instance became the leader.
     void beginOffice(TimePoint now);
+    // The start renewed.
+    void heard(const ProxyRun &run);
     // Proposes the registration of a start that renewed without one.
     void add(const ProxyRun &run, const PendingRenewal &renewal, TimePoint now);
     // The registration was committed. Returns the renewal that waited for it here, if any.
@@ -45,7 +48,7 @@
 
     // Starts that ended so recently that targets may hold their connections: one for each pooler
     // that has just registered and, while this leader is new, for each that it has not heard.
-    std::size_t formerRuns(TimePoint now) const;
+    std::size_t formerRuns(TimePoint now);
     // Whether some pooler that may hold a lease has said nothing for a while: a revocation would
     // have to wait for it.
     bool hasSilent(TimePoint now) const;
@@ -59,7 +62,9 @@
     PoolerRegistryPorts ports;
     TimePoint leadsSince;
     std::map<ProxyRun, PendingRenewal> pending;
-    // When a pooler registered under this leader.
+    // Last starts that renewed in this office, one a pooler.
+    std::set<ProxyRun> heardRuns;
+    // When a pooler registered under this leader, while its former start may count.
     std::map<ProxyRun, TimePoint> registeredAt;
     // Proposed registrations and removals, until when they are waited for.
     std::map<ProxyRun, TimePoint> proposedUntil;
--- a/src/rhubarbweir/state/fleet_state.cpp
+++ b/src/rhubarbweir/state/fleet_state.cpp
@@ -1,7 +1,6 @@
 // See fleet_state.hpp.
 #include "rhubarbweir/state/fleet_state.hpp"
 
-#include <algorithm>
 #include <tuple>
 
 namespace rhubarbweir {
@@ -137,39 +136,33 @@
 
 const PoolerRun *FleetState::findPooler(const InstanceId &pooler, std::uint64_t incarnation) const
 {
-    const auto found =
-        std::find_if(this->poolerRuns.begin(), this->poolerRuns.end(), [&](const PoolerRun &run) {
-            return run.pooler == pooler && run.incarnation == incarnation;
-        });
-    return found == this->poolerRuns.end() ? nullptr : &*found;
-}
-
-std::size_t FleetState::livePoolers() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(this->poolerRuns.begin(), this->poolerRuns.end(),
-                      [](const PoolerRun &run) { return !run.hasEnded; }));
+    const auto found = this->poolerRuns.find({pooler, incarnation});
+    return found == this->poolerRuns.end() ? nullptr : &found->second;
 }
 
 bool FleetState::applyCommand(std::uint64_t, const RegisterPooler &command)
 {
     if (this->findPooler(command.pooler, command.incarnation) != nullptr)
         return false;
-    for (PoolerRun &run : this->poolerRuns)
-        run.hasEnded = run.hasEnded || run.pooler == command.pooler;
-    this->poolerRuns.push_back({command.pooler, command.incarnation, false});
+    for (auto entry = this->poolerRuns.lower_bound({command.pooler, 0});
+         entry != this->poolerRuns.end() && entry->second.pooler == command.pooler; ++entry) {
+        this->liveCount -= entry->second.hasEnded ? 0 : 1;
+        entry->second.hasEnded = true;
+    }
+    this->poolerRuns[{command.pooler, command.incarnation}] = {command.pooler, command.incarnation,
+                                                               false};
+    ++this->liveCount;
     return true;
 }
 
 bool FleetState::applyCommand(std::uint64_t, const ForgetPooler &command)
 {
-    const auto gone = std::remove_if(
-        this->poolerRuns.begin(), this->poolerRuns.end(), [&command](const PoolerRun &run) {
-            return run.pooler == command.pooler && run.incarnation == command.incarnation;
-        });
-    const bool changed = gone != this->poolerRuns.end();
-    this->poolerRuns.erase(gone, this->poolerRuns.end());
-    return changed;
+    const auto found = this->poolerRuns.find({command.pooler, command.incarnation});
+    if (found == this->poolerRuns.end())
+        return false;
+    this->liveCount -= found->second.hasEnded ? 0 : 1;
+    this->poolerRuns.erase(found);
+    return true;
 }
 
 FleetState::Snapshot FleetState::snapshot() const
@@ -181,7 +174,8 @@
         whole.targets.push_back(target);
     for (const auto &[group, authority] : this->primaries)
         whole.authorities.push_back(authority);
-    whole.poolers = this->poolerRuns;
+    for (const auto &[key, run] : this->poolerRuns)
+        whole.poolers.push_back(run);
     return whole;
 }
 
@@ -195,7 +189,12 @@
         this->registered[target.target] = target;
     for (const PrimaryAuthority &authority : snapshot.authorities)
         this->primaries[authority.group] = authority;
-    this->poolerRuns = snapshot.poolers;
+    this->poolerRuns.clear();
+    this->liveCount = 0;
+    for (const PoolerRun &run : snapshot.poolers) {
+        this->poolerRuns[{run.pooler, run.incarnation}] = run;
+        this->liveCount += run.hasEnded ? 0 : 1;
+    }
 }
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/state/fleet_state.hpp
+++ b/src/rhubarbweir/state/fleet_state.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -129,6 +130,8 @@
     bool hasEnded = false;
 };
 
+using PoolerRuns = std::map<std::pair<InstanceId, std::uint64_t>, PoolerRun>;
+
 // Precedes the first lease of a pooler's start, and ends earlier starts. Without effect for a start
 // that ended.
 struct RegisterPooler
@@ -164,11 +167,12 @@
     // belongs to a later start.
     bool accepts(const RegisteredTarget &target) const;
     const PrimaryAuthority *authority(const GroupId &group) const;
-    const std::vector<PoolerRun> &poolers() const { return this->poolerRuns; }
+    // By pooler and incarnation.
+    const PoolerRuns &poolers() const { return this->poolerRuns; }
     // Null for an unknown one.
     const PoolerRun *findPooler(const InstanceId &pooler, std::uint64_t incarnation) const;
     // Poolers whose last start is known.
-    std::size_t livePoolers() const;
+    std::size_t livePoolers() const { return this->liveCount; }
 
     // The whole state, for snapshots.
     struct Snapshot
@@ -197,7 +201,8 @@
     std::map<TargetId, RegisteredTarget> registered;
     std::map<GroupId, PrimaryAuthority> primaries;
     // At most one run of a pooler has not ended.
-    std::vector<PoolerRun> poolerRuns;
+    PoolerRuns poolerRuns;
+    std::size_t liveCount = 0;
 };
 
 // Whether `next` was sent after `known`, which has the same target id.
