Check by 1,000 seeds that no target is promoted while another may be used

Random cuts, restarts, late renewals, changes of leader, lost and overloaded primaries over the fleet's fakes.

--- /dev/null
+++ b/tests/unit/fleet_controller_properties.tests.cpp
@@ -0,0 +1,176 @@
+// Property test of the fleet's control decisions: under random cuts, restarts, late messages,
+// changes of leader, lost and overloaded primaries, no target is promoted while any pooler may use
+// another.
+#include "fakes/fleet_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace rhubarbweir;
+using namespace rhubarbweir::fakes;
+
+namespace {
+
+constexpr unsigned Seeds = 1000;
+constexpr int Steps = 300;
+constexpr milliseconds StepLength{50};
+
+// A pooler as it believes its lease and view, also behind a cut.
+struct ModelPooler
+{
+    std::string name;
+    std::uint64_t incarnation = 0;
+    bool isCut = false;
+    std::uint64_t revision = 0;
+    TargetId primary;
+    TimePoint leaseEnd;
+    // Renewals of this start, by sequence.
+    std::map<std::uint64_t, TimePoint> sentAt;
+};
+
+class FleetModel
+{
+public:
+    explicit FleetModel(unsigned seedNumber)
+        : seed(seedNumber)
+        , random(seedNumber)
+    {
+        this->fleet.passGrace();
+        this->fleet.startGroup();
+        for (const std::string name : {"p1", "p2", "p3"}) {
+            this->poolers.push_back({name, this->random() % 100000 + 1, false, 0, {}, {}, {}});
+            this->renew(this->poolers.back());
+        }
+    }
+
+    void run()
+    {
+        for (int step = 0; step < Steps; ++step) {
+            this->disturb();
+            for (ModelPooler &pooler : this->poolers) {
+                if (!pooler.isCut && this->happens(30))
+                    this->renew(pooler);
+            }
+            if (step % 20 == 0)
+                this->fleet.beat();
+            for (int part = 0; part < 5; ++part) {
+                this->fleet.advance(StepLength / 5);
+                this->deliver();
+                this->checkPromotions();
+            }
+        }
+    }
+
+    std::size_t promotions() const { return this->fleet.promotions.size(); }
+
+private:
+    bool happens(unsigned percent) { return this->random() % 100 < percent; }
+    ModelPooler &anyPooler() { return this->poolers[this->random() % this->poolers.size()]; }
+
+    void disturb()
+    {
+        if (this->happens(3))
+            this->anyPooler().isCut = this->happens(50);
+        if (this->happens(2))
+            this->restart(this->anyPooler());
+        if (this->happens(3) && !this->endedRuns.empty()) {
+            const auto &[name, incarnation] =
+                this->endedRuns[this->random() % this->endedRuns.size()];
+            this->fleet.renew(name, 0, {}, incarnation);
+        }
+        if (this->happens(2))
+            this->fleet.changeLeader();
+        if (this->happens(2))
+            this->isOverloaded = !this->isOverloaded;
+        if (this->happens(2) && this->fleet.dead.empty() && !this->fleet.leading.empty())
+            this->fleet.dead.insert(this->fleet.leading);
+        else if (this->happens(5))
+            this->fleet.dead.clear();
+    }
+
+    void restart(ModelPooler &pooler)
+    {
+        this->endedRuns.emplace_back(pooler.name, pooler.incarnation);
+        pooler = {pooler.name, this->random() % 100000 + 1, pooler.isCut, 0, {}, {}, {}};
+    }
+
+    void renew(ModelPooler &pooler)
+    {
+        std::vector<std::string> complaints;
+        for (const TargetId &target : this->fleet.dead)
+            complaints.push_back(target.value);
+        pooler.sentAt[this->fleet.sequence + 1] = this->fleet.now;
+        this->fleet.renew(pooler.name, pooler.revision, complaints, pooler.incarnation,
+                          this->isOverloaded);
+    }
+
+    void deliver()
+    {
+        for (; this->delivered < this->fleet.sent.size(); ++this->delivered) {
+            const auto [connection, reply] = this->fleet.sent[this->delivered];
+            const auto *lease = std::get_if<FleetLease>(&reply);
+            for (ModelPooler &pooler : this->poolers) {
+                const bool isMeant = this->fleet.connectionOf(pooler.name) == connection;
+                if (lease != nullptr && isMeant && !pooler.isCut && !this->happens(10))
+                    this->receive(pooler, *lease);
+            }
+        }
+    }
+
+    void receive(ModelPooler &pooler, const FleetLease &lease)
+    {
+        const auto asked = pooler.sentAt.find(lease.sequence);
+        if (asked == pooler.sentAt.end() && lease.sequence != 0)
+            return;
+        if (lease.view.revision > pooler.revision && !lease.view.targets.empty()) {
+            pooler.revision = lease.view.revision;
+            for (const PrimaryAuthority &authority : lease.view.authorities)
+                pooler.primary = authority.primary;
+        }
+        if (lease.sequence != 0)
+            pooler.leaseEnd = std::max(pooler.leaseEnd, asked->second + lease.leaseFor);
+    }
+
+    void checkPromotions()
+    {
+        for (; this->checked < this->fleet.promotions.size(); ++this->checked) {
+            const PromotionRequest &request = this->fleet.promotions[this->checked];
+            for (const ModelPooler &pooler : this->poolers) {
+                const bool mayUse = this->fleet.now < pooler.leaseEnd && !pooler.primary.empty();
+                cr_assert(!mayUse || pooler.primary == request.target,
+                          "seed %u: %s may use %s while %s is promoted", this->seed,
+                          pooler.name.c_str(), pooler.primary.value.c_str(),
+                          request.target.value.c_str());
+            }
+            if (this->fleet.dead.count(request.target) == 0 && this->happens(70))
+                this->fleet.answerPromotion(PromotionOutcome::Accepted);
+        }
+    }
+
+    unsigned seed;
+    std::mt19937_64 random;
+    FleetFixture fleet;
+    std::vector<ModelPooler> poolers;
+    std::vector<std::pair<std::string, std::uint64_t>> endedRuns;
+    bool isOverloaded = false;
+    std::size_t delivered = 0;
+    std::size_t checked = 0;
+};
+
+} // namespace
+
+Test(fleet_controller_properties, one_primary,
+     .description = "No target is promoted while a pooler may use another one as the primary")
+{
+    std::size_t promotions = 0;
+    for (unsigned seed = 1; seed <= Seeds; ++seed) {
+        FleetModel model(seed);
+        model.run();
+        promotions += model.promotions();
+    }
+    cr_assert_gt(promotions, Seeds / 2, "too few promotions to prove anything: %zu", promotions);
+}
