Free a WebSocket attempt that failed

Cause: the handlers of an attempt held it, so each attempt that was refused or ended at its deadline stayed, with 20 KB of buffers; poolers cut off from control make several a second. Found by web_socket_tests under the address sanitizer, red before (20,304 bytes in one object, both tests) and clean after. Change: the handlers know the attempt weakly; the connection that it becomes holds it.

--- a/src/rhubarbweir/transport/web_socket.cpp
+++ b/src/rhubarbweir/transport/web_socket.cpp
@@ -416,20 +416,22 @@
         if (const Connected handler = std::exchange(*shared, nullptr))
             handler(std::move(result));
     };
-    raw->set_open_handler([raw, subprotocol, finish](const auto &) {
-        auto connection =
-            std::make_shared<WebSocketConnection<ClientEndpoint>>(raw, subprotocol, Fault{});
+    // Handlers that held the attempt would keep it, and its buffers, for ever.
+    const std::weak_ptr weak = raw;
+    raw->set_open_handler([weak, subprotocol, finish](const auto &) {
+        auto connection = std::make_shared<WebSocketConnection<ClientEndpoint>>(
+            weak.lock(), subprotocol, Fault{});
         connection->attach();
         finish(ConnectionPtr(connection));
     });
-    raw->set_fail_handler([raw, finish](const auto &) {
-        const auto reason = raw->get_ec();
+    raw->set_fail_handler([weak, finish](const auto &) {
+        const auto reason = weak.lock()->get_ec();
         finish(reason == websocketpp::error::open_handshake_timeout
                    ? absl::DeadlineExceededError(reason.message())
                    : absl::UnavailableError(reason.message()));
     });
     // The library's own timeout covers the handshake, not the connect before it.
-    this->parts->loop.schedule(deadline, [shared, finish, weak = std::weak_ptr(raw)] {
+    this->parts->loop.schedule(deadline, [shared, finish, weak] {
         if (!*shared)
             return;
         asio::error_code ignored;
