Copy no registry of poolers in each round; drop an unused accessor

The leader's round, every 10 ms during a change of primary, copied all registered starts to find those to forget. Those that are due are collected instead; what is proposed and when stays the same. AuthorityView::poolers() had no caller left.

--- a/src/rhubarbweir/coordination/fleet/pooler_registry.cpp
+++ b/src/rhubarbweir/coordination/fleet/pooler_registry.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <iterator>
 #include <utility>
+#include <vector>
 
 namespace rhubarbweir {
 
@@ -83,9 +84,9 @@
 
 void PoolerRegistry::forgetOld(TimePoint now)
 {
-    // A copy: a proposal may change the state at once.
-    const PoolerRuns runs = this->state.poolers();
-    for (const auto &[key, registered] : runs) {
+    // Collected first: a proposal may change the state at once.
+    std::vector<PoolerRun> due;
+    for (const auto &[key, registered] : this->state.poolers()) {
         const ProxyRun run = runOf(registered);
         const ProxyLease *lease = this->leases.find(run);
         const TimePoint endsAt = lease == nullptr
@@ -95,8 +96,11 @@
         const Duration memory = registered.hasEnded
                                     ? this->settings.lease.leaseFor * LeaseBook::RememberedLeases
                                     : Duration(PoolerMemory);
-        if (now < endsAt + memory)
-            continue;
+        if (now >= endsAt + memory)
+            due.push_back(registered);
+    }
+    for (const PoolerRun &registered : due) {
+        const ProxyRun run = runOf(registered);
         TimePoint &until = this->proposedUntil[run];
         if (now < until)
             continue;
--- a/src/rhubarbweir/coordination/sessions/authority_view.hpp
+++ b/src/rhubarbweir/coordination/sessions/authority_view.hpp
@@ -38,7 +38,6 @@
     std::uint64_t revision() const { return this->view.revision; }
     const std::map<TargetId, RegisteredTarget> &targets() const { return this->targetsById; }
     const std::vector<std::string> &controls() const { return this->view.controls; }
-    std::uint32_t poolers() const { return this->livePoolers; }
     // All that may hold connections to a target now.
     std::uint32_t connectionHolders() const { return this->livePoolers + this->formerPoolers; }
 
