--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -2,6 +2,7 @@
 #include "programs/fleet/fleet_program.hpp"
 
 #include "programs/support/event_log.hpp"
+#include "rhubarbweir/protocol/compression.hpp"
 #include "rhubarbweir/protocol/fleet_codec.hpp"
 #include "rhubarbweir/protocol/message_conversion.hpp"
 
@@ -170,6 +171,13 @@
     hooks.sendToPooler = [this](ConnectionId connection, const FleetReply &reply) {
         this->server.send(connection, toMessage(reply));
     };
+    hooks.compress = [](const OpaqueBytes &document) {
+        return OpaqueBytes(compress(document.bytes));
+    };
+    hooks.callObserver = [this](const std::string &address) {
+        this->links.addPeer(peerAt(address, {}));
+        this->links.send(InstanceId(address), FleetRedirect{this->self});
+    };
     hooks.probe = [this](const RegisteredTarget &target) {
         // Posted, because the controller must not be called back from within its own call.
         this->loop.post([this, target] { this->probes.probe(target); });
--- a/src/programs/fleet/main.cpp
+++ b/src/programs/fleet/main.cpp
@@ -1,5 +1,6 @@
 // rhubarb-fleet: a control instance of a pooler fleet.
 #include "programs/fleet/fleet_program.hpp"
+#include "programs/fleet/observer_program.hpp"
 #include "programs/support/event_log.hpp"
 #include "programs/support/fleet_command_line.hpp"
 
@@ -11,8 +12,10 @@
     const auto start = readFleetCommandLine(argc, argv, "rhubarb-fleet");
     if (!start)
         return EXIT_FAILURE;
-    FleetProgram program(start->settings, start->settingsPath);
-    const absl::Status status = program.run();
+    // An instance without a disk holds no state.
+    const absl::Status status = start->settings.dataFolder.empty()
+                                    ? ObserverProgram(start->settings, start->settingsPath).run()
+                                    : FleetProgram(start->settings, start->settingsPath).run();
     if (!status.ok())
         logEvent(LogLevel::Error, "start_failed", {{"cause", status.ToString()}});
     return status.ok() ? EXIT_SUCCESS : EXIT_FAILURE;
--- /dev/null
+++ b/src/programs/fleet/observer_program.cpp
@@ -0,0 +1,113 @@
+// See observer_program.hpp.
+#include "programs/fleet/observer_program.hpp"
+
+#include "programs/support/event_log.hpp"
+#include "programs/support/internal_addresses.hpp"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace rhubarbweir {
+
+namespace {
+
+// Time for sending queued messages before the process ends.
+constexpr std::chrono::milliseconds FlushTime{100};
+constexpr std::size_t MaxInternalConnections = 512;
+constexpr std::size_t MaxCallConnections = 256;
+
+} // namespace
+
+ObserverProgram::ObserverProgram(platform::ProcessSettings processSettings, std::string path)
+    : settings(std::move(processSettings))
+    , settingsPath(std::move(path))
+    , self(absl::StrCat(this->settings.ip, ":", this->settings.firstInternalPort))
+    , server(this->loop, this->self, MaxInternalConnections, this->serverHooks())
+    , link(this->loop, internalAddresses(this->settings), this->linkHooks())
+    , calls(this->loop, this->settings.controlAddress, MaxCallConnections,
+            [this](const HttpRequest &request, const HttpResponder &respond) {
+                respond(this->answer(request));
+            })
+{
+}
+
+absl::Status ObserverProgram::run()
+{
+    for (const absl::Status &listening : {this->server.listen(), this->calls.listen()}) {
+        if (!listening.ok())
+            return listening;
+    }
+    logEvent(LogLevel::Info, "observer_started",
+             {{"address", this->self}, {"failure_domain", this->settings.failureDomain.value}});
+    this->loop.onStopSignal([this](int) {
+        this->loop.schedule(EventLoop::now() + FlushTime, [this] { this->loop.stop(); });
+    });
+    this->loop.onReloadSignal([this] { this->reload(); });
+    this->link.start();
+    this->loop.run();
+    logEvent(LogLevel::Info, "observer_stopped", {});
+    return absl::OkStatus();
+}
+
+ControlServerHooks ObserverProgram::serverHooks()
+{
+    ControlServerHooks hooks;
+    hooks.received = [this](ConnectionId connection, const Message &message) {
+        this->received(connection, message);
+    };
+    hooks.closed = [](ConnectionId) {
+    };
+    return hooks;
+}
+
+FleetLinkHooks ObserverProgram::linkHooks()
+{
+    FleetLinkHooks hooks;
+    hooks.isObserver = true;
+    hooks.renewal = [this] {
+        RenewLease message;
+        message.proxy = this->settings.instance;
+        message.failureDomain = this->settings.failureDomain;
+        message.address = this->self;
+        message.isObserver = true;
+        return message;
+    };
+    hooks.received = [this](const FleetLease &lease, std::optional<TimePoint>) {
+        if (!lease.view.controls.empty())
+            this->link.setControls(lease.view.controls);
+    };
+    return hooks;
+}
+
+void ObserverProgram::received(ConnectionId connection, const Message &message)
+{
+    if (std::holds_alternative<RenewLease>(message))
+        this->server.send(connection, FleetRedirect{this->link.leader()});
+    else if (const auto *call = std::get_if<FleetRedirect>(&message))
+        this->link.follow(call->leader);
+}
+
+HttpResponse ObserverProgram::answer(const HttpRequest &request)
+{
+    if (request.method == "GET" && request.target == MetricsPath)
+        return metricsResponse(this->metrics);
+    const std::string leader = this->link.leader();
+    if (leader.empty())
+        return platform::encodeUnavailable();
+    return platform::encodeRedirect(withPortOf(leader, this->settings.controlAddress),
+                                    request.target);
+}
+
+void ObserverProgram::reload()
+{
+    const auto next = platform::readProcessSettings(this->settingsPath);
+    logEvent(LogLevel::Info, "settings_reloaded",
+             {{"status", next.ok() ? "ok" : next.status().ToString()}});
+    if (!next.ok())
+        return;
+    this->settings.seeds = next->seeds;
+    this->link.setSeeds(internalAddresses(this->settings));
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/programs/fleet/observer_program.hpp
@@ -0,0 +1,42 @@
+// The process of a control instance without a disk. It keeps no state and has no vote: it sends
+// poolers, targets and operators on to the leader, which it asks for its address twice a second.
+#pragma once
+
+#include "platform/fleet_calls.hpp"
+#include "platform/process_settings.hpp"
+#include "programs/control/control_server.hpp"
+#include "programs/pooler/fleet_link.hpp"
+#include "programs/support/metrics_registry.hpp"
+#include "rhubarbweir/transport/event_loop.hpp"
+#include "rhubarbweir/transport/http.hpp"
+
+namespace rhubarbweir {
+
+class ObserverProgram
+{
+public:
+    ObserverProgram(platform::ProcessSettings settings, std::string settingsPath);
+
+    // Runs until a stop signal has been handled.
+    // Errors: those of listening.
+    absl::Status run();
+
+private:
+    ControlServerHooks serverHooks();
+    FleetLinkHooks linkHooks();
+    void received(ConnectionId connection, const Message &message);
+    HttpResponse answer(const HttpRequest &request);
+    void reload();
+
+    platform::ProcessSettings settings;
+    std::string settingsPath;
+    // This instance's internal address.
+    std::string self;
+    EventLoop loop;
+    MetricsRegistry metrics;
+    ControlServer server;
+    FleetLink link;
+    HttpListener calls;
+};
+
+} // namespace rhubarbweir
--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -16,9 +16,18 @@
 constexpr std::chrono::milliseconds RenewInterval{500};
 // A control instance from which nothing was received for this long is replaced by another one.
 constexpr std::chrono::milliseconds SilenceTimeout{1200};
-// TCP retransmits a lost SYN after one second; a new attempt is quicker.
+// TCP retransmits a lost SYN after one second; a new attempt is quicker. Doubles with each failure,
+// so that an instance that a crowd of poolers returns to can complete their handshakes.
 constexpr std::chrono::milliseconds ConnectTimeout{250};
+constexpr std::chrono::milliseconds MaxConnectTimeout{2000};
+// Mean delay of a new attempt; doubles with each failure.
 constexpr std::chrono::milliseconds ReconnectDelay{100};
+constexpr std::chrono::milliseconds MaxReconnectDelay{800};
+
+Duration doubled(Duration initial, unsigned times, Duration most)
+{
+    return std::min(most, initial * (1U << std::min(times, 6U)));
+}
 // A control instance that knows no leader is asked again after this delay, a fraction of an
 // election, and replaced by another one after this many polls, because it may be partitioned.
 constexpr std::chrono::milliseconds LeaderlessRetryDelay{40};
@@ -32,7 +41,10 @@
     , client(eventLoop)
     , seeds(std::move(seedAddresses))
     , hooks(std::move(linkHooks))
+    , random(std::random_device()())
 {
+    // Poolers that start together ask different instances first.
+    this->nextControl = this->random() % 1024;
 }
 
 void FleetLink::start()
@@ -75,6 +87,7 @@
         return;
     RenewLease message = this->hooks.renewal();
     message.sequence = ++this->sequence;
+    message.answered = this->answered;
     this->sentAt[message.sequence] = EventLoop::now();
     this->connection->send(message);
 }
@@ -91,22 +104,46 @@
     if (this->isConnecting)
         return;
     this->isConnecting = true;
-    this->client.connect(target, Subprotocol::Control, EventLoop::now() + ConnectTimeout,
+    const Duration timeout = doubled(ConnectTimeout, this->failures, MaxConnectTimeout);
+    this->client.connect(target, Subprotocol::Control, EventLoop::now() + timeout,
                          [this, target](absl::StatusOr<ConnectionPtr> result) {
                              this->isConnecting = false;
-                             if (result.ok()) {
+                             if (result.ok())
                                  this->connected(*result, target);
-                                 return;
-                             }
-                             this->loop.schedule(EventLoop::now() + ReconnectDelay,
-                                                 [this] { this->connectNext(); });
+                             else
+                                 this->retryLater();
                          });
 }
 
+// Connects to another instance after a random delay, so that poolers that lost the same instance
+// return spread over time.
+void FleetLink::retryLater()
+{
+    const Duration mean = doubled(ReconnectDelay, this->failures, MaxReconnectDelay);
+    ++this->failures;
+    std::uniform_int_distribution<Duration::rep> jitter(mean.count() / 2, mean.count() * 3 / 2);
+    this->loop.schedule(EventLoop::now() + Duration(jitter(this->random)), [this] {
+        if (!this->connection)
+            this->connectNext();
+    });
+}
+
+void FleetLink::follow(const std::string &leader)
+{
+    if (leader == this->leader() || this->isConnecting)
+        return;
+    if (const ConnectionPtr former = std::exchange(this->connection, nullptr))
+        former->close(CloseReason::Normal);
+    this->isAnswered = false;
+    this->connect(leader);
+}
+
 void FleetLink::connected(const ConnectionPtr &opened, const std::string &target)
 {
     this->connection = opened;
     this->address = target;
+    this->isAnswered = false;
+    this->answered = 0;
     this->lastMessageAt = EventLoop::now();
     this->sentAt.clear();
     this->leaderlessPolls = 0;
@@ -125,13 +162,20 @@
     if (const auto *lease = std::get_if<FleetLease>(&message)) {
         this->lastMessageAt = EventLoop::now();
         this->leaderlessPolls = 0;
+        this->isAnswered = true;
+        this->failures = 0;
+        this->answered = std::max(this->answered, lease->sequence);
         std::optional<TimePoint> asked;
         const auto found = this->sentAt.find(lease->sequence);
         if (found != this->sentAt.end()) {
             asked = found->second;
             this->sentAt.erase(this->sentAt.begin(), std::next(found));
         }
-        this->hooks.received(*lease, asked);
+        const bool asksToConfirm = lease->sequence != 0 && lease->leaseFor == Duration::zero();
+        if (asksToConfirm && !this->hooks.isObserver)
+            this->renewNow();
+        else
+            this->hooks.received(*lease, asked);
     } else if (const auto *redirection = std::get_if<FleetRedirect>(&message)) {
         this->redirect(redirection->leader);
     }
@@ -139,6 +183,7 @@
 
 void FleetLink::redirect(const std::string &leader)
 {
+    this->isAnswered = false;
     const bool isElsewhere = !leader.empty() && leader != this->address;
     if (!isElsewhere && ++this->leaderlessPolls <= LeaderlessPolls) {
         this->loop.schedule(EventLoop::now() + LeaderlessRetryDelay,
@@ -149,21 +194,19 @@
         return;
     }
     const ConnectionPtr former = std::exchange(this->connection, nullptr);
+    this->isAnswered = false;
     former->close(CloseReason::Normal);
-    if (isElsewhere) {
+    if (isElsewhere)
         this->connect(leader);
-        return;
-    }
-    this->loop.schedule(EventLoop::now() + ReconnectDelay, [this] {
-        if (!this->connection)
-            this->connectNext();
-    });
+    else
+        this->retryLater();
 }
 
 void FleetLink::drop(const std::string &cause)
 {
     logEvent(LogLevel::Warning, "control_lost", {{"control", this->address}, {"cause", cause}});
     const ConnectionPtr former = std::exchange(this->connection, nullptr);
+    this->isAnswered = false;
     former->close(CloseReason::Normal);
     this->connectNext();
 }
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -17,10 +18,12 @@
 
 struct FleetLinkHooks
 {
-    // Returns the renewal to send; the link sets its sequence.
+    // Returns the renewal to send; the link sets its sequences.
     std::function<RenewLease()> renewal;
     // `sentAt` is when the answered renewal was sent; empty for an unsolicited message.
     std::function<void(const FleetLease &, std::optional<TimePoint> sentAt)> received;
+    // An observer gets answers without a lease.
+    bool isObserver = false;
 };
 
 class FleetLink
@@ -36,6 +39,10 @@
     void setSeeds(std::vector<std::string> seeds);
     // Sends a renewal at once.
     void renewNow();
+    // Connects to the leader at the internal address, unless it is the connected instance.
+    void follow(const std::string &leader);
+    // Internal address of the connected instance while it answers as the leader; else empty.
+    std::string leader() const { return this->isAnswered ? this->address : std::string(); }
 
 private:
     void renewOrReconnect();
@@ -45,6 +52,7 @@
     void receive(const Message &message);
     void redirect(const std::string &leader);
     void drop(const std::string &cause);
+    void retryLater();
     std::vector<std::string> knownControls() const;
 
     EventLoop &loop;
@@ -55,9 +63,15 @@
     ConnectionPtr connection;
     std::string address;
     std::size_t nextControl = 0;
-    std::uint64_t attempt = 0;
     bool isConnecting = false;
+    // Whether the connected instance has answered a renewal.
+    bool isAnswered = false;
+    // Consecutive attempts without an answer of a leader.
+    unsigned failures = 0;
+    std::mt19937_64 random;
     std::uint64_t sequence = 0;
+    // Sequence of the last answer received on the connection.
+    std::uint64_t answered = 0;
     // Send times of unanswered renewals, by sequence.
     std::map<std::uint64_t, TimePoint> sentAt;
     TimePoint lastMessageAt;
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -3,6 +3,8 @@
 
 #include "platform/fleet_calls.hpp"
 #include "programs/support/event_log.hpp"
+#include "programs/support/internal_addresses.hpp"
+#include "rhubarbweir/protocol/compression.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -29,6 +31,9 @@
 // Part of the grace period that is reserved for the exit of the process.
 constexpr std::chrono::milliseconds ExitReserve{500};
 
+// Limit on a decompressed configuration document; operators cannot store a larger one.
+constexpr std::size_t MaxDocumentBytes = 1 << 20;
+
 std::uint64_t randomIncarnation()
 {
     std::random_device device;
@@ -42,21 +47,16 @@
     return pooler;
 }
 
-std::vector<std::string> internalAddresses(const platform::ProcessSettings &settings)
+absl::StatusOr<RouteTable> decodeConfiguration(const OpaqueBytes &compressed)
 {
-    std::vector<std::string> addresses;
-    for (const std::string &seed : settings.seeds)
-        addresses.push_back(internalAddress(seed, settings.firstInternalPort));
-    return addresses;
+    const auto document = decompress(compressed.bytes, MaxDocumentBytes);
+    if (!document.ok())
+        return document.status();
+    return platform::decodeRouteTable(*document);
 }
 
 } // namespace
 
-std::string internalAddress(const std::string &controlAddress, std::uint16_t port)
-{
-    return absl::StrCat(controlAddress.substr(0, controlAddress.rfind(':')), ":", port);
-}
-
 PoolerProgram::PoolerProgram(platform::ProcessSettings processSettings, std::string path)
     : settings(std::move(processSettings))
     , settingsPath(std::move(path))
@@ -208,14 +208,15 @@
     if (!lease.view.controls.empty())
         this->link.setControls(lease.view.controls);
     if (!lease.configuration.bytes.empty()) {
-        auto table = platform::decodeRouteTable(lease.configuration.bytes);
+        auto table = decodeConfiguration(lease.configuration);
         if (table.ok())
             this->pooler.routesReceived(*std::move(table), now);
         else
             logEvent(LogLevel::Error, "configuration_unreadable",
                      {{"cause", table.status().ToString()}});
     }
-    if (sentAt)
+    const bool holdsView = this->pooler.authorityView().revision() >= lease.view.revision;
+    if (sentAt && holdsView)
         this->pooler.leaseReceived(*sentAt + lease.leaseFor, lease.poolers, lease.formerPoolers,
                                    now);
     if (this->pooler.isReady())
--- a/src/programs/pooler/pooler_program.hpp
+++ b/src/programs/pooler/pooler_program.hpp
@@ -55,7 +55,4 @@
     TimePoint refuseFrom = TimePoint::max();
 };
 
-// Internal address of the control instance that serves operators at `controlAddress`.
-std::string internalAddress(const std::string &controlAddress, std::uint16_t port);
-
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/control/control_messages.hpp
+++ b/src/rhubarbweir/coordination/control/control_messages.hpp
@@ -111,6 +111,10 @@
     // Revision in force at the proxy.
     std::uint64_t revision = 0;
     bool draining = false;
+    // Sequence of the last answer received on this connection; 0 if there is none.
+    std::uint64_t answered = 0;
+    // Sent by a control instance without a disk, which needs the leader's address and no lease.
+    bool isObserver = false;
     // Groups whose views the proxy requests; empty for all.
     std::vector<GroupId> groups;
     std::vector<TargetObservation> observations;
--- a/src/rhubarbweir/coordination/control/lease_tracker.cpp
+++ b/src/rhubarbweir/coordination/control/lease_tracker.cpp
@@ -30,6 +30,8 @@
     lease.address = message.address;
     lease.failureDomain = message.failureDomain;
     lease.hasView = lease.hasView && lease.connection == connection;
+    if (lease.connection != connection)
+        lease.sentRevision = 0;
     lease.connection = connection;
     // A run without a lease is tracked as well.
     lease.endsAt = std::max(lease.endsAt, now);
--- a/src/rhubarbweir/coordination/control/lease_tracker.hpp
+++ b/src/rhubarbweir/coordination/control/lease_tracker.hpp
@@ -42,7 +42,7 @@
     ConnectionId connection = 0;
     // Revision last reported by the proxy. No older one is in force there.
     std::uint64_t revision = 0;
-    // Revision of the last view or change sent on the connection.
+    // Revision of the last view or change sent on the connection; 0 if none was sent on it.
     std::uint64_t sentRevision = 0;
     std::vector<GroupId> subscription;
     // Whether the first view was sent on the connection.
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -24,12 +24,20 @@
     return target;
 }
 
-// Whether the command changes the view, which is then sent to poolers at once.
-bool changesView(const FleetCommand &command)
+// Whether poolers are told about the command's effect.
+bool isForPoolers(const FleetCommand &command)
 {
     return !std::holds_alternative<ChooseCandidate>(command)
            && !std::holds_alternative<RegisterPooler>(command)
-           && !std::holds_alternative<ForgetPooler>(command);
+           && !std::holds_alternative<ForgetPooler>(command)
+           && !std::holds_alternative<RegisterObserver>(command)
+           && !std::holds_alternative<ForgetObserver>(command);
+}
+
+// Whether poolers are told at once: callers wait for a change of primary or for a new route.
+bool isUrgent(const FleetCommand &command)
+{
+    return !std::holds_alternative<RecordTarget>(command);
 }
 
 } // namespace
@@ -39,6 +47,8 @@
     , hooks(std::move(fleetHooks))
     , leases(this->settings.lease)
     , registry(this->settings, this->fleet, this->leases, this->registryPorts())
+    , views(this->settings, this->fleet, this->leases, this->registry, this->viewPorts())
+    , observers(this->fleet, this->observerPorts())
     , detector(this->settings)
 {
 }
@@ -62,10 +72,13 @@
     this->relievedAt.clear();
     this->replicaRoleSince.clear();
     this->lastAnnouncements.clear();
-    this->reportedVersions.clear();
+    this->views.beginLeadership();
+    this->questions.clear();
     if (isLeader) {
         this->leases.beginLeadership(now);
         this->registry.beginLeadership(now);
+        this->observers.beginLeadership(now);
+        this->delayPromotions(now);
         this->detector.reset(now);
         this->wakeAt = now;
     } else {
@@ -73,6 +86,15 @@
     }
 }
 
+// A former leader may have requested promotions until just now.
+void FleetController::delayPromotions(TimePoint now)
+{
+    for (const auto &[group, authority] : this->fleet.authorities()) {
+        if (!authority.chooser.empty() && authority.chooser != this->settings.lease.instance)
+            this->promoteFrom = now + this->settings.promotionTurn;
+    }
+}
+
 // Applied commands.
 
 void FleetController::applied(std::uint64_t index, const FleetCommand &command, TimePoint now)
@@ -96,6 +118,9 @@
             this->hooks.event("authority_revoked",
                               {{"group", revoked->group.value}, {"index", absl::StrCat(index)}});
     }
+    const auto *chosen = std::get_if<ChooseCandidate>(&command);
+    if (changed && chosen != nullptr && chosen->chooser != this->settings.lease.instance)
+        this->promoteFrom = now + this->settings.promotionTurn;
     if (const auto *registered = std::get_if<RegisterPooler>(&command))
         this->poolerRegistered({registered->pooler, registered->incarnation}, now);
     if (const auto *forgotten = std::get_if<ForgetPooler>(&command))
@@ -105,8 +130,8 @@
                           {{"version", absl::StrCat(this->fleet.configuration().version)},
                            {"index", absl::StrCat(index)}});
     if (this->leads) {
-        if (changed && changesView(command))
-            this->pushView(now);
+        if (changed && isForPoolers(command))
+            this->views.viewChanged(isUrgent(command), now);
         this->wakeAt = now;
     }
     this->finishCalls(index, FleetCallOutcome::Accepted);
@@ -245,34 +270,66 @@
         this->hooks.sendToPooler(connection, FleetRedirect{this->hooks.leaderAddress()});
         return;
     }
+    if (message.isObserver) {
+        this->answerObserver(connection, message, now);
+        return;
+    }
     // Ignores late messages of an ended run, which must not retire the current one.
     const ProxyRun run{message.proxy, message.incarnation};
     const PoolerRun *registered = this->fleet.findPooler(run.proxy, run.incarnation);
     if (registered != nullptr && registered->hasEnded)
         return;
+    if (registered == nullptr && !this->provesToRun(connection, message))
+        return;
     ProxyLease *lease = this->leases.renew(connection, message, now);
     if (lease == nullptr)
         return;
     this->registry.recordRenewal(run);
     this->detector.recordReport(lease->run, message, now);
-    this->reportedVersions[lease->run] = message.configurationVersion;
+    this->views.recordReport(lease->run, message.configurationVersion);
     const bool affectsDecisions =
         !message.observations.empty() || lease->revision < message.revision;
     if (affectsDecisions || !this->changes.empty())
         this->wakeAt = std::min(this->wakeAt, now);
     if (registered == nullptr) {
-        this->registry.add(run, {message.sequence, message.configurationVersion}, now);
+        this->registry.add(run, message.sequence, now);
         return;
     }
     this->leases.grant(*lease, this->fleet.viewRevision(), now);
-    this->sendLease(*lease, message.sequence, message.configurationVersion, now);
+    this->views.answer(*lease, message.sequence, now);
+}
+
+// Whether the sender received an answer on this connection. A start that is not registered could
+// otherwise be one that has ended and whose delayed message would end its successor.
+bool FleetController::provesToRun(ConnectionId connection, const RenewLease &message)
+{
+    const auto question = this->questions.find(connection);
+    if (question != this->questions.end() && message.answered >= question->second) {
+        this->questions.erase(question);
+        return true;
+    }
+    this->questions[connection] = message.sequence;
+    FleetLease withoutLease;
+    withoutLease.sequence = message.sequence;
+    this->hooks.sendToPooler(connection, withoutLease);
+    return false;
+}
+
+void FleetController::answerObserver(ConnectionId connection, const RenewLease &message,
+                                     TimePoint now)
+{
+    this->observers.heard(message.address, now);
+    FleetLease answer;
+    answer.sequence = message.sequence;
+    answer.view.controls = this->hooks.controlAddresses();
+    this->hooks.sendToPooler(connection, answer);
 }
 
 // Answers the renewal that waited for the registration of its sender.
 void FleetController::poolerRegistered(const ProxyRun &run, TimePoint now)
 {
-    const std::optional<PendingRenewal> renewal = this->registry.committed(run, now);
-    if (!this->leads || !renewal)
+    const std::optional<std::uint64_t> sequence = this->registry.committed(run, now);
+    if (!this->leads || !sequence)
         return;
     const auto lease = this->leases.all().find(run);
     const bool mayAnswer = lease != this->leases.all().end() && lease->second.connection != 0
@@ -284,52 +341,20 @@
     if (!mayAnswer)
         return;
     this->leases.grant(lease->second, this->fleet.viewRevision(), now);
-    this->sendLease(lease->second, renewal->sequence, renewal->configurationVersion, now);
-}
-
-void FleetController::sendLease(ProxyLease &lease, std::uint64_t sequence,
-                                std::uint64_t configurationVersion, TimePoint now)
-{
-    FleetLease message;
-    message.sequence = sequence;
-    message.leaseFor = this->settings.lease.leaseFor;
-    message.view.revision = this->fleet.viewRevision();
-    message.poolers =
-        static_cast<std::uint32_t>(std::max<std::size_t>(1, this->fleet.livePoolers()));
-    message.formerPoolers = static_cast<std::uint32_t>(this->registry.formerRunCount(now));
-    message.configurationVersion = this->fleet.configuration().version;
-    if (lease.revision < message.view.revision || sequence == 0) {
-        for (const auto &[id, target] : this->fleet.targets()) {
-            if (target.phase != TargetPhase::Left)
-                message.view.targets.push_back(target);
-        }
-        for (const auto &[group, authority] : this->fleet.authorities())
-            message.view.authorities.push_back(authority);
-        message.view.controls = this->hooks.controlAddresses();
-    }
-    if (configurationVersion < message.configurationVersion)
-        message.configuration = this->fleet.configuration().document;
-    lease.sentRevision = message.view.revision;
-    this->hooks.sendToPooler(lease.connection, message);
-}
-
-void FleetController::pushView(TimePoint now)
-{
-    for (auto &[run, lease] : this->leases.all()) {
-        if (lease.connection != 0 && !lease.isRetired)
-            this->sendLease(lease, 0, this->reportedVersions[run], now);
-    }
+    this->views.answer(lease->second, *sequence, now);
 }
 
 void FleetController::connectionClosed(ConnectionId connection)
 {
     this->leases.connectionClosed(connection);
+    this->questions.erase(connection);
 }
 
 // Primaries.
 
 void FleetController::advance(TimePoint now)
 {
+    this->views.advance(now);
     if (now < this->wakeAt)
         return;
     this->advanceTime = now;
@@ -339,6 +364,7 @@
         return;
     this->leases.evictExpired(now);
     this->registry.evictExpired(now);
+    this->observers.advance(now);
     this->grantFirstAuthorities(now);
     this->superviseGroups(now);
     if (!this->changes.empty())
@@ -477,6 +503,25 @@
     return ports;
 }
 
+ViewSenderPorts FleetController::viewPorts()
+{
+    ViewSenderPorts ports;
+    ports.send = this->hooks.sendToPooler;
+    ports.controlAddresses = this->hooks.controlAddresses;
+    ports.compress = this->hooks.compress;
+    return ports;
+}
+
+ObserverRegistryPorts FleetController::observerPorts()
+{
+    ObserverRegistryPorts ports;
+    ports.propose = [this](const FleetCommand &command, TimePoint now) {
+        this->propose(command, {}, now);
+    };
+    ports.call = this->hooks.callObserver;
+    return ports;
+}
+
 PrimaryChangePorts FleetController::changePorts(const GroupId &group)
 {
     PrimaryChangePorts ports;
@@ -485,6 +530,9 @@
     };
     ports.probe = this->hooks.probe;
     ports.promote = this->hooks.promote;
+    ports.promoteFrom = [this] {
+        return this->promoteFrom;
+    };
     ports.stepDown = this->hooks.stepDown;
     ports.mayFormerBeUsed = [this, group](TimePoint now) {
         const PrimaryAuthority *authority = this->fleet.authority(group);
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -7,9 +7,12 @@
 // that includes this entry, or its older leases have ended.
 #pragma once
 
+#include "rhubarbweir/coordination/fleet/observer_registry.hpp"
 #include "rhubarbweir/coordination/fleet/pooler_registry.hpp"
 #include "rhubarbweir/coordination/fleet/primary_change.hpp"
+#include "rhubarbweir/coordination/fleet/view_sender.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -28,7 +31,7 @@
     void leadershipChanged(TimePoint now);
     void advance(TimePoint now);
     // When advance() is due.
-    TimePoint nextDeadline() const { return this->wakeAt; }
+    TimePoint nextDeadline() const { return std::min(this->wakeAt, this->views.nextDeadline()); }
 
     void receiveFromPooler(ConnectionId connection, const RenewLease &message, TimePoint now);
     void connectionClosed(ConnectionId connection);
@@ -64,9 +67,6 @@
     void failAllCalls();
     void expireCalls(TimePoint now);
     void poolerRegistered(const ProxyRun &run, TimePoint now);
-    void sendLease(ProxyLease &lease, std::uint64_t sequence, std::uint64_t configurationVersion,
-                   TimePoint now);
-    void pushView(TimePoint now);
     void superviseGroups(TimePoint now);
     void superviseGroup(const PrimaryAuthority &authority, TimePoint now);
     void grantFirstAuthorities(TimePoint now);
@@ -75,6 +75,11 @@
     bool needsRelief(const GroupId &group, TimePoint now);
     bool reportsReplicaRole(const RegisteredTarget &primary, TimePoint now);
     PoolerRegistryPorts registryPorts();
+    ViewSenderPorts viewPorts();
+    ObserverRegistryPorts observerPorts();
+    bool provesToRun(ConnectionId connection, const RenewLease &message);
+    void delayPromotions(TimePoint now);
+    void answerObserver(ConnectionId connection, const RenewLease &message, TimePoint now);
     PrimaryChangePorts changePorts(const GroupId &group);
     void probeSuspected(const RegisteredTarget &target, TimePoint now);
 
@@ -83,16 +88,21 @@
     FleetState fleet;
     LeaseTracker leases;
     PoolerRegistry registry;
+    ViewSender views;
+    ObserverRegistry observers;
     PrimaryFailureDetector detector;
     bool leads = false;
     TimePoint wakeAt;
     // Time of the running advance().
     TimePoint advanceTime;
-    // Configuration version that each pooler run reported last.
-    std::map<ProxyRun, std::uint64_t> reportedVersions;
     // Latest announcement of each target, also if it changed nothing.
     std::map<TargetId, RegisteredTarget> lastAnnouncements;
     std::map<std::uint64_t, std::vector<PendingCall>> calls;
+    // Sequence of the answer that the sender of each connection has to confirm before its start is
+    // registered.
+    std::map<ConnectionId, std::uint64_t> questions;
+    // No promotion is requested before this, because another instance requested some.
+    TimePoint promoteFrom;
     // Running primary changes, by group; empty unless this instance leads.
     std::map<GroupId, PrimaryChange> changes;
     // Deadline of the authority command proposed for each group; proposed again after it.
--- a/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
@@ -11,12 +11,17 @@
 
 namespace rhubarbweir {
 
-// The fleet state that a pooler acts on, except the configuration document.
+// The fleet state that a pooler acts on, except the configuration document; or its changes.
 struct FleetView
 {
     // Index of the control log's last entry that changed the view.
     std::uint64_t revision = 0;
+    // 0 for the whole view. Otherwise the view holds only what changed after this revision, and
+    // applies to a pooler that holds it or a later one.
+    std::uint64_t baseRevision = 0;
     std::vector<RegisteredTarget> targets;
+    // Only in a view of changes.
+    std::vector<TargetId> removedTargets;
     std::vector<PrimaryAuthority> authorities;
     // Addresses of the control instances.
     std::vector<std::string> controls;
@@ -35,7 +40,7 @@
     // Number of ended pooler processes whose connections targets may still hold.
     std::uint32_t formerPoolers = 0;
     std::uint64_t configurationVersion = 0;
-    // Empty if the pooler already has this version.
+    // Compressed. Empty if the pooler already has this version or was sent it before.
     OpaqueBytes configuration;
 };
 
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -30,6 +30,10 @@
     Duration reportLifetime = std::chrono::milliseconds(1600);
     // A survey of a group's targets ends after this if some target has answered.
     Duration surveyTimeout = std::chrono::milliseconds(500);
+    // Changes of the view other than those of an authority are collected for this long.
+    Duration viewCollectionTime = std::chrono::milliseconds(30);
+    // A pooler that has not reported a configuration document by then is sent it again.
+    Duration documentResendInterval = std::chrono::milliseconds(3000);
     // A draining primary keeps its authority for at most this long while a pooler is silent. Well
     // within the time for which targets serve after they were told to stop.
     Duration drainTimeout = std::chrono::milliseconds(3000);
@@ -48,6 +52,9 @@
     Duration probeInterval = std::chrono::milliseconds(50);
     // A promotion is requested again after this without an answer.
     Duration promotionInterval = std::chrono::milliseconds(400);
+    // Minimum time between promotions requested by two control instances, so that the platform sees
+    // one instance at a time.
+    Duration promotionTurn = std::chrono::milliseconds(3000);
     // A promoted target is given up if it has not become primary after this.
     Duration promotionTimeout = std::chrono::milliseconds(4000);
     // A proposal that was not applied within this is repeated.
@@ -115,6 +122,10 @@
     std::function<std::string()> leaderAddress;
     std::function<std::vector<std::string>()> controlAddresses;
     std::function<void(ConnectionId, const FleetReply &)> sendToPooler;
+    // Compresses a configuration document for poolers.
+    std::function<OpaqueBytes(const OpaqueBytes &)> compress;
+    // Tells the observer at the internal address that this instance leads. Best effort.
+    std::function<void(const std::string &address)> callObserver;
     // Answered through FleetController::probed().
     std::function<void(const RegisteredTarget &)> probe;
     // Answered through FleetController::promotionAnswered().
--- a/src/rhubarbweir/coordination/fleet/pooler_registry.cpp
+++ b/src/rhubarbweir/coordination/fleet/pooler_registry.cpp
@@ -53,9 +53,9 @@
     this->renewedRuns.insert(run);
 }
 
-void PoolerRegistry::add(const ProxyRun &run, const PendingRenewal &renewal, TimePoint now)
+void PoolerRegistry::add(const ProxyRun &run, std::uint64_t sequence, TimePoint now)
 {
-    this->pending[run] = renewal;
+    this->pending[run] = sequence;
     TimePoint &until = this->proposedUntil[run];
     if (now < until)
         return;
@@ -63,16 +63,16 @@
     this->ports.propose(RegisterPooler{run.proxy, run.incarnation}, now);
 }
 
-std::optional<PendingRenewal> PoolerRegistry::committed(const ProxyRun &run, TimePoint now)
+std::optional<std::uint64_t> PoolerRegistry::committed(const ProxyRun &run, TimePoint now)
 {
     this->proposedUntil.erase(run);
     const auto waiting = this->pending.find(run);
     if (waiting == this->pending.end())
         return std::nullopt;
     this->registeredAt[run] = now;
-    const PendingRenewal renewal = waiting->second;
+    const std::uint64_t sequence = waiting->second;
     this->pending.erase(waiting);
-    return renewal;
+    return sequence;
 }
 
 void PoolerRegistry::removed(const ProxyRun &run)
--- a/src/rhubarbweir/coordination/fleet/pooler_registry.hpp
+++ b/src/rhubarbweir/coordination/fleet/pooler_registry.hpp
@@ -15,13 +15,6 @@
 
 namespace rhubarbweir {
 
-// A renewal that is answered once the registration of its sender is committed.
-struct PendingRenewal
-{
-    std::uint64_t sequence = 0;
-    std::uint64_t configurationVersion = 0;
-};
-
 struct PoolerRegistryPorts
 {
     std::function<void(const FleetCommand &, TimePoint now)> propose;
@@ -39,9 +32,10 @@
     // Records that the run renewed its lease under this leader.
     void recordRenewal(const ProxyRun &run);
     // Proposes the registration of a run that renewed without one.
-    void add(const ProxyRun &run, const PendingRenewal &renewal, TimePoint now);
-    // The registration was committed. Returns the renewal that was waiting for it, if any.
-    std::optional<PendingRenewal> committed(const ProxyRun &run, TimePoint now);
+    void add(const ProxyRun &run, std::uint64_t sequence, TimePoint now);
+    // The registration was committed. Returns the sequence of the renewal that was waiting for it,
+    // if any.
+    std::optional<std::uint64_t> committed(const ProxyRun &run, TimePoint now);
     void removed(const ProxyRun &run);
     // Proposes the removal of runs whose lease ended longer ago than their retention time.
     void evictExpired(TimePoint now);
@@ -61,7 +55,8 @@
     const LeaseTracker &leases;
     PoolerRegistryPorts ports;
     TimePoint leadsSince;
-    std::map<ProxyRun, PendingRenewal> pending;
+    // Sequences of renewals that are answered once the registration of the run is committed.
+    std::map<ProxyRun, std::uint64_t> pending;
     // The last run of each pooler that renewed under this leader.
     std::set<ProxyRun> renewedRuns;
     // When each run registered under this leader, kept while connections of the pooler's previous
--- a/src/rhubarbweir/coordination/fleet/primary_change.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.cpp
@@ -108,8 +108,8 @@
     if (this->awaitsCatchUp(*best, authority, now))
         return;
     this->step = Step::Promote;
-    this->promoteAt = now;
-    this->promotionDeadline = now + this->settings.promotionTimeout;
+    this->promoteAt = std::max(now, this->ports.promoteFrom());
+    this->promotionDeadline = this->promoteAt + this->settings.promotionTimeout;
     this->ports.event("candidate_chosen",
                       {{"group", this->group.value},
                        {"target", best->value},
--- a/src/rhubarbweir/coordination/fleet/primary_change.hpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.hpp
@@ -37,6 +37,8 @@
     std::function<void(const FleetCommand &)> propose;
     std::function<void(const RegisteredTarget &)> probe;
     std::function<void(const PromotionRequest &)> promote;
+    // When a promotion may be requested at the earliest.
+    std::function<TimePoint()> promoteFrom;
     std::function<void(const RegisteredTarget &, std::uint64_t term)> stepDown;
     // Whether some pooler may still use the former primary.
     std::function<bool(TimePoint)> mayFormerBeUsed;
--- /dev/null
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -0,0 +1,137 @@
+// See view_sender.hpp.
+#include "rhubarbweir/coordination/fleet/view_sender.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace rhubarbweir {
+
+ViewSender::ViewSender(const FleetSettings &fleetSettings, const FleetState &fleetState,
+                       LeaseTracker &leaseTracker, PoolerRegistry &poolerRegistry,
+                       ViewSenderPorts senderPorts)
+    : settings(fleetSettings)
+    , state(fleetState)
+    , leases(leaseTracker)
+    , registry(poolerRegistry)
+    , ports(std::move(senderPorts))
+{
+}
+
+void ViewSender::beginLeadership()
+{
+    this->pushAt = TimePoint::max();
+    this->reportedVersions.clear();
+    this->sentDocuments.clear();
+}
+
+void ViewSender::recordReport(const ProxyRun &run, std::uint64_t configurationVersion)
+{
+    this->reportedVersions[run] = configurationVersion;
+}
+
+void ViewSender::answer(ProxyLease &lease, std::uint64_t sequence, TimePoint now)
+{
+    this->send(lease, sequence, lease.revision, now);
+}
+
+void ViewSender::viewChanged(bool isUrgent, TimePoint now)
+{
+    const TimePoint due = isUrgent ? now : now + this->settings.viewCollectionTime;
+    this->pushAt = std::min(this->pushAt, due);
+    this->advance(now);
+}
+
+void ViewSender::advance(TimePoint now)
+{
+    if (now >= this->pushAt)
+        this->push(now);
+}
+
+void ViewSender::push(TimePoint now)
+{
+    this->pushAt = TimePoint::max();
+    for (auto &[run, lease] : this->leases.all()) {
+        if (lease.connection != 0 && !lease.isRetired)
+            this->send(lease, 0, std::max(lease.revision, lease.sentRevision), now);
+    }
+}
+
+void ViewSender::send(ProxyLease &lease, std::uint64_t sequence, std::uint64_t baseRevision,
+                      TimePoint now)
+{
+    FleetLease message;
+    message.sequence = sequence;
+    message.leaseFor = this->settings.lease.leaseFor;
+    message.poolers =
+        static_cast<std::uint32_t>(std::max<std::size_t>(1, this->state.livePoolers()));
+    message.formerPoolers = static_cast<std::uint32_t>(this->registry.formerRunCount(now));
+    message.view = this->viewAfter(baseRevision);
+    message.configurationVersion = this->state.configuration().version;
+    if (this->needsDocument(lease, now))
+        message.configuration = this->compressedDocument();
+    lease.sentRevision = message.view.revision;
+    this->ports.send(lease.connection, message);
+}
+
+FleetView ViewSender::viewAfter(std::uint64_t baseRevision) const
+{
+    const auto changes = this->state.viewChangesAfter(baseRevision);
+    if (baseRevision == 0 || !changes)
+        return this->wholeView();
+    FleetView view;
+    view.revision = this->state.viewRevision();
+    view.baseRevision = baseRevision;
+    if (view.revision == baseRevision)
+        return view;
+    for (const TargetId &id : changes->targets) {
+        const RegisteredTarget *target = this->state.find(id);
+        if (target == nullptr || target->phase == TargetPhase::Left)
+            view.removedTargets.push_back(id);
+        else
+            view.targets.push_back(*target);
+    }
+    for (const GroupId &group : changes->authorities)
+        view.authorities.push_back(*this->state.authority(group));
+    view.controls = this->ports.controlAddresses();
+    return view;
+}
+
+FleetView ViewSender::wholeView() const
+{
+    FleetView view;
+    view.revision = this->state.viewRevision();
+    for (const auto &[id, target] : this->state.targets()) {
+        if (target.phase != TargetPhase::Left)
+            view.targets.push_back(target);
+    }
+    for (const auto &[group, authority] : this->state.authorities())
+        view.authorities.push_back(authority);
+    view.controls = this->ports.controlAddresses();
+    return view;
+}
+
+// A document takes seconds on a slow link, so it is not sent again with every message until the
+// pooler reports it.
+bool ViewSender::needsDocument(const ProxyLease &lease, TimePoint now)
+{
+    const std::uint64_t version = this->state.configuration().version;
+    if (this->reportedVersions[lease.run] >= version)
+        return false;
+    SentDocument &sent = this->sentDocuments[lease.run];
+    if (sent.connection == lease.connection && sent.version == version && now < sent.resendAt)
+        return false;
+    sent = {lease.connection, version, now + this->settings.documentResendInterval};
+    return true;
+}
+
+const OpaqueBytes &ViewSender::compressedDocument()
+{
+    const ConfigurationDocument &stored = this->state.configuration();
+    if (this->compressedVersion != stored.version) {
+        this->compressed = this->ports.compress(stored.document);
+        this->compressedVersion = stored.version;
+    }
+    return this->compressed;
+}
+
+} // namespace rhubarbweir
--- /dev/null
+++ b/src/rhubarbweir/coordination/fleet/view_sender.hpp
@@ -0,0 +1,74 @@
+// Composes the messages of the leader to poolers: leases, views and configuration documents.
+//
+// A pooler receives what changed since the view that it holds, and the whole view only where the
+// changes are not known. An answer to a renewal starts from the revision that the renewal reports,
+// so it applies whatever became of earlier messages; a grant therefore never outlasts a view that
+// the pooler could not apply.
+#pragma once
+
+#include "rhubarbweir/coordination/fleet/pooler_registry.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace rhubarbweir {
+
+struct ViewSenderPorts
+{
+    std::function<void(ConnectionId, const FleetReply &)> send;
+    std::function<std::vector<std::string>()> controlAddresses;
+    // Compresses a configuration document for poolers.
+    std::function<OpaqueBytes(const OpaqueBytes &)> compress;
+};
+
+class ViewSender
+{
+public:
+    ViewSender(const FleetSettings &settings, const FleetState &state, LeaseTracker &leases,
+               PoolerRegistry &registry, ViewSenderPorts ports);
+
+    // Forgets what was sent when this instance becomes the leader.
+    void beginLeadership();
+    // Records the configuration version that a renewal reports.
+    void recordReport(const ProxyRun &run, std::uint64_t configurationVersion);
+    // Answers the renewal with `sequence`. The caller has granted the lease.
+    void answer(ProxyLease &lease, std::uint64_t sequence, TimePoint now);
+    // Schedules a message to all poolers. An urgent one is sent at once; others are collected.
+    void viewChanged(bool isUrgent, TimePoint now);
+    // Sends a scheduled message that is due.
+    void advance(TimePoint now);
+    // When advance() is due; max() if nothing is scheduled.
+    TimePoint nextDeadline() const { return this->pushAt; }
+
+private:
+    struct SentDocument
+    {
+        ConnectionId connection = 0;
+        std::uint64_t version = 0;
+        // The document is sent again if the pooler does not report it by then.
+        TimePoint resendAt;
+    };
+
+    void push(TimePoint now);
+    void send(ProxyLease &lease, std::uint64_t sequence, std::uint64_t baseRevision, TimePoint now);
+    FleetView viewAfter(std::uint64_t baseRevision) const;
+    FleetView wholeView() const;
+    bool needsDocument(const ProxyLease &lease, TimePoint now);
+    const OpaqueBytes &compressedDocument();
+
+    const FleetSettings &settings;
+    const FleetState &state;
+    LeaseTracker &leases;
+    PoolerRegistry &registry;
+    ViewSenderPorts ports;
+    TimePoint pushAt = TimePoint::max();
+    // Configuration version that each pooler run reported last.
+    std::map<ProxyRun, std::uint64_t> reportedVersions;
+    std::map<ProxyRun, SentDocument> sentDocuments;
+    std::uint64_t compressedVersion = 0;
+    OpaqueBytes compressed;
+};
+
+} // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/sessions/authority_view.cpp
+++ b/src/rhubarbweir/coordination/sessions/authority_view.cpp
@@ -8,13 +8,17 @@
 
 bool AuthorityView::update(const FleetView &next, TimePoint now)
 {
-    if (next.revision <= this->view.revision)
+    if (next.revision <= this->heldRevision || next.baseRevision > this->heldRevision)
         return false;
-    this->view = next;
-    this->targetsById.clear();
+    this->heldRevision = next.revision;
+    if (next.baseRevision == 0) {
+        this->targetsById.clear();
+        this->authorities.clear();
+    }
+    for (const TargetId &removed : next.removedTargets)
+        this->targetsById.erase(removed);
     for (const RegisteredTarget &target : next.targets)
         this->targetsById[target.target] = target;
-    this->authorities.clear();
     for (const PrimaryAuthority &authority : next.authorities) {
         this->authorities[authority.group] = authority;
         if (authority.primary.empty())
--- a/src/rhubarbweir/coordination/sessions/authority_view.hpp
+++ b/src/rhubarbweir/coordination/sessions/authority_view.hpp
@@ -13,7 +13,8 @@
 class AuthorityView
 {
 public:
-    // Ignores a view whose revision is not newer. True when the view changed.
+    // Applies a whole view or changes. Ignores one whose revision is not newer, and changes that
+    // start after the revision held. True when the view changed.
     bool update(const FleetView &view, TimePoint now);
     // Ignores a table whose version is not newer. True when the table changed.
     bool updateRoutes(RouteTable table);
@@ -39,14 +40,13 @@
     const Route *route(const std::string &database) const;
     GroupLimits limits(const GroupId &group) const;
     const RouteTable &routes() const { return this->table; }
-    std::uint64_t revision() const { return this->view.revision; }
+    std::uint64_t revision() const { return this->heldRevision; }
     const std::map<TargetId, RegisteredTarget> &targets() const { return this->targetsById; }
-    const std::vector<std::string> &controls() const { return this->view.controls; }
     // Pooler processes that may hold connections to a target now.
     std::uint32_t connectionHolders() const { return this->livePoolers + this->formerPoolers; }
 
 private:
-    FleetView view;
+    std::uint64_t heldRevision = 0;
     std::map<TargetId, RegisteredTarget> targetsById;
     std::map<GroupId, PrimaryAuthority> authorities;
     // When a view without a primary for the group was first received.
--- a/src/rhubarbweir/protocol/fleet_codec.cpp
+++ b/src/rhubarbweir/protocol/fleet_codec.cpp
@@ -18,6 +18,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PoolerRun, pooler, incarnation, hasEnded)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegisterPooler, pooler, incarnation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForgetPooler, pooler, incarnation)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegisterObserver, address)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForgetObserver, address)
 
 // Found by nlohmann::json through argument-dependent lookup.
 static void to_json(nlohmann::json &to, const FleetState::Snapshot &snapshot)
@@ -26,7 +28,8 @@
           {"configuration", snapshot.configuration},
           {"targets", snapshot.targets},
           {"authorities", snapshot.authorities},
-          {"poolers", snapshot.poolers}};
+          {"poolers", snapshot.poolers},
+          {"observers", snapshot.observers}};
 }
 
 static void from_json(const nlohmann::json &from, FleetState::Snapshot &snapshot)
@@ -36,6 +39,8 @@
     from.at("targets").get_to(snapshot.targets);
     from.at("authorities").get_to(snapshot.authorities);
     from.at("poolers").get_to(snapshot.poolers);
+    // Absent from snapshots of versions without observers.
+    snapshot.observers = from.value("observers", std::vector<std::string>());
 }
 
 namespace {
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -75,8 +75,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetObservation, target, group, state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ObserverReport, instance, failureDomain, observations)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RenewLease, proxy, address, failureDomain, incarnation, sequence,
-                                   revision, draining, groups, observations, configurationVersion,
-                                   overloadedGroups)
+                                   revision, draining, answered, isObserver, groups, observations,
+                                   configurationVersion, overloadedGroups)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseGranted, sequence, leaseFor, delta)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseRefused, sequence, leaderAddress)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewChanged, delta)
@@ -134,7 +134,8 @@
                                    slots, born, sequence, reportsPrimary)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrimaryAuthority, group, generation, primary, former, candidate,
                                    revokedAt, chooser, token)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetView, revision, targets, authorities, controls)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetView, revision, baseRevision, targets, removedTargets,
+                                   authorities, controls)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetLease, sequence, leaseFor, view, poolers, formerPoolers,
                                    configurationVersion, configuration)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetRedirect, leader)
--- a/src/rhubarbweir/state/fleet_state.cpp
+++ b/src/rhubarbweir/state/fleet_state.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Limit on the remembered changes of the view. A pooler that missed more receives the whole view.
+constexpr std::size_t MaxViewChanges = 4096;
+
 auto asTuple(const RegisteredTarget &target)
 {
     return std::tie(target.target, target.group, target.address, target.failureDomain, target.phase,
@@ -71,24 +74,51 @@
 {
     if (!this->accepts(command.target))
         return false;
-    this->removeSupersededTargets(command.target);
+    this->removeSupersededTargets(index, command.target);
     this->registeredTargets[command.target.target] = command.target;
-    this->revision = index;
+    this->recordViewChange(index, command.target.target, {});
     return true;
 }
 
 // An address belongs to the most recent start. An older target registered at the same address no
 // longer exists.
-void FleetState::removeSupersededTargets(const RegisteredTarget &target)
+void FleetState::removeSupersededTargets(std::uint64_t index, const RegisteredTarget &target)
 {
     for (auto entry = this->registeredTargets.begin(); entry != this->registeredTargets.end();) {
         const RegisteredTarget &other = entry->second;
         const bool isSuperseded = other.target != target.target && other.address == target.address
                                   && other.born < target.born;
+        if (isSuperseded)
+            this->recordViewChange(index, entry->first, {});
         entry = isSuperseded ? this->registeredTargets.erase(entry) : std::next(entry);
     }
 }
 
+void FleetState::recordViewChange(std::uint64_t index, const TargetId &target, const GroupId &group)
+{
+    this->revision = index;
+    this->viewChanges.push_back({index, target, group});
+    if (this->viewChanges.size() <= MaxViewChanges)
+        return;
+    this->changesKnownSince = this->viewChanges.front().index;
+    this->viewChanges.pop_front();
+}
+
+std::optional<FleetViewChanges> FleetState::viewChangesAfter(std::uint64_t since) const
+{
+    if (since < this->changesKnownSince)
+        return std::nullopt;
+    FleetViewChanges changes;
+    for (auto entry = this->viewChanges.rbegin();
+         entry != this->viewChanges.rend() && entry->index > since; ++entry) {
+        if (entry->target.empty())
+            changes.authorities.insert(entry->group);
+        else
+            changes.targets.insert(entry->target);
+    }
+    return changes;
+}
+
 bool FleetState::applyCommand(std::uint64_t index, const GrantAuthority &command)
 {
     PrimaryAuthority &authority = this->authorityByGroup[command.group];
@@ -102,7 +132,7 @@
     authority.chooser = {};
     authority.revokedAt = 0;
     authority.token = 0;
-    this->revision = index;
+    this->recordViewChange(index, {}, command.group);
     return true;
 }
 
@@ -120,7 +150,7 @@
     authority.chooser = {};
     authority.revokedAt = index;
     authority.token = 0;
-    this->revision = index;
+    this->recordViewChange(index, {}, command.group);
     return true;
 }
 
@@ -167,6 +197,16 @@
     return true;
 }
 
+bool FleetState::applyCommand(std::uint64_t, const RegisterObserver &command)
+{
+    return this->observerAddresses.insert(command.address).second;
+}
+
+bool FleetState::applyCommand(std::uint64_t, const ForgetObserver &command)
+{
+    return this->observerAddresses.erase(command.address) != 0;
+}
+
 FleetState::Snapshot FleetState::snapshot() const
 {
     Snapshot result;
@@ -178,12 +218,15 @@
         result.authorities.push_back(authority);
     for (const auto &[key, run] : this->poolerRuns)
         result.poolers.push_back(run);
+    result.observers.assign(this->observerAddresses.begin(), this->observerAddresses.end());
     return result;
 }
 
 void FleetState::restore(const Snapshot &snapshot)
 {
     this->revision = snapshot.revision;
+    this->viewChanges.clear();
+    this->changesKnownSince = snapshot.revision;
     this->storedConfiguration = snapshot.configuration;
     this->registeredTargets.clear();
     this->authorityByGroup.clear();
@@ -197,6 +240,7 @@
         this->poolerRuns[{run.pooler, run.incarnation}] = run;
         this->livePoolerCount += run.hasEnded ? 0 : 1;
     }
+    this->observerAddresses = {snapshot.observers.begin(), snapshot.observers.end()};
 }
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/state/fleet_state.hpp
+++ b/src/rhubarbweir/state/fleet_state.hpp
@@ -10,7 +10,10 @@
 #include "rhubarbweir/state/opaque_bytes.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -149,8 +152,30 @@
     std::uint64_t incarnation = 0;
 };
 
-using FleetCommand = std::variant<StoreConfiguration, RecordTarget, GrantAuthority, RevokeAuthority,
-                                  ChooseCandidate, RegisterPooler, ForgetPooler>;
+// Registers a control instance without a disk, by its internal address, so that a new leader can
+// call on it.
+struct RegisterObserver
+{
+    std::string address;
+};
+
+// Removes an observer that has been silent for long.
+struct ForgetObserver
+{
+    std::string address;
+};
+
+using FleetCommand =
+    std::variant<StoreConfiguration, RecordTarget, GrantAuthority, RevokeAuthority, ChooseCandidate,
+                 RegisterPooler, ForgetPooler, RegisterObserver, ForgetObserver>;
+
+// What changed in the view since some revision.
+struct FleetViewChanges
+{
+    // Targets that were recorded or removed.
+    std::set<TargetId> targets;
+    std::set<GroupId> authorities;
+};
 
 class FleetState
 {
@@ -160,6 +185,8 @@
 
     // Log index of the last change to targets or authorities.
     std::uint64_t viewRevision() const { return this->revision; }
+    // The changes after `since`; empty if they are not known back to it.
+    std::optional<FleetViewChanges> viewChangesAfter(std::uint64_t since) const;
     const ConfigurationDocument &configuration() const { return this->storedConfiguration; }
     const std::map<TargetId, RegisteredTarget> &targets() const { return this->registeredTargets; }
     const std::map<GroupId, PrimaryAuthority> &authorities() const
@@ -179,6 +206,9 @@
     // Number of poolers with a registered start that has not ended.
     std::size_t livePoolers() const { return this->livePoolerCount; }
 
+    // Internal addresses of registered observers.
+    const std::set<std::string> &observers() const { return this->observerAddresses; }
+
     // Complete copy of the state, stored in quorum log snapshots.
     struct Snapshot
     {
@@ -187,6 +217,7 @@
         std::vector<RegisteredTarget> targets;
         std::vector<PrimaryAuthority> authorities;
         std::vector<PoolerRun> poolers;
+        std::vector<std::string> observers;
     };
     Snapshot snapshot() const;
     void restore(const Snapshot &snapshot);
@@ -199,15 +230,31 @@
     bool applyCommand(std::uint64_t index, const ChooseCandidate &command);
     bool applyCommand(std::uint64_t index, const RegisterPooler &command);
     bool applyCommand(std::uint64_t index, const ForgetPooler &command);
-    void removeSupersededTargets(const RegisteredTarget &target);
+    bool applyCommand(std::uint64_t index, const RegisterObserver &command);
+    bool applyCommand(std::uint64_t index, const ForgetObserver &command);
+    void removeSupersededTargets(std::uint64_t index, const RegisteredTarget &target);
+    void recordViewChange(std::uint64_t index, const TargetId &target, const GroupId &group);
+
+    struct ViewChange
+    {
+        std::uint64_t index = 0;
+        // One of the two is empty.
+        TargetId target;
+        GroupId group;
+    };
 
     std::uint64_t revision = 0;
+    // The latest changes of the view by increasing index. Complete after `changesKnownSince`. Not
+    // part of the replicated state.
+    std::deque<ViewChange> viewChanges;
+    std::uint64_t changesKnownSince = 0;
     ConfigurationDocument storedConfiguration;
     std::map<TargetId, RegisteredTarget> registeredTargets;
     std::map<GroupId, PrimaryAuthority> authorityByGroup;
     // At most one run of each pooler has not ended.
     PoolerRuns poolerRuns;
     std::size_t livePoolerCount = 0;
+    std::set<std::string> observerAddresses;
 };
 
 // Whether `next` was sent after `known`. Both must have the same target id.
--- a/src/rhubarbweir/transport/byte_stream.cpp
+++ b/src/rhubarbweir/transport/byte_stream.cpp
@@ -205,11 +205,12 @@
 struct StreamListener::Impl : std::enable_shared_from_this<Impl>
 {
     Impl(EventLoop &eventLoop, std::string listenAddress, std::size_t connectionLimit,
-         Accepted acceptedHook)
+         Accepted acceptedHook, MakeRoom makeRoomHook)
         : loop(eventLoop)
         , address(std::move(listenAddress))
         , maxConnections(connectionLimit)
         , accepted(std::move(acceptedHook))
+        , makeRoom(std::move(makeRoomHook))
         , acceptor(eventLoop.context())
     {
     }
@@ -231,7 +232,8 @@
 
     void handleAccepted(tcp::socket socket)
     {
-        if (*this->open >= this->maxConnections)
+        const bool isFull = *this->open >= this->maxConnections;
+        if (isFull && (!this->makeRoom || !this->makeRoom()))
             return;
         auto stream = std::make_shared<TcpStream>(std::move(socket), this->open);
         this->accepted(stream);
@@ -243,13 +245,15 @@
     std::string address;
     std::size_t maxConnections;
     Accepted accepted;
+    MakeRoom makeRoom;
     tcp::acceptor acceptor;
     std::shared_ptr<std::size_t> open = std::make_shared<std::size_t>(0);
 };
 
 StreamListener::StreamListener(EventLoop &loop, std::string address, std::size_t maxConnections,
-                               Accepted accepted)
-    : impl(std::make_shared<Impl>(loop, std::move(address), maxConnections, std::move(accepted)))
+                               Accepted accepted, MakeRoom makeRoom)
+    : impl(std::make_shared<Impl>(loop, std::move(address), maxConnections, std::move(accepted),
+                                  std::move(makeRoom)))
 {
 }
 
--- a/src/rhubarbweir/transport/byte_stream.hpp
+++ b/src/rhubarbweir/transport/byte_stream.hpp
@@ -46,10 +46,13 @@
 public:
     using Accepted = std::function<void(ByteStreamPtr)>;
 
+    // Closes an open stream to make room for a new one. False if none may be closed.
+    using MakeRoom = std::function<bool()>;
+
     // `address` is host:port with a numeric host. Connections beyond `maxConnections` are closed
-    // immediately.
+    // immediately, unless `makeRoom` is given and closes another one.
     StreamListener(EventLoop &loop, std::string address, std::size_t maxConnections,
-                   Accepted accepted);
+                   Accepted accepted, MakeRoom makeRoom = {});
     ~StreamListener();
 
     // Errors: InvalidArgument for a bad address, Unavailable when the port cannot be bound.
--- a/src/rhubarbweir/transport/http.cpp
+++ b/src/rhubarbweir/transport/http.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <deque>
 #include <http_parser.h>
 #include <utility>
@@ -64,6 +65,15 @@
         this->parser.data = this;
     }
 
+    bool isIdle() const { return !this->isHandlingRequest && this->pendingRequests.empty(); }
+    TimePoint lastUsedAt() const { return this->usedAt; }
+    bool isOpen() const { return this->stream->isOpen(); }
+    void close()
+    {
+        this->isFinished = true;
+        this->stream->close();
+    }
+
     void start()
     {
         // The stream's hooks keep this object alive until the stream is closed.
@@ -132,6 +142,7 @@
         auto [request, keepAlive] = std::move(this->pendingRequests.front());
         this->pendingRequests.pop_front();
         this->isHandlingRequest = true;
+        this->usedAt = EventLoop::now();
         this->handler(std::move(request),
                       [self = this->shared_from_this(), keep = keepAlive](
                           const HttpResponse &response) { self->answer(response, keep); });
@@ -156,6 +167,7 @@
     http_parser parser{};
     HttpRequest current;
     std::deque<std::pair<HttpRequest, bool>> pendingRequests;
+    TimePoint usedAt = EventLoop::now();
     bool isHandlingRequest = false;
     bool tooLarge = false;
     bool isFinished = false;
@@ -245,13 +257,53 @@
 
 } // namespace
 
+// Connections of a listener, some of which may have been closed.
+struct HttpListener::Connections
+{
+    std::vector<std::weak_ptr<HttpServerConnection>> all;
+
+    void add(const std::shared_ptr<HttpServerConnection> &connection)
+    {
+        const auto isGone = [](const auto &each) {
+            return each.expired();
+        };
+        this->all.erase(std::remove_if(this->all.begin(), this->all.end(), isGone),
+                        this->all.end());
+        this->all.push_back(connection);
+    }
+
+    // False if every connection has a request.
+    bool closeLongestIdle()
+    {
+        std::shared_ptr<HttpServerConnection> longest;
+        for (const auto &each : this->all) {
+            const auto connection = each.lock();
+            const bool mayClose = connection && connection->isOpen() && connection->isIdle();
+            if (mayClose && (!longest || connection->lastUsedAt() < longest->lastUsedAt()))
+                longest = connection;
+        }
+        if (longest)
+            longest->close();
+        return longest != nullptr;
+    }
+};
+
 HttpListener::HttpListener(EventLoop &loop, const std::string &address, std::size_t maxConnections,
                            Handler requestHandler)
     : handler(std::move(requestHandler))
-    , listener(loop, address, maxConnections, [this](const ByteStreamPtr &stream) {
-        std::make_shared<HttpServerConnection>(stream, this->handler)->start();
-    })
+    , connections(std::make_shared<Connections>())
+    , listener(
+          loop, address, maxConnections,
+          [this](const ByteStreamPtr &stream) { this->accepted(stream); },
+          [known = this->connections] { return known->closeLongestIdle(); })
+{
+}
+
+void HttpListener::accepted(const ByteStreamPtr &stream)
 {
+    auto connection = std::make_shared<HttpServerConnection>(stream, this->handler);
+    this->connections->add(connection);
+    connection->start();
 }
 
 void callHttp(EventLoop &loop, const HttpCall &call, std::function<void(absl::StatusOr<int>)> done)
--- a/src/rhubarbweir/transport/http.hpp
+++ b/src/rhubarbweir/transport/http.hpp
@@ -39,6 +39,8 @@
 public:
     using Handler = std::function<void(HttpRequest, HttpResponder)>;
 
+    // At `maxConnections` a new connection takes the place of the one that has been without a
+    // request for longest. It is refused if all have requests.
     HttpListener(EventLoop &loop, const std::string &address, std::size_t maxConnections,
                  Handler handler);
 
@@ -47,7 +49,12 @@
     void stop() { this->listener.stop(); }
 
 private:
+    struct Connections;
+
+    void accepted(const ByteStreamPtr &stream);
+
     Handler handler;
+    std::shared_ptr<Connections> connections;
     StreamListener listener;
 };
 
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -95,9 +95,10 @@
         }
     }
 
+    // Without `confirms` as a delayed message, whose sender has ended.
     void renew(const std::string &pooler, std::uint64_t revision,
                const std::vector<std::string> &complaints = {}, std::uint64_t incarnation = 1,
-               bool isOverloaded = false)
+               bool isOverloaded = false, bool confirms = true)
     {
         RenewLease message;
         message.proxy = InstanceId(pooler);
@@ -108,16 +109,28 @@
             message.observations.push_back({TargetId(name), Group, ObservedState::Broken});
         if (isOverloaded)
             message.overloadedGroups.push_back(Group);
+        const std::size_t before = this->sent.size();
         this->controller.receiveFromPooler(this->connectionOf(pooler), message, this->now);
+        const auto *question =
+            this->sent.size() > before ? std::get_if<FleetLease>(&this->sent.back().second) : nullptr;
+        const bool asksToConfirm = question != nullptr && question->sequence == message.sequence
+                                   && question->leaseFor == Duration::zero();
+        if (confirms && asksToConfirm) {
+            message.answered = message.sequence;
+            message.sequence = ++this->sequence;
+            this->controller.receiveFromPooler(this->connectionOf(pooler), message, this->now);
+        }
         this->commit();
     }
 
-    // The newest lease sent to the pooler; null if none was sent.
+    // The newest lease sent to the pooler, or its newest view; null if none was sent.
     const FleetLease *lastLease(const std::string &pooler)
     {
         for (auto entry = this->sent.rbegin(); entry != this->sent.rend(); ++entry) {
             const auto *lease = std::get_if<FleetLease>(&entry->second);
-            if (entry->first == this->connectionOf(pooler) && lease != nullptr)
+            // An answer without a lease only asks its receiver to confirm that it runs.
+            const bool isQuestion = lease != nullptr && lease->leaseFor == Duration::zero();
+            if (entry->first == this->connectionOf(pooler) && lease != nullptr && !isQuestion)
                 return lease;
         }
         return nullptr;
@@ -201,6 +214,7 @@
     std::deque<std::pair<std::uint64_t, FleetCommand>> log;
     std::deque<RegisteredTarget> probes;
     std::vector<PromotionRequest> promotions;
+    std::vector<std::string> calledObservers;
     std::vector<std::pair<ConnectionId, FleetReply>> sent;
     FleetController controller;
 
@@ -237,6 +251,12 @@
         hooks.sendToPooler = [this](ConnectionId connection, const FleetReply &reply) {
             this->sent.emplace_back(connection, reply);
         };
+        hooks.compress = [](const OpaqueBytes &document) {
+            return document;
+        };
+        hooks.callObserver = [this](const std::string &address) {
+            this->calledObservers.push_back(address);
+        };
         hooks.probe = [this](const RegisteredTarget &asked) {
             this->probes.push_back(asked);
         };
--- a/tests/unit/fleet_controller_properties.tests.cpp
+++ b/tests/unit/fleet_controller_properties.tests.cpp
@@ -2,6 +2,7 @@
 // changes, and failed or overloaded primaries, no target is promoted while any pooler may use
 // another one as the primary.
 #include "fakes/fleet_fixture.hpp"
+#include "rhubarbweir/coordination/sessions/authority_view.hpp"
 
 #include <criterion/criterion.h>
 
@@ -25,9 +26,7 @@
     std::string name;
     std::uint64_t incarnation = 0;
     bool isPartitioned = false;
-    std::uint64_t revision = 0;
-    TargetId primary;
-    TimePoint leaseEnd;
+    AuthorityView view;
     // Send times of this run's renewals, by sequence.
     std::map<std::uint64_t, TimePoint> sentAt;
 };
@@ -42,7 +41,7 @@
         this->fleet.waitForGracePeriod();
         this->fleet.startGroup();
         for (const std::string name : {"p1", "p2", "p3"}) {
-            this->poolers.push_back({name, this->random() % 100000 + 1, false, 0, {}, {}, {}});
+            this->poolers.push_back({name, this->random() % 100000 + 1, false, {}, {}});
             this->renew(this->poolers.back());
         }
     }
@@ -80,7 +79,7 @@
         if (this->chance(3) && !this->endedRuns.empty()) {
             const auto &[name, incarnation] =
                 this->endedRuns[this->random() % this->endedRuns.size()];
-            this->fleet.renew(name, 0, {}, incarnation);
+            this->fleet.renew(name, 0, {}, incarnation, false, false);
         }
         if (this->chance(2))
             this->fleet.changeLeader();
@@ -96,7 +95,7 @@
     void restart(ModelPooler &pooler)
     {
         this->endedRuns.emplace_back(pooler.name, pooler.incarnation);
-        pooler = {pooler.name, this->random() % 100000 + 1, pooler.isPartitioned, 0, {}, {}, {}};
+        pooler = {pooler.name, this->random() % 100000 + 1, pooler.isPartitioned, {}, {}};
     }
 
     void renew(ModelPooler &pooler)
@@ -104,8 +103,10 @@
         std::vector<std::string> complaints;
         for (const TargetId &target : this->fleet.unreachable)
             complaints.push_back(target.value);
+        // The renewal may be sent twice, to confirm that its sender runs.
         pooler.sentAt[this->fleet.sequence + 1] = this->fleet.now;
-        this->fleet.renew(pooler.name, pooler.revision, complaints, pooler.incarnation,
+        pooler.sentAt[this->fleet.sequence + 2] = this->fleet.now;
+        this->fleet.renew(pooler.name, pooler.view.revision(), complaints, pooler.incarnation,
                           this->isOverloaded);
     }
 
@@ -127,13 +128,9 @@
         const auto asked = pooler.sentAt.find(lease.sequence);
         if (asked == pooler.sentAt.end() && lease.sequence != 0)
             return;
-        if (lease.view.revision > pooler.revision && !lease.view.targets.empty()) {
-            pooler.revision = lease.view.revision;
-            for (const PrimaryAuthority &authority : lease.view.authorities)
-                pooler.primary = authority.primary;
-        }
-        if (lease.sequence != 0)
-            pooler.leaseEnd = std::max(pooler.leaseEnd, asked->second + lease.leaseFor);
+        pooler.view.update(lease.view, this->fleet.now);
+        if (lease.sequence != 0 && pooler.view.revision() >= lease.view.revision)
+            pooler.view.extendLease(asked->second + lease.leaseFor);
     }
 
     void checkPromotions()
@@ -141,10 +138,10 @@
         for (; this->checked < this->fleet.promotions.size(); ++this->checked) {
             const PromotionRequest &request = this->fleet.promotions[this->checked];
             for (const ModelPooler &pooler : this->poolers) {
-                const bool mayUse = this->fleet.now < pooler.leaseEnd && !pooler.primary.empty();
-                cr_assert(!mayUse || pooler.primary == request.target,
+                const auto primary = pooler.view.primary(FleetFixture::Group, this->fleet.now);
+                cr_assert(!primary || *primary == request.target,
                           "seed %u: %s may use %s while %s is promoted", this->seed,
-                          pooler.name.c_str(), pooler.primary.value.c_str(),
+                          pooler.name.c_str(), primary->value.c_str(),
                           request.target.value.c_str());
             }
             if (this->fleet.unreachable.count(request.target) == 0 && this->chance(70))
