Share positions of primaries through control; keep a home replica

Cause: in a fleet of more than a hundred poolers each one talks to a given primary once in seconds, so it has no position that is recent enough for a read on a replica. The reads go to the primaries, each over a connection of its own where there are fewer connections than poolers.

Change: after an answer to its renewal a pooler reports the positions that are newer by 150 ms than those of the leader; the leader's answers carry the newest ones. Ages travel instead of times, counted from a message that was sent earlier, so a delay makes a position look older, never younger. Where the limits allow no resting connection to each target, one rests at one replica of each group, in the own failure domain if there is one.

--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -265,6 +265,10 @@
         this->controller.receiveFromPooler(connection, *renewal, now);
         return;
     }
+    if (const auto *report = std::get_if<PositionReport>(&message)) {
+        this->controller.positionsReported(connection, *report);
+        return;
+    }
     if (const auto *hello = std::get_if<PeerHello>(&message)) {
         this->peers[connection] = hello->instance;
         return;
--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -172,15 +172,26 @@
             this->sentAt.erase(this->sentAt.begin(), std::next(found));
         }
         const bool asksToConfirm = lease->sequence != 0 && lease->leaseFor == Duration::zero();
-        if (asksToConfirm && !this->hooks.isObserver)
+        if (asksToConfirm && !this->hooks.isObserver) {
             this->renewNow();
-        else
-            this->hooks.received(*lease, asked);
+            return;
+        }
+        this->hooks.received(*lease, asked);
+        if (asked && this->hooks.positions)
+            this->reportPositions();
     } else if (const auto *redirection = std::get_if<FleetRedirect>(&message)) {
         this->redirect(redirection->leader);
     }
 }
 
+// Sent right after an answer, from whose sending the leader counts the ages.
+void FleetLink::reportPositions()
+{
+    PositionReport report{this->answered, this->hooks.positions()};
+    if (!report.positions.empty() && this->connection)
+        this->connection->send(report);
+}
+
 void FleetLink::redirect(const std::string &leader)
 {
     this->isAnswered = false;
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -22,6 +22,8 @@
     std::function<RenewLease()> renewal;
     // `sentAt` is when the answered renewal was sent; empty for an unsolicited message.
     std::function<void(const FleetLease &, std::optional<TimePoint> sentAt)> received;
+    // Positions to report after an answer; may be empty.
+    std::function<std::vector<GroupPosition>()> positions;
     // An observer gets answers without a lease.
     bool isObserver = false;
 };
@@ -50,6 +52,7 @@
     void connect(const std::string &address);
     void connected(const ConnectionPtr &connection, const std::string &address);
     void receive(const Message &message);
+    void reportPositions();
     void redirect(const std::string &leader);
     void drop(const std::string &cause);
     void retryLater();
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -43,6 +43,7 @@
 PoolerSettings poolerSettings(const platform::ProcessSettings &settings)
 {
     PoolerSettings pooler;
+    pooler.instance = settings.instance;
     pooler.failureDomain = settings.failureDomain;
     return pooler;
 }
@@ -182,6 +183,9 @@
     hooks.received = [this](const FleetLease &lease, std::optional<TimePoint> sentAt) {
         this->leaseReceived(lease, sentAt);
     };
+    hooks.positions = [this] {
+        return this->pooler.positionsToReport(EventLoop::now());
+    };
     return hooks;
 }
 
@@ -216,6 +220,8 @@
                      {{"cause", table.status().ToString()}});
     }
     const bool holdsView = this->pooler.authorityView().revision() >= lease.view.revision;
+    if (sentAt)
+        this->pooler.positionsReceived(lease.positions, *sentAt, now);
     if (sentAt && holdsView)
         this->pooler.leaseReceived(*sentAt + lease.leaseFor, lease.poolers, lease.formerPoolers,
                                    now);
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -47,7 +47,9 @@
     , hooks(std::move(fleetHooks))
     , leases(this->settings.lease)
     , registry(this->settings, this->fleet, this->leases, this->registryPorts())
-    , views(this->settings, this->fleet, this->leases, this->registry, this->viewPorts())
+    , positions(this->fleet)
+    , views(this->settings, this->fleet, this->leases, this->registry, this->positions,
+            this->viewPorts())
     , observers(this->fleet, this->observerPorts())
     , detector(this->settings)
 {
@@ -73,6 +75,7 @@
     this->replicaRoleSince.clear();
     this->lastAnnouncements.clear();
     this->views.beginLeadership();
+    this->positions.clear();
     this->questions.clear();
     if (isLeader) {
         this->leases.beginLeadership(now);
@@ -347,6 +350,7 @@
 void FleetController::connectionClosed(ConnectionId connection)
 {
     this->leases.connectionClosed(connection);
+    this->positions.connectionClosed(connection);
     this->questions.erase(connection);
 }
 
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -34,6 +34,10 @@
     TimePoint nextDeadline() const { return std::min(this->wakeAt, this->views.nextDeadline()); }
 
     void receiveFromPooler(ConnectionId connection, const RenewLease &message, TimePoint now);
+    void positionsReported(ConnectionId connection, const PositionReport &report)
+    {
+        this->positions.report(connection, report);
+    }
     void connectionClosed(ConnectionId connection);
 
     // A target announced itself. `done` may be called before the function returns.
@@ -88,6 +92,7 @@
     FleetState fleet;
     LeaseTracker leases;
     PoolerRegistry registry;
+    PositionTable positions;
     ViewSender views;
     ObserverRegistry observers;
     PrimaryFailureDetector detector;
--- a/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "rhubarbweir/state/fleet_state.hpp"
+#include "rhubarbweir/state/log_position.hpp"
 #include "rhubarbweir/state/time.hpp"
 
 #include <cstdint>
@@ -27,6 +28,25 @@
     std::vector<std::string> controls;
 };
 
+// A position that a group's primary told, and how long ago it was asked for: data that covers it
+// includes every commit that was confirmed before.
+struct GroupPosition
+{
+    GroupId group;
+    // Authority generation under which the primary was asked.
+    std::uint64_t generation = 0;
+    LogPosition position;
+    Duration age{0};
+};
+
+// Positions that a pooler knows and the leader does not.
+struct PositionReport
+{
+    // Sequence of the last answer received, after which the ages were taken.
+    std::uint64_t answered = 0;
+    std::vector<GroupPosition> positions;
+};
+
 // Answer to a renewal, or unsolicited when the view or the configuration changed.
 struct FleetLease
 {
@@ -39,6 +59,8 @@
     std::uint32_t poolers = 1;
     // Number of ended pooler processes whose connections targets may still hold.
     std::uint32_t formerPoolers = 0;
+    // Positions known to the leader, with ages counted from the sending; only in answers.
+    std::vector<GroupPosition> positions;
     std::uint64_t configurationVersion = 0;
     // Compressed. Empty if the pooler already has this version or was sent it before.
     OpaqueBytes configuration;
--- a/src/rhubarbweir/coordination/fleet/observer_registry.cpp
+++ b/src/rhubarbweir/coordination/fleet/observer_registry.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-ObserverRegistry::ObserverRegistry(const FleetState &fleetState, ObserverRegistryPorts registryPorts)
+ObserverRegistry::ObserverRegistry(const FleetState &fleetState,
+                                   ObserverRegistryPorts registryPorts)
     : state(fleetState)
     , ports(std::move(registryPorts))
 {
--- a/src/rhubarbweir/coordination/fleet/observer_registry.hpp
+++ b/src/rhubarbweir/coordination/fleet/observer_registry.hpp
@@ -1,9 +1,9 @@
-// The leader's registry of observers: control instances without a disk, which hold no state and send
-// callers on to the leader.
+// The leader's registry of observers: control instances without a disk, which hold no state and
+// send callers on to the leader.
 //
-// An observer that lost its memory knows only the instances named in its settings, and these may all
-// be observers. Their addresses are therefore in the replicated state, and the leader calls on those
-// it has not heard.
+// An observer that lost its memory knows only the instances named in its settings, and these may
+// all be observers. Their addresses are therefore in the replicated state, and the leader calls on
+// those it has not heard.
 #pragma once
 
 #include "rhubarbweir/coordination/fleet/pooler_registry.hpp"
--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -8,11 +8,12 @@
 
 ViewSender::ViewSender(const FleetSettings &fleetSettings, const FleetState &fleetState,
                        LeaseTracker &leaseTracker, PoolerRegistry &poolerRegistry,
-                       ViewSenderPorts senderPorts)
+                       PositionTable &positionTable, ViewSenderPorts senderPorts)
     : settings(fleetSettings)
     , state(fleetState)
     , leases(leaseTracker)
     , registry(poolerRegistry)
+    , positions(positionTable)
     , ports(std::move(senderPorts))
 {
 }
@@ -65,6 +66,10 @@
     message.poolers =
         static_cast<std::uint32_t>(std::max<std::size_t>(1, this->state.livePoolers()));
     message.formerPoolers = static_cast<std::uint32_t>(this->registry.formerRunCount(now));
+    if (sequence != 0) {
+        message.positions = this->positions.positions(now);
+        this->positions.answerSent(lease.connection, sequence, now);
+    }
     message.view = this->viewAfter(baseRevision);
     message.configurationVersion = this->state.configuration().version;
     if (this->needsDocument(lease, now))
--- a/src/rhubarbweir/coordination/fleet/view_sender.hpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "rhubarbweir/coordination/fleet/pooler_registry.hpp"
+#include "rhubarbweir/coordination/fleet/position_table.hpp"
 
 #include <functional>
 #include <map>
@@ -27,7 +28,7 @@
 {
 public:
     ViewSender(const FleetSettings &settings, const FleetState &state, LeaseTracker &leases,
-               PoolerRegistry &registry, ViewSenderPorts ports);
+               PoolerRegistry &registry, PositionTable &positions, ViewSenderPorts ports);
 
     // Forgets what was sent when this instance becomes the leader.
     void beginLeadership();
@@ -62,6 +63,7 @@
     const FleetState &state;
     LeaseTracker &leases;
     PoolerRegistry &registry;
+    PositionTable &positions;
     ViewSenderPorts ports;
     TimePoint pushAt = TimePoint::max();
     // Configuration version that each pooler run reported last.
--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -109,6 +109,7 @@
         return;
     last = awaited.sentAt;
     this->freshness[connection.group].record(awaited.sentAt, *answer.position);
+    this->ownPositions[connection.group] = {awaited.generation, *answer.position, awaited.sentAt};
 }
 
 void SessionPooler::internalCommandAnswered(PooledConnection &connection,
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -139,16 +139,49 @@
 
 // Number of connections that this pooler may keep idle. Half of the target's limit stays free: the
 // target holds the connections of a machine that lost power for seconds, and its replacement needs
-// connections meanwhile. With fewer connections than poolers none is kept idle: each is closed soon
-// after its use.
+// connections meanwhile. With fewer connections than poolers one is kept to the home replica of
+// each group; any other is closed soon after its use.
 std::uint32_t SessionPooler::idleShare(const TargetRecord &record) const
 {
     if (!this->mayKeepIdle(record))
-        return 0;
+        return this->isHomeReplica(record) ? 1 : 0;
     const std::uint32_t limit = this->view.limits(record.target.group).maxConnections;
     return std::max<std::uint32_t>(1, limit / 2 / this->view.connectionHolders());
 }
 
+// The replica that this pooler keeps a connection to where the limits allow none to each target. In
+// the own failure domain if there is one; otherwise chosen by rendezvous hashing, so that the
+// poolers of other domains spread over the replicas. Null without a replica, or if the limits do
+// not allow a share of the poolers to each.
+const TargetRecord *SessionPooler::homeReplica(const GroupId &group) const
+{
+    const TargetRecord *home = nullptr;
+    std::pair<bool, std::size_t> best;
+    std::uint32_t replicas = 0;
+    for (const auto &[id, record] : this->targetTracker.records()) {
+        if (record.target.group != group || record.target.phase != TargetPhase::Ready
+            || id == this->view.knownPrimary(group))
+            continue;
+        ++replicas;
+        const std::pair<bool, std::size_t> rank(
+            record.target.failureDomain == this->settings.failureDomain,
+            std::hash<std::string>()(this->settings.instance.value + "/" + id.value));
+        if (home == nullptr || best < rank) {
+            home = &record;
+            best = rank;
+        }
+    }
+    if (home == nullptr)
+        return nullptr;
+    const std::uint32_t share = this->view.connectionHolders() / replicas;
+    return share <= this->connectionsForPoolers(*home) ? home : nullptr;
+}
+
+bool SessionPooler::isHomeReplica(const TargetRecord &record) const
+{
+    return this->homeReplica(record.target.group) == &record;
+}
+
 std::uint32_t SessionPooler::connectionShare(const TargetRecord &record) const
 {
     const std::uint32_t most = std::max<std::uint32_t>(1, this->connectionsForPoolers(record)
@@ -171,7 +204,7 @@
 {
     for (const auto &[id, record] : this->targetTracker.records()) {
         if (record.connections.empty() && record.target.phase == TargetPhase::Ready
-            && now >= record.suspendedUntil && this->mayKeepIdle(record))
+            && now >= record.suspendedUntil && this->idleShare(record) > 0)
             this->openIfAllowed(id, now);
     }
 }
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -22,6 +22,7 @@
 
 struct PoolerSettings
 {
+    InstanceId instance;
     FailureDomainId failureDomain;
 
     // A target that owes an answer and has sent nothing for this long is reported as silent. A
@@ -49,6 +50,9 @@
     // From then on, a statement that needs the primary is refused after its latency objective
     // divided by this.
     unsigned absentPrimaryDivisor = 5;
+    // A position of a primary is reported to control if it is newer by this than the one that
+    // control has. A fraction of the staleness that callers accept.
+    Duration positionReportStep = std::chrono::milliseconds(150);
     // Connections above the idle share that may be opened while statements wait.
     std::uint32_t surplusConnections = 2;
     // Connections of each target that are reserved for control instances, one for each.
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -346,6 +346,41 @@
     }
 }
 
+void SessionPooler::positionsReceived(const std::vector<GroupPosition> &positions, TimePoint sentAt,
+                                      TimePoint now)
+{
+    bool isNews = false;
+    for (const GroupPosition &each : positions) {
+        const TimePoint asOf = sentAt - each.age;
+        this->sharedAsOf[each.group] = asOf;
+        const bool isCurrent = each.generation == this->view.generation(each.group)
+                               && !this->view.knownPrimary(each.group).empty();
+        TimePoint &last = this->lastSample[each.group];
+        if (!isCurrent || asOf <= last)
+            continue;
+        last = asOf;
+        this->freshness[each.group].record(asOf, each.position);
+        isNews = true;
+    }
+    if (isNews)
+        this->dispatchQueue(now);
+}
+
+std::vector<GroupPosition> SessionPooler::positionsToReport(TimePoint now)
+{
+    std::vector<GroupPosition> newer;
+    for (const auto &[group, own] : this->ownPositions) {
+        TimePoint &shared = this->sharedAsOf[group];
+        if (own.asOf < shared + this->settings.positionReportStep
+            || own.generation != this->view.generation(group))
+            continue;
+        shared = own.asOf;
+        newer.push_back({group, own.generation, own.position,
+                         std::chrono::duration_cast<Duration>(now - own.asOf)});
+    }
+    return newer;
+}
+
 std::vector<GroupId> SessionPooler::overloadedGroups(TimePoint now) const
 {
     std::vector<GroupId> overloaded;
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -39,6 +39,13 @@
     void leaseReceived(TimePoint end, std::uint32_t poolers, std::uint32_t formerPoolers,
                        TimePoint now);
 
+    // Positions of primaries that other poolers learned. `sentAt` is when the answered renewal was
+    // sent, so the ages were taken later.
+    void positionsReceived(const std::vector<GroupPosition> &positions, TimePoint sentAt,
+                           TimePoint now);
+    // Positions that this pooler learned and that are newer than those received.
+    std::vector<GroupPosition> positionsToReport(TimePoint now);
+
     void advance(TimePoint now);
     // When advance() is due.
     TimePoint nextDeadline() const;
@@ -62,6 +69,13 @@
     std::size_t sessionCount() const { return this->sessions.size(); }
 
 private:
+    struct OwnPosition
+    {
+        std::uint64_t generation = 0;
+        LogPosition position;
+        TimePoint asOf;
+    };
+
     // session_pooler.cpp: callers' statements.
     void process(Session &session, TextStatement statement, TimePoint now);
     void begin(Session &session, const TextStatement &statement, TimePoint now);
@@ -104,6 +118,8 @@
     void unpin(Session &session, bool reusable, TimePoint now);
     void dispatchQueue(TimePoint now);
     void dispatchQueued(SessionNumber number, TimePoint now);
+    const TargetRecord *homeReplica(const GroupId &group) const;
+    bool isHomeReplica(const TargetRecord &record) const;
     bool holdsAuthority(const PooledConnection &connection, std::uint64_t generation,
                         TimePoint now) const;
 
@@ -134,9 +150,12 @@
     std::map<SessionNumber, Session> sessions;
     // Sessions whose statement is queued, by priority and arrival.
     std::multimap<std::pair<unsigned, TimePoint>, SessionNumber> queue;
-    // Positions of each group's primary under the current log generation.
+    // Positions of each group's primary under the current log generation, learned here or received.
     std::map<GroupId, FreshnessTracker> freshness;
     std::map<GroupId, TimePoint> lastSample;
+    // The newest position learned here, and the age of the newest one that the leader has.
+    std::map<GroupId, OwnPosition> ownPositions;
+    std::map<GroupId, TimePoint> sharedAsOf;
     // Names of prepared statements on targets' connections, by access mode (read-only or not) and
     // shape.
     std::map<std::pair<bool, std::string>, std::string> preparedNames;
--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -69,6 +69,7 @@
     "quorum_timeout_now",
     "fleet_lease",
     "fleet_redirect",
+    "position_report",
 };
 static_assert(std::size(TypeNames) == std::variant_size_v<Message>);
 
--- a/src/rhubarbweir/protocol/fleet_codec.cpp
+++ b/src/rhubarbweir/protocol/fleet_codec.cpp
@@ -24,12 +24,9 @@
 // Found by nlohmann::json through argument-dependent lookup.
 static void to_json(nlohmann::json &to, const FleetState::Snapshot &snapshot)
 {
-    to = {{"revision", snapshot.revision},
-          {"configuration", snapshot.configuration},
-          {"targets", snapshot.targets},
-          {"authorities", snapshot.authorities},
-          {"poolers", snapshot.poolers},
-          {"observers", snapshot.observers}};
+    to = {{"revision", snapshot.revision}, {"configuration", snapshot.configuration},
+          {"targets", snapshot.targets},   {"authorities", snapshot.authorities},
+          {"poolers", snapshot.poolers},   {"observers", snapshot.observers}};
 }
 
 static void from_json(const nlohmann::json &from, FleetState::Snapshot &snapshot)
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -136,8 +136,10 @@
                                    revokedAt, chooser, token)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetView, revision, baseRevision, targets, removedTargets,
                                    authorities, controls)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GroupPosition, group, generation, position, age)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PositionReport, answered, positions)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetLease, sequence, leaseFor, view, poolers, formerPoolers,
-                                   configurationVersion, configuration)
+                                   positions, configurationVersion, configuration)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetRedirect, leader)
 
 } // namespace rhubarbweir
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -111,8 +111,9 @@
             message.overloadedGroups.push_back(Group);
         const std::size_t before = this->sent.size();
         this->controller.receiveFromPooler(this->connectionOf(pooler), message, this->now);
-        const auto *question =
-            this->sent.size() > before ? std::get_if<FleetLease>(&this->sent.back().second) : nullptr;
+        const auto *question = this->sent.size() > before
+                                   ? std::get_if<FleetLease>(&this->sent.back().second)
+                                   : nullptr;
         const bool asksToConfirm = question != nullptr && question->sequence == message.sequence
                                    && question->leaseFor == Duration::zero();
         if (confirms && asksToConfirm) {
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -533,3 +533,186 @@
     cr_assert(command.ok());
     cr_assert_eq(std::get<StoreConfiguration>(*command).document.bytes.size(), 2);
 }
+
+// Views as changes.
+
+Test(fleet_controller, view_changes,
+     .description = "A pooler that holds a view receives what changed after it")
+{
+    RunningFleet fleet;
+    const std::uint64_t before = fleet.revision();
+    fleet.announce(FleetFixture::target("t2", false, ++fleet.sequence, TargetPhase::Draining));
+    fleet.advance(milliseconds(50));
+    const FleetView &pushed = fleet.lastLease("p1")->view;
+    cr_assert_eq(pushed.baseRevision, before);
+    cr_assert_eq(pushed.targets.size(), 1);
+    cr_assert_eq(pushed.targets.front().target, TargetId("t2"));
+    cr_assert(pushed.authorities.empty());
+}
+
+Test(fleet_controller, view_changes_collected,
+     .description = "Changes that come together go out in one message")
+{
+    RunningFleet fleet;
+    const std::size_t before = fleet.sent.size();
+    for (const std::string name : {"t4", "t5", "t6"})
+        fleet.announce(FleetFixture::target(name, false, ++fleet.sequence));
+    cr_assert_eq(fleet.sent.size(), before);
+    fleet.advance(milliseconds(50));
+    cr_assert_eq(fleet.sent.size(), before + 2, "one message for each of two poolers");
+    cr_assert_eq(fleet.lastLease("p2")->view.targets.size(), 3);
+}
+
+Test(fleet_controller, revocation_is_urgent,
+     .description = "The end of an authority is sent at once, together with collected changes")
+{
+    RunningFleet fleet;
+    fleet.announce(FleetFixture::target("t4", false, ++fleet.sequence));
+    const PrimaryAuthority held = fleet.authority();
+    fleet.controller.applied(++fleet.lastIndex,
+                             RevokeAuthority{FleetFixture::Group, held.generation}, fleet.now);
+    const FleetView &pushed = fleet.lastLease("p1")->view;
+    cr_assert_eq(pushed.targets.size(), 1);
+    cr_assert_eq(pushed.authorities.size(), 1);
+    cr_assert(pushed.authorities.front().primary.empty());
+}
+
+Test(fleet_controller, view_removals, .description = "A target that left is named as removed")
+{
+    RunningFleet fleet;
+    fleet.controller.targetLeft(
+        TargetId("t3"), [](FleetCallOutcome) {}, fleet.now);
+    fleet.commit();
+    fleet.advance(milliseconds(50));
+    cr_assert_eq(fleet.lastLease("p1")->view.removedTargets.size(), 1);
+    cr_assert_eq(fleet.lastLease("p1")->view.removedTargets.front(), TargetId("t3"));
+    cr_assert(fleet.lastLease("p1")->view.targets.empty());
+}
+
+Test(fleet_controller, missed_view_changes,
+     .description = "An answer starts from the reported revision, whatever was pushed before it")
+{
+    RunningFleet fleet;
+    const std::uint64_t held = fleet.revision();
+    fleet.announce(FleetFixture::target("t4", false, ++fleet.sequence));
+    fleet.announce(FleetFixture::target("t5", false, ++fleet.sequence));
+    fleet.advance(milliseconds(50));
+    fleet.renew("p1", held);
+    const FleetView &answered = fleet.lastLease("p1")->view;
+    cr_assert_eq(answered.baseRevision, held);
+    cr_assert_eq(answered.targets.size(), 2);
+}
+
+Test(fleet_controller, whole_view,
+     .description = "A new start, and a pooler whose revision is older than the known changes, "
+                    "receive the whole view")
+{
+    RunningFleet fleet;
+    fleet.renew("p3", 0);
+    cr_assert_eq(fleet.lastLease("p3")->view.baseRevision, 0);
+    cr_assert_eq(fleet.lastLease("p3")->view.targets.size(), 3);
+    FleetFixture next("c2");
+    next.takeOver(fleet);
+    next.renew("p1", fleet.revision() - 1);
+    cr_assert_eq(next.lastLease("p1")->view.baseRevision, 0);
+    cr_assert_eq(next.lastLease("p1")->view.targets.size(), 3);
+}
+
+Test(fleet_controller, document_sent_once,
+     .description = "A document is not repeated while it may be on its way")
+{
+    RunningFleet fleet;
+    fleet.configure(7, "document");
+    cr_assert_eq(fleet.lastLease("p1")->configuration.bytes, "document");
+    fleet.announce(FleetFixture::target("t4", false, ++fleet.sequence));
+    fleet.advance(milliseconds(50));
+    cr_assert(fleet.lastLease("p1")->configuration.bytes.empty());
+    fleet.renew("p1", fleet.revision());
+    cr_assert(fleet.lastLease("p1")->configuration.bytes.empty());
+    fleet.advance(milliseconds(3100));
+    fleet.renew("p1", fleet.revision());
+    cr_assert_eq(fleet.lastLease("p1")->configuration.bytes, "document");
+}
+
+// Starts of poolers.
+
+Test(fleet_controller, unregistered_start,
+     .description =
+         "A delayed message of a start that was never registered does not end its successor")
+{
+    RunningFleet fleet;
+    fleet.renew("p1", 0, {}, 99, false, false);
+    cr_assert_null(fleet.controller.state().findPooler(InstanceId("p1"), 99));
+    cr_assert(!fleet.controller.state().findPooler(InstanceId("p1"), 1)->hasEnded);
+    fleet.renew("p1", fleet.revision());
+    cr_assert_eq(fleet.lastLease("p1")->sequence, fleet.sequence);
+}
+
+// Observers.
+
+Test(fleet_controller, observers,
+     .description = "A leader calls on observers that it has not heard, and on no others")
+{
+    FleetFixture first;
+    RenewLease question;
+    question.isObserver = true;
+    question.address = "observer:1";
+    first.controller.receiveFromPooler(first.connectionOf("observer"), question, first.now);
+    first.commit();
+    first.advance(milliseconds(1000));
+    cr_assert(first.calledObservers.empty());
+    FleetFixture second("c2");
+    second.takeOver(first);
+    second.advance(milliseconds(100));
+    cr_assert_eq(second.calledObservers.size(), 1);
+    cr_assert_eq(second.calledObservers.front(), "observer:1");
+    second.controller.receiveFromPooler(second.connectionOf("observer"), question, second.now);
+    second.calledObservers.clear();
+    second.advance(milliseconds(1000));
+    cr_assert(second.calledObservers.empty());
+}
+
+Test(fleet_controller, observers_in_snapshots,
+     .description = "Observers outlast snapshots, and snapshots without observers can be read")
+{
+    FleetState::Snapshot snapshot;
+    snapshot.observers = {"observer:1"};
+    const auto read = decodeFleetSnapshot(encodeFleetSnapshot(snapshot));
+    cr_assert(read.ok());
+    FleetState restored;
+    restored.restore(*read);
+    cr_assert_eq(restored.observers().count("observer:1"), 1);
+}
+
+Test(fleet_controller, observers_forgotten,
+     .description = "An observer that has been silent for long is removed")
+{
+    FleetFixture fleet;
+    fleet.controller.applied(++fleet.lastIndex, RegisterObserver{"observer:1"}, fleet.now);
+    fleet.now += std::chrono::minutes(11);
+    fleet.advance(milliseconds(1000));
+    cr_assert(fleet.controller.state().observers().empty());
+}
+
+// Turns of promotions.
+
+Test(fleet_controller, promotions_by_turns,
+     .description =
+         "No promotion is requested within 3 s of one that another instance may have requested")
+{
+    RunningFleet first;
+    first.failPrimary();
+    first.renewBoth({"t1"});
+    first.advance(milliseconds(200));
+    cr_assert(!first.promotions.empty());
+    FleetFixture second("c2");
+    second.takeOver(first);
+    const TimePoint taken = second.now;
+    while (second.promotions.empty() && second.now < taken + std::chrono::seconds(10)) {
+        second.renew("p1", second.revision(), {"t1"});
+        second.renew("p2", second.revision(), {"t1"});
+        second.advance(milliseconds(100));
+    }
+    cr_assert(!second.promotions.empty());
+    cr_assert_geq((second.now - taken).count(), Duration(milliseconds(3000)).count());
+}
--- /dev/null
+++ b/tests/unit/http_listener.tests.cpp
@@ -0,0 +1,60 @@
+// Tests of the HTTP listener's limit on connections, over loopback.
+#include "rhubarbweir/transport/event_loop.hpp"
+#include "rhubarbweir/transport/http.hpp"
+
+#include <absl/strings/str_cat.h>
+#include <asio.hpp>
+#include <criterion/criterion.h>
+
+using namespace rhubarbweir;
+
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+std::string freeAddress()
+{
+    asio::io_context context;
+    const tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return absl::StrCat("127.0.0.1:", acceptor.local_endpoint().port());
+}
+
+} // namespace
+
+Test(http_listener, idle_connections_give_way,
+     .description = "Connections that are kept open without a request do not keep others out")
+{
+    EventLoop loop;
+    const std::string address = freeAddress();
+    HttpListener listener(loop, address, 4, [](const HttpRequest &, const HttpResponder &respond) {
+        HttpResponse response;
+        response.status = 200;
+        respond(response);
+    });
+    cr_assert(listener.listen().ok());
+    std::vector<ByteStreamPtr> kept;
+    for (int index = 0; index < 4; ++index)
+        connectStream(loop, address, EventLoop::now() + std::chrono::seconds(2),
+                      [&kept](const absl::StatusOr<ByteStreamPtr> &stream) {
+                          (*stream)->send("GET / HTTP/1.1\r\n\r\n");
+                          kept.push_back(*stream);
+                      });
+    absl::StatusOr<int> status = absl::UnknownError("not called");
+    loop.schedule(EventLoop::now() + milliseconds(300), [&] {
+        HttpCall call;
+        call.address = address;
+        call.target = "/";
+        call.deadline = EventLoop::now() + std::chrono::seconds(2);
+        callHttp(loop, call, [&](absl::StatusOr<int> result) {
+            status = std::move(result);
+            loop.stop();
+        });
+    });
+    loop.run();
+    cr_assert_eq(kept.size(), 4);
+    cr_assert(status.ok(), "%s", status.status().ToString().c_str());
+    cr_assert_eq(*status, 200);
+    for (const ByteStreamPtr &stream : kept)
+        stream->abort();
+}
--- a/tests/unit/session_pooler.tests.cpp
+++ b/tests/unit/session_pooler.tests.cpp
@@ -567,8 +567,8 @@
 }
 
 Test(session_pooler, scarce_connections,
-     .description =
-         "With fewer connections than poolers none is kept idle and one is opened on demand")
+     .description = "With fewer connections than poolers none to the primary is kept idle and one "
+                    "is opened on demand")
 {
     PoolerFixture fixture;
     fixture.pooler.leaseReceived(fixture.now + milliseconds(4000), 37, 0, fixture.now);
@@ -579,3 +579,90 @@
     beginSixTransactions(fixture);
     cr_assert_eq(openConnectionCount(fixture, PoolerFixture::Primary), 1);
 }
+
+Test(session_pooler, home_replica,
+     .description = "With fewer connections than poolers one is kept to a single replica")
+{
+    PoolerFixture fixture;
+    fixture.pooler.leaseReceived(fixture.now + milliseconds(8000), 60, 0, fixture.now);
+    fixture.warmUp();
+    fixture.advance(milliseconds(2500));
+    fixture.openConnections();
+    // The replica in the own failure domain.
+    cr_assert_eq(openConnectionCount(fixture, PoolerFixture::ReplicaA), 1);
+    cr_assert_eq(openConnectionCount(fixture, PoolerFixture::ReplicaB), 0);
+}
+
+Test(session_pooler, too_few_for_a_home_replica,
+     .description = "No connection is kept where the limits do not allow a share of the poolers")
+{
+    PoolerFixture fixture;
+    fixture.pooler.leaseReceived(fixture.now + milliseconds(8000), 90, 0, fixture.now);
+    fixture.warmUp();
+    fixture.advance(milliseconds(2500));
+    fixture.openConnections();
+    cr_assert_eq(openConnectionCount(fixture, PoolerFixture::ReplicaA), 0);
+}
+
+namespace {
+
+GroupPosition sharedPosition(std::uint64_t generation, Duration age)
+{
+    return {PoolerFixture::Group, generation, LogPosition{1, 10}, age};
+}
+
+// Where the first statement of a new session on the route is sent.
+TargetId targetOfRead(PoolerFixture &fixture, const std::string &route)
+{
+    fixture.openConnections();
+    const SessionNumber session = fixture.open(route);
+    fixture.submit(session, TextStatementKind::Read, "read");
+    fixture.openConnections();
+    return fixture.sent.empty() ? TargetId() : fixture.sent.back().target;
+}
+
+} // namespace
+
+Test(session_pooler, shared_positions,
+     .description = "A position that another pooler learned lets a replica serve a read")
+{
+    PoolerFixture alone;
+    alone.advance(milliseconds(200));
+    cr_assert_eq(targetOfRead(alone, "bounded"), PoolerFixture::Primary);
+    PoolerFixture fixture;
+    fixture.advance(milliseconds(200));
+    fixture.pooler.positionsReceived({sharedPosition(1, milliseconds(300))}, fixture.now,
+                                     fixture.now);
+    cr_assert_neq(targetOfRead(fixture, "bounded"), PoolerFixture::Primary);
+    cr_assert_eq(fixture.sent.back().command.minimum->position, 10);
+}
+
+Test(session_pooler, old_shared_positions,
+     .description = "An age counts from when the renewal was sent; other generations do not count")
+{
+    PoolerFixture fixture;
+    fixture.advance(milliseconds(1000));
+    // 1,500 ms old are accepted on the route.
+    fixture.pooler.positionsReceived({sharedPosition(1, milliseconds(700))},
+                                     fixture.now - milliseconds(900), fixture.now);
+    fixture.pooler.positionsReceived({sharedPosition(2, milliseconds(0))}, fixture.now,
+                                     fixture.now);
+    cr_assert_eq(targetOfRead(fixture, "bounded"), PoolerFixture::Primary);
+}
+
+Test(session_pooler, reported_positions,
+     .description = "A position is reported once, and only if control has none as recent")
+{
+    PoolerFixture fixture;
+    fixture.warmUp();
+    fixture.advance(milliseconds(100));
+    const auto reported = fixture.pooler.positionsToReport(fixture.now);
+    cr_assert_eq(reported.size(), 1);
+    cr_assert_geq(reported.front().age.count(), Duration(milliseconds(100)).count());
+    cr_assert(fixture.pooler.positionsToReport(fixture.now).empty());
+    PoolerFixture informed;
+    informed.warmUp();
+    informed.pooler.positionsReceived({sharedPosition(1, milliseconds(0))}, informed.now,
+                                      informed.now);
+    cr_assert(informed.pooler.positionsToReport(informed.now).empty());
+}
