--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -306,12 +306,11 @@
 // otherwise be one that has ended and whose delayed message would end its successor.
 bool FleetController::provesToRun(ConnectionId connection, const RenewLease &message)
 {
-    const auto question = this->questions.find(connection);
-    if (question != this->questions.end() && message.answered >= question->second) {
-        this->questions.erase(question);
-        return true;
-    }
-    this->questions[connection] = message.sequence;
+    const ProxyRun run{message.proxy, message.incarnation};
+    const auto known = this->questions.find(connection);
+    if (known != this->questions.end() && known->second.run == run)
+        return message.answered >= known->second.sequence;
+    this->questions[connection] = {run, message.sequence};
     FleetLease withoutLease;
     withoutLease.sequence = message.sequence;
     this->hooks.sendToPooler(connection, withoutLease);
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -65,6 +65,13 @@
         TimePoint deadline;
     };
 
+    // The answer that a start has to confirm before it is registered.
+    struct Question
+    {
+        ProxyRun run;
+        std::uint64_t sequence = 0;
+    };
+
     bool canDecide(TimePoint now) const;
     void propose(const FleetCommand &command, FleetCallDone done, TimePoint now);
     void finishCalls(std::uint64_t index, FleetCallOutcome outcome);
@@ -103,9 +110,8 @@
     // Latest announcement of each target, also if it changed nothing.
     std::map<TargetId, RegisteredTarget> lastAnnouncements;
     std::map<std::uint64_t, std::vector<PendingCall>> calls;
-    // Sequence of the answer that the sender of each connection has to confirm before its start is
-    // registered.
-    std::map<ConnectionId, std::uint64_t> questions;
+    // Asked once on a connection, so that renewals that cross a question raise no further ones.
+    std::map<ConnectionId, Question> questions;
     // No promotion is requested before this, because another instance requested some.
     TimePoint promoteFrom;
     // Running primary changes, by group; empty unless this instance leads.
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -648,6 +648,29 @@
     cr_assert_eq(fleet.lastLease("p1")->sequence, fleet.sequence);
 }
 
+Test(fleet_controller, crossing_renewals,
+     .description = "Renewals that cross the question of the leader are not asked again")
+{
+    FleetFixture fleet;
+    RenewLease renewal;
+    renewal.proxy = InstanceId("p1");
+    renewal.incarnation = 1;
+    const auto send = [&](std::uint64_t sequence, std::uint64_t answered) {
+        renewal.sequence = sequence;
+        renewal.answered = answered;
+        const std::size_t before = fleet.sent.size();
+        fleet.controller.receiveFromPooler(1, renewal, fleet.now);
+        return fleet.sent.size() - before;
+    };
+    cr_assert_eq(send(1, 0), 1);
+    cr_assert_eq(send(2, 0), 0);
+    cr_assert_eq(send(3, 1), 0, "answered once the registration is committed");
+    cr_assert_eq(send(4, 1), 0);
+    fleet.commit();
+    cr_assert_not_null(fleet.controller.state().findPooler(InstanceId("p1"), 1));
+    cr_assert_eq(send(5, 1), 1);
+}
+
 // Observers.
 
 Test(fleet_controller, observers,
