--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -153,7 +153,7 @@
     // Positions of each group's primary under the current log generation, learned here or received.
     std::map<GroupId, FreshnessTracker> freshness;
     std::map<GroupId, TimePoint> lastSample;
-    // The newest position learned here, and the age of the newest one that the leader has.
+    // The newest position learned here, and when the newest one that the leader has was asked for.
     std::map<GroupId, OwnPosition> ownPositions;
     std::map<GroupId, TimePoint> sharedAsOf;
     // Names of prepared statements on targets' connections, by access mode (read-only or not) and
