Log the seeds of a control instance and requests to join

control_started and observer_started carry the seeds; an instance that is no member reports every two seconds whom it asks (quorum_join_requested); a member that does not grant a request reports why (quorum_join_refused). The checks of a request move to checkJoin(); what is granted stays the same.

--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -7,6 +7,7 @@
 #include "rhubarbweir/protocol/message_conversion.hpp"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <random>
@@ -133,6 +134,7 @@
              {{"address", this->self},
               {"failure_domain", this->settings.failureDomain.value},
               {"bootstrap", this->settings.bootstrap ? "yes" : "no"},
+              {"seeds", absl::StrJoin(this->settings.seeds, ",")},
               {"has_state", recovered->hardState ? "yes" : "no"}});
     this->loop.onStopSignal([this](int) { this->stopRequested(); });
     this->loop.onReloadSignal([this] { this->reload(); });
--- a/src/programs/fleet/observer_program.cpp
+++ b/src/programs/fleet/observer_program.cpp
@@ -5,6 +5,7 @@
 #include "programs/support/internal_addresses.hpp"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <utility>
 
@@ -39,7 +40,9 @@
             return listening;
     }
     logEvent(LogLevel::Info, "observer_started",
-             {{"address", this->self}, {"failure_domain", this->settings.failureDomain.value}});
+             {{"address", this->self},
+              {"failure_domain", this->settings.failureDomain.value},
+              {"seeds", absl::StrJoin(this->settings.seeds, ",")}});
     this->loop.onStopSignal([this](int) {
         this->loop.schedule(EventLoop::now() + FlushTime, [this] { this->loop.stop(); });
     });
--- a/src/rhubarbweir/coordination/quorum/quorum_bootstrap.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_bootstrap.cpp
@@ -19,6 +19,7 @@
 #include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 
@@ -26,6 +27,8 @@
 
 namespace {
 
+constexpr std::chrono::seconds JoinReportInterval{2};
+
 InstanceId bootstrapInstance(const QuorumSettings &settings)
 {
     InstanceId smallest;
@@ -67,10 +70,27 @@
         }
         this->bootstrapIfPromised();
     }
-    for (const QuorumPeer &peer : this->knownPeers())
+    const std::vector<QuorumPeer> peers = this->knownPeers();
+    this->reportJoining(peers);
+    for (const QuorumPeer &peer : peers)
         this->sendAfterSync(peer.instance, QuorumJoin{this->header(0), this->settings.self});
 }
 
+// An instance that nobody adds would otherwise leave no trace in the event log.
+void QuorumLog::reportJoining(const std::vector<QuorumPeer> &asked)
+{
+    if (this->currentRole != QuorumRole::Unjoined || this->currentTime < this->joinReportAt)
+        return;
+    this->joinReportAt = this->currentTime + JoinReportInterval;
+    std::vector<std::string> names;
+    names.reserve(asked.size());
+    for (const QuorumPeer &peer : asked)
+        names.push_back(peer.instance.value);
+    this->emitEvent("quorum_join_requested",
+                    {{"peers", absl::StrJoin(names, ",")},
+                     {"incarnation", absl::StrCat(this->hardState.incarnation)}});
+}
+
 // Tells an instance that belongs to no cluster that this one does, so that the receiver withdraws
 // its bootstrap promise.
 void QuorumLog::answerNonMember(const InstanceId &to, const QuorumHeader &received)
--- a/src/rhubarbweir/coordination/quorum/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.hpp
@@ -194,6 +194,7 @@
     // quorum_membership.cpp
     void rebuildProgress();
     absl::Status checkChangeAllowed() const;
+    absl::Status checkJoin(const InstanceId &from, const QuorumJoin &join) const;
     void proposeMembership(const QuorumMembership &next, const std::string &event,
                            std::vector<QuorumEventField> fields);
     void handle(const InstanceId &from, const QuorumJoin &join);
@@ -209,6 +210,7 @@
     bool isBootstrapper() const;
     void generateIncarnation();
     void advanceJoining();
+    void reportJoining(const std::vector<QuorumPeer> &asked);
     void handle(const InstanceId &from, const QuorumBootstrapQuery &query);
     void handle(const InstanceId &from, const QuorumBootstrapAnswer &answer);
     void bootstrapIfPromised();
@@ -240,6 +242,8 @@
     TimePoint lastLeaderContactAt;
     TimePoint electionDeadline;
     TimePoint joinDeadline;
+    // When an instance that is still not a member reports it next.
+    TimePoint joinReportAt;
     std::optional<IncomingSnapshot> incomingSnapshot;
 
     // Candidate: members that granted their vote in the current phase.
--- a/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
@@ -90,22 +90,44 @@
     this->replicate();
 }
 
-void QuorumLog::handle(const InstanceId &from, const QuorumJoin &join)
+// Errors: those of checkChangeAllowed(); PermissionDenied if the instance may not join,
+// AlreadyExists if it is a member under this incarnation.
+absl::Status QuorumLog::checkJoin(const InstanceId &from, const QuorumJoin &join) const
 {
-    this->answerNonMember(from, join.header);
-    if (!this->checkChangeAllowed().ok() || join.peer.instance != from)
-        return;
     const QuorumMembership &current = this->membership();
     const QuorumMember member{join.peer, join.header.fromIncarnation};
+    if (std::find(current.voters.begin(), current.voters.end(), member) != current.voters.end()
+        || std::find(current.learners.begin(), current.learners.end(), member)
+               != current.learners.end())
+        return absl::AlreadyExistsError("a member already");
+    if (absl::Status allowed = this->checkChangeAllowed(); !allowed.ok())
+        return allowed;
     const bool known =
         this->settings.admitUnknown || containsInstance(this->settings.initialVoters, from)
         || containsInstance(this->settings.spares, from) || containsInstance(current.admitted, from)
         || containsInstance(current.voters, from) || containsInstance(current.learners, from);
     const bool barred =
         std::find(current.barred.begin(), current.barred.end(), from) != current.barred.end();
-    if (!known || barred || this->progressByMember.count(keyOf(member)) != 0)
+    if (!known || barred || join.peer.instance != from)
+        return absl::PermissionDeniedError(barred ? "removed by an operator" : "unknown instance");
+    return absl::OkStatus();
+}
+
+void QuorumLog::handle(const InstanceId &from, const QuorumJoin &join)
+{
+    this->answerNonMember(from, join.header);
+    const absl::Status allowed = this->checkJoin(from, join);
+    if (absl::IsAlreadyExists(allowed))
+        return;
+    if (!allowed.ok()) {
+        this->emitEvent("quorum_join_refused",
+                        {{"instance", from.value},
+                         {"incarnation", absl::StrCat(join.header.fromIncarnation)},
+                         {"cause", allowed.ToString()}});
         return;
-    QuorumMembership next = current;
+    }
+    const QuorumMember member{join.peer, join.header.fromIncarnation};
+    QuorumMembership next = this->membership();
     removeInstance(next.learners, from);
     next.learners.push_back(member);
     this->proposeMembership(next, "quorum_learner_added",
