--- /dev/null
+++ b/tests/unit/quorum_joining.tests.cpp
@@ -0,0 +1,89 @@
+// Tests of how an instance without state becomes a member of a running cluster.
+#include "unit/support/quorum_cluster.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace rhubarbweir;
+using std::chrono::seconds;
+
+namespace {
+
+// Longer than replaceAfter of the cluster and a few requests to join.
+constexpr seconds JoinLimit{5};
+
+std::size_t followerOf(const QuorumCluster &cluster, std::size_t skipped = 0)
+{
+    return (cluster.leader().value() + 1 + skipped) % 3;
+}
+
+bool isVoter(const QuorumCluster &cluster, std::size_t number)
+{
+    const auto leading = cluster.leader();
+    if (!leading)
+        return false;
+    const QuorumNode &node = cluster.nodes[number];
+    for (const QuorumMember &voter : cluster.nodes[*leading].log->membership().voters) {
+        if (voter.peer.instance == node.peer.instance && voter.incarnation == node.lastIncarnation)
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+Test(quorum_joining, seeds_name_a_follower,
+     .description = "an instance whose seeds name only a follower joins in place of a lost voter")
+{
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        QuorumCluster cluster(seed, 3, 1);
+        cluster.settings.admitUnknown = true;
+        cluster.settings.spares.clear();
+        for (std::size_t number = 0; number < 3; ++number)
+            cluster.start(number);
+        cr_assert(cluster.commitOne());
+        const std::size_t known = followerOf(cluster);
+        cluster.crash(followerOf(cluster, 1));
+        cluster.nodes[3].seeds = {cluster.nodes[known].peer};
+        cluster.start(3);
+        cr_assert(cluster.runUntil(JoinLimit, [&] { return isVoter(cluster, 3); }), "seed %d",
+                  static_cast<int>(seed));
+    }
+}
+
+Test(quorum_joining, seeds_name_no_member,
+     .description = "a voter that lost its disk joins again though its seeds name no member")
+{
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        QuorumCluster cluster(seed, 3);
+        cluster.settings.admitUnknown = true;
+        cluster.startAll();
+        cr_assert(cluster.commitOne());
+        const std::size_t wiped = followerOf(cluster);
+        cluster.wipe(wiped);
+        cluster.nodes[wiped].seeds = std::vector<QuorumPeer>();
+        cluster.start(wiped);
+        cr_assert(cluster.runUntil(JoinLimit, [&] { return isVoter(cluster, wiped); }), "seed %d",
+                  static_cast<int>(seed));
+    }
+}
+
+Test(quorum_joining, second_disk_after_seed_turnover,
+     .description = "two disks lost one after the other, with followers as seeds, lose no entry")
+{
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        QuorumCluster cluster(seed, 3);
+        cluster.settings.admitUnknown = true;
+        cluster.startAll();
+        cr_assert(cluster.commitOne());
+        for (int lost = 0; lost < 3; ++lost) {
+            const std::size_t wiped = followerOf(cluster);
+            cluster.wipe(wiped);
+            cluster.nodes[wiped].seeds = {cluster.nodes[followerOf(cluster, 1)].peer};
+            cluster.start(wiped);
+            cr_assert(cluster.runUntil(JoinLimit, [&] { return cluster.whole(); }), "seed %d",
+                      static_cast<int>(seed));
+        }
+        cr_assert(cluster.commitOne());
+        cr_assert(cluster.runUntil(seconds(2), [&] { return cluster.replicasAgree(); }));
+    }
+}
--- a/tests/unit/support/quorum_cluster.hpp
+++ b/tests/unit/support/quorum_cluster.hpp
@@ -76,6 +76,11 @@
         this->check(recovered.ok(), "cannot load the folder");
         QuorumSettings own = this->settings;
         own.self = node.peer;
+        if (node.seeds) {
+            own.initialVoters = *node.seeds;
+            own.spares.clear();
+            own.bootstrap = false;
+        }
         node.log = std::make_unique<QuorumLog>(own, this->hooksFor(number),
                                                std::mt19937_64(this->random()));
         node.log->start(*recovered, this->local(node));
--- a/tests/unit/support/quorum_node.hpp
+++ b/tests/unit/support/quorum_node.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace rhubarbweir {
 
@@ -19,6 +20,8 @@
 {
     QuorumPeer peer;
     bool spare = false;
+    // If set, all that the instance's settings name, without the permission to bootstrap.
+    std::optional<std::vector<QuorumPeer>> seeds;
     std::shared_ptr<FakeFolder> folder = std::make_shared<FakeFolder>();
     std::unique_ptr<QuorumStore> store;
     std::unique_ptr<QuorumLog> log;
