Vary the seeds of instances that lose their folder in quorum_faults

An instance that loses its data folder now returns, in half of the seeds, with settings that name one other member only.

--- a/tests/unit/quorum_faults.tests.cpp
+++ b/tests/unit/quorum_faults.tests.cpp
@@ -21,6 +21,7 @@
         : cluster(seed, 3 + 2 * (seed % 2), seed % 3 == 0 ? 1 : 0)
     {
         this->cluster.settings.replaceAfter = milliseconds(1500);
+        this->cluster.settings.admitUnknown = seed % 8 < 4;
         this->cluster.lossPercent = seed % 5;
         this->cluster.duplicatePercent = seed % 7;
         this->cluster.maxDelay = milliseconds(seed % 4 == 0 ? 60 : 4);
@@ -154,6 +155,7 @@
         this->cluster.crash(number);
         const auto names = node.folder->list();
         node.lastIncarnation = 0;
+        node.seeds = this->pickSeeds(number);
         if (this->pick(2) == 0 || names->empty()) {
             this->cluster.wipe(number);
         } else {
@@ -167,6 +169,18 @@
         this->cluster.start(number);
     }
 
+    // What the settings of an instance that lost its folder name: the initial voters or, where any
+    // instance may join, only one other member.
+    std::optional<std::vector<QuorumPeer>> pickSeeds(std::size_t number)
+    {
+        const std::size_t other = this->pick(this->cluster.nodes.size());
+        const auto &log = this->cluster.nodes[other].log;
+        const bool isMember = other != number && log && log->lastIndex() != 0;
+        if (!this->cluster.settings.admitUnknown || !isMember || this->pick(2) == 0)
+            return std::nullopt;
+        return std::vector<QuorumPeer>{this->cluster.nodes[other].peer};
+    }
+
     void restartAll()
     {
         for (std::size_t number = 0; number < this->cluster.nodes.size(); ++number) {
