Replace a silent voter before its successor counts as caught up

A machine that is removed for good stops counting catch_up_s after its successor's start: 4 s on the small sites. A disk lost in between leaves one voter of three.

Change: the delay is three quarters of bounds.catch_up_s, which the settings name, in place of a constant. A voter that is only frozen or cut off for longer than that returns as a learner.

--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -30,8 +30,6 @@
 constexpr std::chrono::milliseconds QuorumHeartbeat{75};
 constexpr std::chrono::milliseconds ElectionTimeoutMin{200};
 constexpr std::chrono::milliseconds ElectionTimeoutMax{350};
-// A silent voter is replaced after this. Longer than most process freezes and network partitions.
-constexpr std::chrono::seconds VoterReplaceDelay{6};
 // Length of a pooler's lease. Longer than an election and the restart of a control instance. The
 // replacement of a lost primary waits for its end only if a pooler that holds it is silent too.
 constexpr std::chrono::milliseconds LeaseLength{8000};
@@ -78,7 +76,7 @@
     quorum.heartbeat = QuorumHeartbeat;
     quorum.electionTimeoutMin = ElectionTimeoutMin;
     quorum.electionTimeoutMax = ElectionTimeoutMax;
-    quorum.replaceAfter = VoterReplaceDelay;
+    quorum.replaceAfter = voterReplaceDelay(settings.catchUpTime);
     return quorum;
 }
 
--- a/src/rhubarbweir/coordination/quorum/quorum_settings.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_settings.hpp
@@ -57,6 +57,14 @@
     std::size_t snapshotChunkBytes = 256 * 1024;
 };
 
+// QuorumSettings::replaceAfter for a cluster in which the next instance may be lost `catchUpTime`
+// after the replacement of a lost one has started. Leaves time for an election and the change of
+// members.
+inline Duration voterReplaceDelay(Duration catchUpTime)
+{
+    return catchUpTime * 3 / 4;
+}
+
 struct QuorumEventField
 {
     std::string key;
--- a/tests/unit/platform.tests.cpp
+++ b/tests/unit/platform.tests.cpp
@@ -208,6 +208,11 @@
     cr_assert(settings.ok());
     cr_assert_eq(settings->firstInternalPort, 7440);
     cr_assert(settings->callerAddress.empty());
+    cr_assert(settings->catchUpTime == std::chrono::seconds(4));
+    const auto bounded =
+        parseProcessSettings(replaced(text, R"("later":{})", R"("bounds":{"catch_up_s":6})"));
+    cr_assert(bounded.ok());
+    cr_assert(bounded->catchUpTime == std::chrono::seconds(6));
     cr_assert(!parseProcessSettings("{}").ok());
     cr_assert(!parseProcessSettings(replaced(text, "[7440,7455]", "7440")).ok());
     cr_assert(!readProcessSettings("/nowhere/settings.json").ok());
--- a/tests/unit/quorum_joining.tests.cpp
+++ b/tests/unit/quorum_joining.tests.cpp
@@ -91,6 +91,27 @@
     cr_assert(cluster.runUntil(JoinLimit, [&] { return isVoter(cluster, 3); }));
 }
 
+Test(quorum_joining, leader_gone_for_good,
+     .description = "a leader that left for good is replaced before its successor has caught up")
+{
+    constexpr seconds CatchUpTime{4};
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        QuorumCluster cluster(seed, 3, 1);
+        cluster.settings.admitUnknown = true;
+        cluster.settings.spares.clear();
+        cluster.settings.replaceAfter = voterReplaceDelay(CatchUpTime);
+        for (std::size_t number = 0; number < 3; ++number)
+            cluster.start(number);
+        cr_assert(cluster.commitOne());
+        cluster.nodes[3].seeds = {cluster.nodes[followerOf(cluster)].peer};
+        cluster.crash(*cluster.leader());
+        cluster.runFor(seconds(1));
+        cluster.start(3);
+        cr_assert(cluster.runUntil(CatchUpTime, [&] { return isVoter(cluster, 3); }), "seed %d",
+                  static_cast<int>(seed));
+    }
+}
+
 Test(quorum_joining, second_disk_after_seed_turnover,
      .description = "two disks lost one after the other, with followers as seeds, lose no entry")
 {
