Tell poolers of replaced control instances also while no view changes

A pooler whose view stays calm while control instances are replaced keeps the addresses of the former ones, and seeds of its start, and finds none when the leader goes.

Change: the leader counts changes of the addresses and sends them once on each connection, with the next answer or push. An unchanged list is not repeated.

--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -23,6 +23,7 @@
     this->pushAt = TimePoint::max();
     this->reportedVersions.clear();
     this->sentDocuments.clear();
+    this->sentControls.clear();
 }
 
 void ViewSender::recordReport(const ProxyRun &run, std::uint64_t configurationVersion)
@@ -71,6 +72,7 @@
         this->positions.answerSent(lease.connection, sequence, now);
     }
     message.view = this->viewAfter(baseRevision);
+    this->addControls(message.view, lease);
     message.configurationVersion = this->state.configuration().version;
     if (this->needsDocument(lease, now))
         message.configuration = this->compressedDocument();
@@ -78,6 +80,22 @@
     this->ports.send(lease.connection, message);
 }
 
+// Control instances change without a change of the view. A pooler that knows only former ones finds
+// none once its connection ends.
+void ViewSender::addControls(FleetView &view, const ProxyLease &lease)
+{
+    std::vector<std::string> current = this->ports.controlAddresses();
+    if (current != this->controls) {
+        this->controls = std::move(current);
+        ++this->controlsVersion;
+    }
+    SentControls &sent = this->sentControls[lease.run];
+    if (sent.connection == lease.connection && sent.version == this->controlsVersion)
+        return;
+    sent = {lease.connection, this->controlsVersion};
+    view.controls = this->controls;
+}
+
 FleetView ViewSender::viewAfter(std::uint64_t baseRevision) const
 {
     const auto changes = this->state.viewChangesAfter(baseRevision);
@@ -97,7 +115,6 @@
     }
     for (const GroupId &group : changes->authorities)
         view.authorities.push_back(*this->state.authority(group));
-    view.controls = this->ports.controlAddresses();
     return view;
 }
 
@@ -111,7 +128,6 @@
     }
     for (const auto &[group, authority] : this->state.authorities())
         view.authorities.push_back(authority);
-    view.controls = this->ports.controlAddresses();
     return view;
 }
 
--- a/src/rhubarbweir/coordination/fleet/view_sender.hpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.hpp
@@ -52,8 +52,15 @@
         TimePoint resendAt;
     };
 
+    struct SentControls
+    {
+        ConnectionId connection = 0;
+        std::uint64_t version = 0;
+    };
+
     void push(TimePoint now);
     void send(ProxyLease &lease, std::uint64_t sequence, std::uint64_t baseRevision, TimePoint now);
+    void addControls(FleetView &view, const ProxyLease &lease);
     FleetView viewAfter(std::uint64_t baseRevision) const;
     FleetView wholeView() const;
     bool needsDocument(const ProxyLease &lease, TimePoint now);
@@ -69,6 +76,10 @@
     // Configuration version that each pooler run reported last.
     std::map<ProxyRun, std::uint64_t> reportedVersions;
     std::map<ProxyRun, SentDocument> sentDocuments;
+    // Addresses of the control instances; the version counts their changes.
+    std::vector<std::string> controls;
+    std::uint64_t controlsVersion = 0;
+    std::map<ProxyRun, SentControls> sentControls;
     std::uint64_t compressedVersion = 0;
     OpaqueBytes compressed;
 };
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -215,6 +215,7 @@
     std::deque<std::pair<std::uint64_t, FleetCommand>> log;
     std::deque<RegisteredTarget> probes;
     std::vector<PromotionRequest> promotions;
+    std::vector<std::string> controls{"leader:1"};
     std::vector<std::string> calledObservers;
     std::vector<std::pair<ConnectionId, FleetReply>> sent;
     FleetController controller;
@@ -246,8 +247,8 @@
         hooks.leaderAddress = [] {
             return std::string("leader:1");
         };
-        hooks.controlAddresses = [] {
-            return std::vector<std::string>{"leader:1"};
+        hooks.controlAddresses = [this] {
+            return this->controls;
         };
         hooks.sendToPooler = [this](ConnectionId connection, const FleetReply &reply) {
             this->sent.emplace_back(connection, reply);
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -739,3 +739,21 @@
     cr_assert(!second.promotions.empty());
     cr_assert_geq((second.now - taken).count(), Duration(milliseconds(3000)).count());
 }
+
+Test(fleet_controller, replaced_controls,
+     .description = "poolers are told once of other control instances, also while no view changes")
+{
+    RunningFleet fleet;
+    fleet.renew("p1", fleet.revision());
+    fleet.renew("p1", fleet.revision());
+    cr_assert(fleet.lastLease("p1")->view.controls.empty());
+    fleet.controls = {"leader:1", "successor:1"};
+    fleet.renew("p1", fleet.revision());
+    cr_assert(fleet.lastLease("p1")->view.controls == fleet.controls);
+    fleet.renew("p1", fleet.revision());
+    cr_assert(fleet.lastLease("p1")->view.controls.empty());
+    fleet.connections["p1"] = 99;
+    fleet.renew("p1", fleet.revision());
+    cr_assert(fleet.lastLease("p1")->view.controls == fleet.controls,
+              "the message on the former connection may be lost");
+}
