Read the seeds again while no leader is known

An empty instance whose seeds have all left asked former addresses until it was restarted.

Change: SeedReader, in place of three reload functions of which two were alike, reads the file on SIGHUP and every two seconds while no leader is known. QuorumLog takes further seeds while it runs; those of the bootstrap stay as they were at the start.

Evidence: quorum_joining, seeds_change_later: without a member among the seeds the instance does not join in 5 s, with one it does.

--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -94,7 +94,6 @@
 
 FleetProgram::FleetProgram(platform::ProcessSettings processSettings, std::string path)
     : settings(std::move(processSettings))
-    , settingsPath(std::move(path))
     , self(selfAddress(this->settings))
     , timer(this->loop,
             [this] {
@@ -116,6 +115,7 @@
                 this->handleRequest(request, respond);
                 this->finishEvent();
             })
+    , seeds(this->loop, this->settings, std::move(path), this->seedHooks())
 {
 }
 
@@ -135,7 +135,7 @@
               {"seeds", absl::StrJoin(this->settings.seeds, ",")},
               {"has_state", recovered->hardState ? "yes" : "no"}});
     this->loop.onStopSignal([this](int) { this->stopRequested(); });
-    this->loop.onReloadSignal([this] { this->reload(); });
+    this->loop.onReloadSignal([this] { this->seeds.reload(); });
     this->links.onMessage = [this](const InstanceId &from, const Message &message) {
         if (const auto quorumMessage = messageAs<QuorumMessage>(message))
             this->quorum.receive(from, *quorumMessage, EventLoop::now());
@@ -143,6 +143,7 @@
     };
     this->links.start();
     this->quorum.start(*recovered, EventLoop::now());
+    this->seeds.start();
     this->finishEvent();
     this->loop.run();
     logEvent(LogLevel::Info, "control_stopped", {});
@@ -205,6 +206,21 @@
     this->sampler.log(name, fields, false, EventLoop::now());
 }
 
+SeedReader::Hooks FleetProgram::seedHooks()
+{
+    SeedReader::Hooks hooks;
+    hooks.hasNoLeader = [this] {
+        return !this->quorum.isLeader() && !this->quorum.hasRecentLeader();
+    };
+    hooks.changed = [this](const std::vector<std::string> &addresses) {
+        std::vector<QuorumPeer> named;
+        for (const std::string &address : addresses)
+            named.push_back(peerAt(address, {}));
+        this->quorum.setSeeds(std::move(named));
+    };
+    return hooks;
+}
+
 QuorumHooks FleetProgram::quorumHooks()
 {
     QuorumHooks hooks;
@@ -391,13 +407,6 @@
     this->timer.wakeAt(deadline);
 }
 
-void FleetProgram::reload()
-{
-    const auto next = platform::readProcessSettings(this->settingsPath);
-    this->event("settings_reloaded",
-                {{"status", next.ok() ? std::string("ok") : next.status().ToString()}});
-}
-
 void FleetProgram::stopRequested()
 {
     if (std::exchange(this->stopping, true)) {
--- a/src/programs/fleet/fleet_program.hpp
+++ b/src/programs/fleet/fleet_program.hpp
@@ -11,6 +11,7 @@
 #include "programs/fleet/target_probes.hpp"
 #include "programs/support/event_sampler.hpp"
 #include "programs/support/metrics_registry.hpp"
+#include "programs/support/seed_reader.hpp"
 #include "rhubarbweir/coordination/fleet/fleet_controller.hpp"
 #include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
@@ -34,6 +35,7 @@
     FleetHooks fleetHooks();
     QuorumHooks quorumHooks();
     ControlServerHooks serverHooks();
+    SeedReader::Hooks seedHooks();
     void received(ConnectionId connection, const Message &message);
     void applied(std::uint64_t index, const std::string &payload);
     void persist(const PersistBatch &batch);
@@ -46,12 +48,10 @@
     // Called after each event. Notifies the controller of a change of leadership and schedules the
     // next advance().
     void finishEvent();
-    void reload();
     void stopRequested();
     void event(std::string_view name, const FleetEventFields &fields);
 
     platform::ProcessSettings settings;
-    std::string settingsPath;
     // This instance's internal address; also its identity among control instances.
     std::string self;
     EventLoop loop;
@@ -65,6 +65,7 @@
     FleetController controller;
     QuorumLog quorum;
     HttpListener calls;
+    SeedReader seeds;
     // Other control instances, by the connection that they opened.
     std::map<ConnectionId, InstanceId> peers;
     bool wasLeader = false;
--- a/src/programs/fleet/observer_program.cpp
+++ b/src/programs/fleet/observer_program.cpp
@@ -23,7 +23,6 @@
 
 ObserverProgram::ObserverProgram(platform::ProcessSettings processSettings, std::string path)
     : settings(std::move(processSettings))
-    , settingsPath(std::move(path))
     , self(absl::StrCat(this->settings.ip, ":", this->settings.firstInternalPort))
     , server(this->loop, this->self, MaxInternalConnections, this->serverHooks())
     , link(this->loop, internalAddresses(this->settings), this->linkHooks())
@@ -31,6 +30,7 @@
             [this](const HttpRequest &request, const HttpResponder &respond) {
                 respond(this->answer(request));
             })
+    , seeds(this->loop, this->settings, std::move(path), this->seedHooks())
 {
 }
 
@@ -47,8 +47,9 @@
     this->loop.onStopSignal([this](int) {
         this->loop.schedule(EventLoop::now() + FlushTime, [this] { this->loop.stop(); });
     });
-    this->loop.onReloadSignal([this] { this->reload(); });
+    this->loop.onReloadSignal([this] { this->seeds.reload(); });
     this->link.start();
+    this->seeds.start();
     this->loop.run();
     logEvent(LogLevel::Info, "observer_stopped", {});
     return absl::OkStatus();
@@ -84,6 +85,18 @@
     return hooks;
 }
 
+SeedReader::Hooks ObserverProgram::seedHooks()
+{
+    SeedReader::Hooks hooks;
+    hooks.hasNoLeader = [this] {
+        return this->link.leader().empty();
+    };
+    hooks.changed = [this](const std::vector<std::string> &addresses) {
+        this->link.setSeeds(addresses);
+    };
+    return hooks;
+}
+
 void ObserverProgram::received(ConnectionId connection, const Message &message)
 {
     if (std::holds_alternative<RenewLease>(message))
@@ -107,15 +120,4 @@
                                     request.target);
 }
 
-void ObserverProgram::reload()
-{
-    const auto next = platform::readProcessSettings(this->settingsPath);
-    logEvent(LogLevel::Info, "settings_reloaded",
-             {{"status", next.ok() ? "ok" : next.status().ToString()}});
-    if (!next.ok())
-        return;
-    this->settings.seeds = next->seeds;
-    this->link.setSeeds(internalAddresses(this->settings));
-}
-
 } // namespace rhubarbweir
--- a/src/programs/fleet/observer_program.hpp
+++ b/src/programs/fleet/observer_program.hpp
@@ -7,6 +7,7 @@
 #include "programs/control/control_server.hpp"
 #include "programs/pooler/fleet_link.hpp"
 #include "programs/support/metrics_registry.hpp"
+#include "programs/support/seed_reader.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 #include "rhubarbweir/transport/http.hpp"
 
@@ -24,12 +25,11 @@
 private:
     ControlServerHooks serverHooks();
     FleetLinkHooks linkHooks();
+    SeedReader::Hooks seedHooks();
     void received(ConnectionId connection, const Message &message);
     HttpResponse answer(const HttpRequest &request);
-    void reload();
 
     platform::ProcessSettings settings;
-    std::string settingsPath;
     // This instance's internal address.
     std::string self;
     EventLoop loop;
@@ -37,6 +37,7 @@
     ControlServer server;
     FleetLink link;
     HttpListener calls;
+    SeedReader seeds;
 };
 
 } // namespace rhubarbweir
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -60,7 +60,6 @@
 
 PoolerProgram::PoolerProgram(platform::ProcessSettings processSettings, std::string path)
     : settings(std::move(processSettings))
-    , settingsPath(std::move(path))
     , incarnation(randomIncarnation())
     , timer(this->loop,
             [this] {
@@ -79,6 +78,7 @@
                     this->handleRequest(request, respond);
                 })
     , link(this->loop, internalAddresses(this->settings), this->linkHooks())
+    , seeds(this->loop, this->settings, std::move(path), this->seedHooks())
 {
 }
 
@@ -93,8 +93,9 @@
               {"failure_domain", this->settings.failureDomain.value},
               {"incarnation", static_cast<std::int64_t>(this->incarnation)}});
     this->loop.onStopSignal([this](int) { this->stopRequested(); });
-    this->loop.onReloadSignal([this] { this->reload(); });
+    this->loop.onReloadSignal([this] { this->seeds.reload(); });
     this->link.start();
+    this->seeds.start();
     this->scheduleAdvance();
     this->loop.run();
     logEvent(LogLevel::Info, "pooler_stopped", {});
@@ -189,6 +190,18 @@
     return hooks;
 }
 
+SeedReader::Hooks PoolerProgram::seedHooks()
+{
+    SeedReader::Hooks hooks;
+    hooks.hasNoLeader = [this] {
+        return this->link.leader().empty();
+    };
+    hooks.changed = [this](const std::vector<std::string> &addresses) {
+        this->link.setSeeds(addresses);
+    };
+    return hooks;
+}
+
 RenewLease PoolerProgram::renewal() const
 {
     RenewLease message;
@@ -254,17 +267,6 @@
     this->timer.wakeAt(this->pooler.nextDeadline());
 }
 
-void PoolerProgram::reload()
-{
-    const auto next = platform::readProcessSettings(this->settingsPath);
-    logEvent(LogLevel::Info, "settings_reloaded",
-             {{"status", next.ok() ? "ok" : next.status().ToString()}});
-    if (!next.ok())
-        return;
-    this->settings.seeds = next->seeds;
-    this->link.setSeeds(internalAddresses(this->settings));
-}
-
 void PoolerProgram::stopRequested()
 {
     if (this->stopBy != TimePoint::max())
--- a/src/programs/pooler/pooler_program.hpp
+++ b/src/programs/pooler/pooler_program.hpp
@@ -8,6 +8,7 @@
 #include "programs/pooler/target_streams.hpp"
 #include "programs/support/event_sampler.hpp"
 #include "programs/support/metrics_registry.hpp"
+#include "programs/support/seed_reader.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 #include "rhubarbweir/transport/http.hpp"
 #include "rhubarbweir/transport/wake_timer.hpp"
@@ -28,16 +29,15 @@
     TargetStreamHooks targetHooks();
     CallerStreamHooks callerHooks();
     FleetLinkHooks linkHooks();
+    SeedReader::Hooks seedHooks();
     void handleRequest(const HttpRequest &request, const HttpResponder &respond);
     void leaseReceived(const FleetLease &lease, std::optional<TimePoint> sentAt);
     RenewLease renewal() const;
     void scheduleAdvance();
-    void reload();
     void stopRequested();
     void drainStep();
 
     platform::ProcessSettings settings;
-    std::string settingsPath;
     std::uint64_t incarnation;
     EventLoop loop;
     WakeTimer timer;
@@ -48,6 +48,7 @@
     CallerStreams callers;
     HttpListener readiness;
     FleetLink link;
+    SeedReader seeds;
     // Times of a stop: when all sessions are closed, from when idle ones are closed, and from when
     // new ones are refused. max() until a stop is requested.
     TimePoint stopBy = TimePoint::max();
--- a/src/rhubarbweir/coordination/quorum/quorum_log.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.cpp
@@ -256,6 +256,8 @@
     std::map<InstanceId, QuorumPeer> found;
     for (const QuorumPeer &peer : this->settings.spares)
         found[peer.instance] = peer;
+    for (const QuorumPeer &peer : this->seeds)
+        found[peer.instance] = peer;
     for (const QuorumPeer &peer : this->settings.initialVoters)
         found[peer.instance] = peer;
     for (const QuorumMember &member : this->membership().learners)
--- a/src/rhubarbweir/coordination/quorum/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.hpp
@@ -82,6 +82,8 @@
     // of the remaining voters is reachable; NotFound if the instance is not a voter;
     // FailedPrecondition also for the last voter and for the leader, which has to hand over first.
     absl::Status removeVoter(const InstanceId &instance, TimePoint now);
+    // Instances to ask for the leader, besides those that the settings and the log name.
+    void setSeeds(std::vector<QuorumPeer> peers) { this->seeds = std::move(peers); }
     // Transfers leadership to the most up-to-date voter. The leader stops extending its lease and
     // accepting proposals; once the lease has ended, the other voter starts an election.
     // Errors: FailedPrecondition if this instance is not the leader, Unavailable if no reachable
@@ -94,6 +96,8 @@
     std::uint64_t incarnation() const { return this->hardState.incarnation; }
     // The leader known to this instance, if any.
     std::optional<QuorumPeer> leader() const;
+    // Whether a leader was heard within an election timeout before the last event.
+    bool hasRecentLeader() const;
     std::uint64_t commitIndex() const { return this->committed; }
     std::uint64_t appliedIndex() const { return this->applied; }
     std::uint64_t lastIndex() const { return this->entries.lastIndex(); }
@@ -125,8 +129,6 @@
     void emitEvent(const std::string &name, const std::vector<QuorumEventField> &fields) const;
     void stop(const std::string &cause);
     bool isVoter() const;
-    // Whether a leader was heard within an election timeout.
-    bool hasRecentLeader() const;
     std::vector<QuorumPeer> knownPeers() const;
     QuorumPeer findPeer(const InstanceId &instance) const;
     void saveHardState();
@@ -227,6 +229,8 @@
     QuorumHooks hooks;
     std::mt19937_64 random;
 
+    std::vector<QuorumPeer> seeds;
+
     QuorumRole currentRole = QuorumRole::Unjoined;
     QuorumHardState hardState;
     QuorumEntries entries;
--- a/tests/unit/quorum_joining.tests.cpp
+++ b/tests/unit/quorum_joining.tests.cpp
@@ -112,6 +112,23 @@
     }
 }
 
+Test(quorum_joining, seeds_change_later,
+     .description = "an instance that knows no member joins once its seeds name one")
+{
+    QuorumCluster cluster(1, 3, 1);
+    cluster.settings.admitUnknown = true;
+    cluster.settings.spares.clear();
+    for (std::size_t number = 0; number < 3; ++number)
+        cluster.start(number);
+    cr_assert(cluster.commitOne());
+    cluster.nodes[3].seeds = std::vector<QuorumPeer>();
+    cluster.start(3);
+    cluster.crash(followerOf(cluster));
+    cr_assert_not(cluster.runUntil(JoinLimit, [&] { return isVoter(cluster, 3); }));
+    cluster.nodes[3].log->setSeeds({cluster.nodes[followerOf(cluster, 1)].peer});
+    cr_assert(cluster.runUntil(JoinLimit, [&] { return isVoter(cluster, 3); }));
+}
+
 Test(quorum_joining, second_disk_after_seed_turnover,
      .description = "two disks lost one after the other, with followers as seeds, lose no entry")
 {
