Send a change of the view once on a connection

Cause: a pooler renews on each change that it receives, and an answer repeated all changes after the revision that the renewal reported, also those on their way. On a full link the reported revision falls behind, so each answer grows with the queue, and each delivery asks for another one. The configuration waited behind it until a queue of 4 MB closed the connection (slow_reader). Class of fault: repeating what is not yet acknowledged over an ordered connection. It is not the fault of the empty instances.

Change: an answer starts after what was sent on the connection. Only where a pooler has reported none of it for a second, or on a new connection, it starts from the reported revision. A grant is as safe as before: a pooler that cannot apply a view does not use the grant that came with it.

--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -32,6 +32,9 @@
     Duration surveyTimeout = std::chrono::milliseconds(500);
     // Changes of the view other than those of an authority are collected for this long.
     Duration viewCollectionTime = std::chrono::milliseconds(30);
+    // Changes of the view are sent again to a pooler that has reported none of them by then. Two
+    // renewals.
+    Duration viewResendInterval = std::chrono::milliseconds(1000);
     // A pooler that has not reported a configuration document by then is sent it again.
     Duration documentResendInterval = std::chrono::milliseconds(3000);
     // A draining primary keeps its authority for at most this long while a pooler is silent. Well
--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -24,6 +24,7 @@
     this->reportedVersions.clear();
     this->sentDocuments.clear();
     this->sentControls.clear();
+    this->unreportedViews.clear();
 }
 
 void ViewSender::recordReport(const ProxyRun &run, std::uint64_t configurationVersion)
@@ -33,7 +34,21 @@
 
 void ViewSender::answer(ProxyLease &lease, std::uint64_t sequence, TimePoint now)
 {
-    this->send(lease, sequence, lease.revision, now);
+    this->send(lease, sequence, this->baseOfAnswer(lease, now), now);
+}
+
+// Repeating what is on its way would, on a full link, add to the queue with each renewal.
+std::uint64_t ViewSender::baseOfAnswer(const ProxyLease &lease, TimePoint now)
+{
+    if (lease.sentRevision <= lease.revision)
+        return lease.revision;
+    UnreportedView &unreported = this->unreportedViews[lease.run];
+    if (unreported.reportedRevision != lease.revision)
+        unreported = {lease.revision, now + this->settings.viewResendInterval};
+    if (now < unreported.resendAt)
+        return lease.sentRevision;
+    unreported.resendAt = now + this->settings.viewResendInterval;
+    return lease.revision;
 }
 
 void ViewSender::viewChanged(bool isUrgent, TimePoint now)
@@ -53,8 +68,11 @@
 {
     this->pushAt = TimePoint::max();
     for (auto &[run, lease] : this->leases.all()) {
-        if (lease.connection != 0 && !lease.isRetired)
-            this->send(lease, 0, std::max(lease.revision, lease.sentRevision), now);
+        if (lease.connection == 0 || lease.isRetired)
+            continue;
+        if (lease.sentRevision <= lease.revision)
+            this->unreportedViews[run] = {lease.revision, now + this->settings.viewResendInterval};
+        this->send(lease, 0, std::max(lease.revision, lease.sentRevision), now);
     }
 }
 
--- a/src/rhubarbweir/coordination/fleet/view_sender.hpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.hpp
@@ -1,9 +1,9 @@
 // Composes the messages of the leader to poolers: leases, views and configuration documents.
 //
 // A pooler receives what changed since the view that it holds, and the whole view only where the
-// changes are not known. An answer to a renewal starts from the revision that the renewal reports,
-// so it applies whatever became of earlier messages; a grant therefore never outlasts a view that
-// the pooler could not apply.
+// changes are not known. Each change is sent once on a connection, which keeps the order of its
+// messages. What a pooler does not report in time is sent again from the revision that it reports;
+// until it can apply a view, it uses no grant that came with it.
 #pragma once
 
 #include "rhubarbweir/coordination/fleet/pooler_registry.hpp"
@@ -58,6 +58,15 @@
         std::uint64_t version = 0;
     };
 
+    // Changes sent to a pooler that has not reported them.
+    struct UnreportedView
+    {
+        std::uint64_t reportedRevision = 0;
+        // The changes are sent again if the pooler reports none of them by then.
+        TimePoint resendAt;
+    };
+
+    std::uint64_t baseOfAnswer(const ProxyLease &lease, TimePoint now);
     void push(TimePoint now);
     void send(ProxyLease &lease, std::uint64_t sequence, std::uint64_t baseRevision, TimePoint now);
     void addControls(FleetView &view, const ProxyLease &lease);
@@ -80,6 +89,7 @@
     std::vector<std::string> controls;
     std::uint64_t controlsVersion = 0;
     std::map<ProxyRun, SentControls> sentControls;
+    std::map<ProxyRun, UnreportedView> unreportedViews;
     std::uint64_t compressedVersion = 0;
     OpaqueBytes compressed;
 };
