Guard the loss of two disks while every instance loses power

The test grows a cluster to five voters, crashes all eight instances and wipes the leader and another voter.

--- a/tests/unit/quorum_joining.tests.cpp
+++ b/tests/unit/quorum_joining.tests.cpp
@@ -149,3 +149,32 @@
         cr_assert(cluster.runUntil(seconds(2), [&] { return cluster.replicasAgree(); }));
     }
 }
+
+Test(quorum_joining, two_disks_at_power_loss,
+     .description =
+         "a cluster that grew to five voters survives two lost disks while all lose power")
+{
+    constexpr std::size_t Instances = 8;
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        QuorumCluster cluster(seed, 3, Instances - 3);
+        cluster.settings.admitUnknown = true;
+        cluster.settings.voterTarget = 5;
+        cluster.startAll();
+        cr_assert(cluster.runUntil(JoinLimit, [&] {
+            const auto leading = cluster.leader();
+            return leading && cluster.nodes[*leading].log->membership().voters.size() == 5;
+        }));
+        cr_assert(cluster.commitOne());
+        const std::size_t leader = *cluster.leader();
+        std::size_t other = 0;
+        while (other == leader || !isVoter(cluster, other))
+            ++other;
+        for (std::size_t number = 0; number < Instances; ++number)
+            cluster.crash(number);
+        for (const std::size_t wiped : {leader, other})
+            cluster.wipe(wiped);
+        cluster.startAll();
+        cr_assert(cluster.commitOne(), "seed %d", static_cast<int>(seed));
+        cr_assert(cluster.runUntil(seconds(5), [&] { return cluster.replicasAgree(); }));
+    }
+}
