--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -214,6 +214,7 @@
     };
     hooks.changed = [this](const std::vector<std::string> &addresses) {
         std::vector<QuorumPeer> named;
+        named.reserve(addresses.size());
         for (const std::string &address : addresses)
             named.push_back(peerAt(address, {}));
         this->quorum.setSeeds(std::move(named));
