Keep a minimum delay before a voter is replaced

A setting of 0 made every voter count as silent between two of its answers, so a leader with a learner at hand replaced voters without end. Found in review.

--- a/src/rhubarbweir/coordination/quorum/quorum_settings.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_settings.hpp
@@ -5,6 +5,7 @@
 #include "rhubarbweir/coordination/quorum/quorum_storage.hpp"
 #include "rhubarbweir/state/time.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -59,10 +60,11 @@
 
 // QuorumSettings::replaceAfter for a cluster in which the next instance may be lost `catchUpTime`
 // after the replacement of a lost one has started. Leaves time for an election and the change of
-// members.
+// members. Never so short that a voter is replaced between two of its answers.
 inline Duration voterReplaceDelay(Duration catchUpTime)
 {
-    return catchUpTime * 3 / 4;
+    constexpr Duration Minimum = std::chrono::seconds(1);
+    return std::max(Minimum, Duration(catchUpTime * 3 / 4));
 }
 
 struct QuorumEventField
--- a/tests/unit/quorum_joining.tests.cpp
+++ b/tests/unit/quorum_joining.tests.cpp
@@ -4,6 +4,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace rhubarbweir;
 using std::chrono::seconds;
 
@@ -112,6 +114,22 @@
     }
 }
 
+Test(quorum_joining, no_catch_up_time,
+     .description = "a voter that answers is not replaced, however short the time to catch up is")
+{
+    for (const seconds catchUpTime : {seconds(0), seconds(-1)}) {
+        QuorumCluster cluster(1, 3, 1);
+        cluster.settings.replaceAfter = voterReplaceDelay(catchUpTime);
+        cluster.startAll();
+        cr_assert(cluster.commitOne());
+        cluster.runFor(seconds(10));
+        cr_assert(std::none_of(cluster.eventLines.begin(), cluster.eventLines.end(),
+                               [](const std::string &line) {
+                                   return line.find("quorum_voter_removed") != std::string::npos;
+                               }));
+    }
+}
+
 Test(quorum_joining, seeds_change_later,
      .description = "an instance that knows no member joins once its seeds name one")
 {
