Log a redirected request to join as such

It logs quorum_join_redirected with the leader; quorum_join_refused is left for members that can neither add nor redirect.

--- a/src/rhubarbweir/coordination/quorum/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.hpp
@@ -202,7 +202,7 @@
     void proposeMembership(const QuorumMembership &next, const std::string &event,
                            std::vector<QuorumEventField> fields);
     void handle(const InstanceId &from, const QuorumJoin &join);
-    void redirectJoin(const InstanceId &joining, const QuorumHeader &received);
+    bool redirectJoin(const InstanceId &joining, const QuorumHeader &received);
     void maintainMembership();
     bool answeredRecently(const MemberProgress &progress) const;
     bool majorityWithout(const QuorumMember &lost) const;
--- a/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
@@ -120,11 +120,12 @@
     if (absl::IsAlreadyExists(allowed))
         return;
     if (!allowed.ok()) {
-        this->redirectJoin(from, join.header);
-        this->emitEvent("quorum_join_refused",
+        const bool redirected = this->redirectJoin(from, join.header);
+        this->emitEvent(redirected ? "quorum_join_redirected" : "quorum_join_refused",
                         {{"instance", from.value},
                          {"incarnation", absl::StrCat(join.header.fromIncarnation)},
-                         {"cause", allowed.ToString()}});
+                         {"cause", allowed.ToString()},
+                         {"leader", this->knownLeader ? this->knownLeader->instance.value : ""}});
         return;
     }
     const QuorumMember member{join.peer, join.header.fromIncarnation};
@@ -137,12 +138,14 @@
                              {"cause", "asked_to_join"}});
 }
 
-void QuorumLog::redirectJoin(const InstanceId &joining, const QuorumHeader &received)
+// Returns false if this instance leads or knows no other leader.
+bool QuorumLog::redirectJoin(const InstanceId &joining, const QuorumHeader &received)
 {
     if (this->isLeader() || !this->hasRecentLeader() || this->knownLeader->instance == joining)
-        return;
+        return false;
     this->sendAfterSync(
         joining, QuorumJoinRedirect{this->header(received.fromIncarnation), *this->knownLeader});
+    return true;
 }
 
 absl::Status QuorumLog::addLearner(const QuorumPeer &peer, TimePoint time)
