Keep one record for each run of a pooler; seed hooks and test set-up once

One record a run, dropped when the lease tracker has forgotten the run; FleetLink gives the hooks. No change in what is sent.

--- a/src/programs/fleet/observer_program.cpp
+++ b/src/programs/fleet/observer_program.cpp
@@ -30,7 +30,7 @@
             [this](const HttpRequest &request, const HttpResponder &respond) {
                 respond(this->answer(request));
             })
-    , seeds(this->loop, this->settings, std::move(path), this->seedHooks())
+    , seeds(this->loop, this->settings, std::move(path), this->link.seedHooks())
 {
 }
 
@@ -85,18 +85,6 @@
     return hooks;
 }
 
-SeedReader::Hooks ObserverProgram::seedHooks()
-{
-    SeedReader::Hooks hooks;
-    hooks.hasNoLeader = [this] {
-        return this->link.leader().empty();
-    };
-    hooks.changed = [this](const std::vector<std::string> &addresses) {
-        this->link.setSeeds(addresses);
-    };
-    return hooks;
-}
-
 void ObserverProgram::received(ConnectionId connection, const Message &message)
 {
     if (std::holds_alternative<RenewLease>(message))
--- a/src/programs/fleet/observer_program.hpp
+++ b/src/programs/fleet/observer_program.hpp
@@ -25,7 +25,6 @@
 private:
     ControlServerHooks serverHooks();
     FleetLinkHooks linkHooks();
-    SeedReader::Hooks seedHooks();
     void received(ConnectionId connection, const Message &message);
     HttpResponse answer(const HttpRequest &request);
 
--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -63,6 +63,18 @@
     this->seeds = std::move(seedAddresses);
 }
 
+SeedReader::Hooks FleetLink::seedHooks()
+{
+    SeedReader::Hooks seedHooks;
+    seedHooks.hasNoLeader = [this] {
+        return this->leader().empty();
+    };
+    seedHooks.changed = [this](const std::vector<std::string> &addresses) {
+        this->setSeeds(addresses);
+    };
+    return seedHooks;
+}
+
 std::vector<std::string> FleetLink::knownControls() const
 {
     std::vector<std::string> all = this->viewControls;
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -2,6 +2,7 @@
 // Follows redirects, and switches to another control instance when the current one is silent.
 #pragma once
 
+#include "programs/support/seed_reader.hpp"
 #include "rhubarbweir/coordination/control/control_messages.hpp"
 #include "rhubarbweir/transport/web_socket.hpp"
 
@@ -39,6 +40,8 @@
     void setControls(const std::vector<std::string> &controls);
     // Replaces the seeds after the settings were reloaded.
     void setSeeds(std::vector<std::string> seeds);
+    // Keeps this link's seeds up to date; the link has to outlive their user.
+    SeedReader::Hooks seedHooks();
     // Sends a renewal at once.
     void renewNow();
     // Connects to the leader at the internal address, unless it is the connected instance.
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -78,7 +78,7 @@
                     this->handleRequest(request, respond);
                 })
     , link(this->loop, internalAddresses(this->settings), this->linkHooks())
-    , seeds(this->loop, this->settings, std::move(path), this->seedHooks())
+    , seeds(this->loop, this->settings, std::move(path), this->link.seedHooks())
 {
 }
 
@@ -190,18 +190,6 @@
     return hooks;
 }
 
-SeedReader::Hooks PoolerProgram::seedHooks()
-{
-    SeedReader::Hooks hooks;
-    hooks.hasNoLeader = [this] {
-        return this->link.leader().empty();
-    };
-    hooks.changed = [this](const std::vector<std::string> &addresses) {
-        this->link.setSeeds(addresses);
-    };
-    return hooks;
-}
-
 RenewLease PoolerProgram::renewal() const
 {
     RenewLease message;
--- a/src/programs/pooler/pooler_program.hpp
+++ b/src/programs/pooler/pooler_program.hpp
@@ -29,7 +29,6 @@
     TargetStreamHooks targetHooks();
     CallerStreamHooks callerHooks();
     FleetLinkHooks linkHooks();
-    SeedReader::Hooks seedHooks();
     void handleRequest(const HttpRequest &request, const HttpResponder &respond);
     void leaseReceived(const FleetLease &lease, std::optional<TimePoint> sentAt);
     RenewLease renewal() const;
--- a/src/programs/support/seed_reader.hpp
+++ b/src/programs/support/seed_reader.hpp
@@ -25,7 +25,7 @@
     SeedReader(EventLoop &loop, const platform::ProcessSettings &settings, std::string path,
                Hooks hooks);
 
-    // Reads the file again and again while no leader is known.
+    // From now on reads the file periodically while no leader is known.
     void start();
     // Reads the file.
     void reload();
--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -2,6 +2,7 @@
 #include "rhubarbweir/coordination/fleet/view_sender.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace rhubarbweir {
@@ -21,15 +22,12 @@
 void ViewSender::beginLeadership()
 {
     this->pushAt = TimePoint::max();
-    this->reportedVersions.clear();
-    this->sentDocuments.clear();
-    this->sentControls.clear();
-    this->unreportedViews.clear();
+    this->records.clear();
 }
 
 void ViewSender::recordReport(const ProxyRun &run, std::uint64_t configurationVersion)
 {
-    this->reportedVersions[run] = configurationVersion;
+    this->records[run].reportedVersion = configurationVersion;
 }
 
 void ViewSender::answer(ProxyLease &lease, std::uint64_t sequence, TimePoint now)
@@ -42,7 +40,7 @@
 {
     if (lease.sentRevision <= lease.revision)
         return lease.revision;
-    UnreportedView &unreported = this->unreportedViews[lease.run];
+    UnreportedView &unreported = this->records[lease.run].view;
     if (unreported.reportedRevision != lease.revision)
         unreported = {lease.revision, now + this->settings.viewResendInterval};
     if (now < unreported.resendAt)
@@ -67,15 +65,26 @@
 void ViewSender::push(TimePoint now)
 {
     this->pushAt = TimePoint::max();
+    this->forgetEvicted();
     for (auto &[run, lease] : this->leases.all()) {
         if (lease.connection == 0 || lease.isRetired)
             continue;
         if (lease.sentRevision <= lease.revision)
-            this->unreportedViews[run] = {lease.revision, now + this->settings.viewResendInterval};
+            this->records[run].view = {lease.revision, now + this->settings.viewResendInterval};
         this->send(lease, 0, std::max(lease.revision, lease.sentRevision), now);
     }
 }
 
+void ViewSender::forgetEvicted()
+{
+    // Every record belongs to a run that had a lease, so there are more only after an eviction.
+    if (this->records.size() <= this->leases.all().size())
+        return;
+    for (auto entry = this->records.begin(); entry != this->records.end();)
+        entry = this->leases.find(entry->first) == nullptr ? this->records.erase(entry)
+                                                           : std::next(entry);
+}
+
 void ViewSender::send(ProxyLease &lease, std::uint64_t sequence, std::uint64_t baseRevision,
                       TimePoint now)
 {
@@ -107,7 +116,7 @@
         this->controls = std::move(current);
         ++this->controlsVersion;
     }
-    SentControls &sent = this->sentControls[lease.run];
+    SentControls &sent = this->records[lease.run].controls;
     if (sent.connection == lease.connection && sent.version == this->controlsVersion)
         return;
     sent = {lease.connection, this->controlsVersion};
@@ -154,9 +163,10 @@
 bool ViewSender::needsDocument(const ProxyLease &lease, TimePoint now)
 {
     const std::uint64_t version = this->state.configuration().version;
-    if (this->reportedVersions[lease.run] >= version)
+    PoolerRecord &record = this->records[lease.run];
+    if (record.reportedVersion >= version)
         return false;
-    SentDocument &sent = this->sentDocuments[lease.run];
+    SentDocument &sent = record.document;
     if (sent.connection == lease.connection && sent.version == version && now < sent.resendAt)
         return false;
     sent = {lease.connection, version, now + this->settings.documentResendInterval};
--- a/src/rhubarbweir/coordination/fleet/view_sender.hpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.hpp
@@ -66,8 +66,18 @@
         TimePoint resendAt;
     };
 
+    // What one run of a pooler reported, and what was sent to it.
+    struct PoolerRecord
+    {
+        std::uint64_t reportedVersion = 0;
+        SentDocument document;
+        SentControls controls;
+        UnreportedView view;
+    };
+
     std::uint64_t baseOfAnswer(const ProxyLease &lease, TimePoint now);
     void push(TimePoint now);
+    void forgetEvicted();
     void send(ProxyLease &lease, std::uint64_t sequence, std::uint64_t baseRevision, TimePoint now);
     void addControls(FleetView &view, const ProxyLease &lease);
     FleetView viewAfter(std::uint64_t baseRevision) const;
@@ -82,14 +92,11 @@
     PositionTable &positions;
     ViewSenderPorts ports;
     TimePoint pushAt = TimePoint::max();
-    // Configuration version that each pooler run reported last.
-    std::map<ProxyRun, std::uint64_t> reportedVersions;
-    std::map<ProxyRun, SentDocument> sentDocuments;
+    // Only runs that the lease tracker knows, after each push.
+    std::map<ProxyRun, PoolerRecord> records;
     // Addresses of the control instances; the version counts their changes.
     std::vector<std::string> controls;
     std::uint64_t controlsVersion = 0;
-    std::map<ProxyRun, SentControls> sentControls;
-    std::map<ProxyRun, UnreportedView> unreportedViews;
     std::uint64_t compressedVersion = 0;
     OpaqueBytes compressed;
 };
--- a/tests/unit/platform_soak.tests.cpp
+++ b/tests/unit/platform_soak.tests.cpp
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <chrono>
 #include <csignal>
@@ -12,6 +13,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <memory>
 #include <netinet/in.h>
 #include <optional>
 #include <random>
--- a/tests/unit/quorum_joining.tests.cpp
+++ b/tests/unit/quorum_joining.tests.cpp
@@ -19,6 +19,16 @@
     return (cluster.leader().value() + 1 + skipped) % 3;
 }
 
+// Starts the three voters of a cluster that any instance may join.
+void startVoters(QuorumCluster &cluster)
+{
+    cluster.settings.admitUnknown = true;
+    cluster.settings.spares.clear();
+    for (std::size_t number = 0; number < 3; ++number)
+        cluster.start(number);
+    cr_assert(cluster.commitOne());
+}
+
 bool isVoter(const QuorumCluster &cluster, std::size_t number)
 {
     const auto leading = cluster.leader();
@@ -39,11 +49,7 @@
 {
     for (std::uint64_t seed = 0; seed < 20; ++seed) {
         QuorumCluster cluster(seed, 3, 1);
-        cluster.settings.admitUnknown = true;
-        cluster.settings.spares.clear();
-        for (std::size_t number = 0; number < 3; ++number)
-            cluster.start(number);
-        cr_assert(cluster.commitOne());
+        startVoters(cluster);
         const std::size_t known = followerOf(cluster);
         cluster.crash(followerOf(cluster, 1));
         cluster.nodes[3].seeds = {cluster.nodes[known].peer};
@@ -74,11 +80,7 @@
      .description = "an instance whose seeds name only an observer joins through its redirect")
 {
     QuorumCluster cluster(1, 3, 1);
-    cluster.settings.admitUnknown = true;
-    cluster.settings.spares.clear();
-    for (std::size_t number = 0; number < 3; ++number)
-        cluster.start(number);
-    cr_assert(cluster.commitOne());
+    startVoters(cluster);
     QuorumNode &joining = cluster.nodes[3];
     joining.seeds = std::vector<QuorumPeer>();
     cluster.start(3);
@@ -99,12 +101,8 @@
     constexpr seconds CatchUpTime{4};
     for (std::uint64_t seed = 0; seed < 20; ++seed) {
         QuorumCluster cluster(seed, 3, 1);
-        cluster.settings.admitUnknown = true;
-        cluster.settings.spares.clear();
         cluster.settings.replaceAfter = voterReplaceDelay(CatchUpTime);
-        for (std::size_t number = 0; number < 3; ++number)
-            cluster.start(number);
-        cr_assert(cluster.commitOne());
+        startVoters(cluster);
         cluster.nodes[3].seeds = {cluster.nodes[followerOf(cluster)].peer};
         cluster.crash(*cluster.leader());
         cluster.runFor(seconds(1));
@@ -134,11 +132,7 @@
      .description = "an instance that knows no member joins once its seeds name one")
 {
     QuorumCluster cluster(1, 3, 1);
-    cluster.settings.admitUnknown = true;
-    cluster.settings.spares.clear();
-    for (std::size_t number = 0; number < 3; ++number)
-        cluster.start(number);
-    cr_assert(cluster.commitOne());
+    startVoters(cluster);
     cluster.nodes[3].seeds = std::vector<QuorumPeer>();
     cluster.start(3);
     cluster.crash(followerOf(cluster));
