--- a/src/rhubarbweir/coordination/quorum/quorum_settings.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_settings.hpp
@@ -63,8 +63,8 @@
 // members. Never so short that a voter is replaced between two of its answers.
 inline Duration voterReplaceDelay(Duration catchUpTime)
 {
-    constexpr Duration Minimum = std::chrono::seconds(1);
-    return std::max(Minimum, Duration(catchUpTime * 3 / 4));
+    constexpr Duration minimum = std::chrono::seconds(1);
+    return std::max(minimum, Duration(catchUpTime * 3 / 4));
 }
 
 struct QuorumEventField
