--- a/review/common/harness.hpp
+++ b/review/common/harness.hpp
@@ -407,6 +407,11 @@
         this->record.line("killed %s on %s", program.c_str(), machine.c_str());
     }
 
+    pid_t pid(const std::string &machine, const std::string &program) const
+    {
+        return this->processes.at({machine, program}).pid;
+    }
+
     // Whether the process ended by itself since it was started.
     bool endedByItself(const std::string &machine, const std::string &program)
     {
