--- a/review/common/harness.hpp
+++ b/review/common/harness.hpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -377,6 +378,8 @@
             dup2(output, 1);
             dup2(output, 2);
             setenv("RHUBARBWEIR_CONFIG", settings.c_str(), 1);
+            // Ends with this program, whatever ends it.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             if (getppid() != parent)
                 _exit(127);
             execl(path.c_str(), path.c_str(), static_cast<char *>(nullptr));
