Promote a learner before the voter that it replaces is removed

Cause: a silent voter was removed first and the learner promoted in a second entry. A membership is in force once it is appended, so the quorum was two of two, and the other one had just lost its disk.

Change: the learner is promoted first; the lost voter is removed when that is committed. Of four voters a returning one completes the majority of three.

--- a/src/rhubarbweir/coordination/quorum/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.hpp
@@ -205,11 +205,15 @@
     bool redirectJoin(const InstanceId &joining, const QuorumHeader &received);
     void maintainMembership();
     bool answeredRecently(const MemberProgress &progress) const;
+    bool isReachable(const QuorumMember &member) const;
+    bool isMajorityReachable(const std::vector<QuorumMember> &voters) const;
     bool majorityWithout(const QuorumMember &lost) const;
+    bool majorityWith(const QuorumMember &learner) const;
+    const MemberProgress *leastAdvancedVoter() const;
     const MemberProgress *findLostVoter() const;
     const MemberProgress *bestReplacement(const InstanceId &vacating) const;
-    void replaceVoter(const QuorumMember &lost, const std::string &cause);
-    void promoteLearner(const QuorumMember &learner);
+    void dropVoter(const QuorumMember &lost, const std::string &cause);
+    void promoteLearner(const QuorumMember &learner, const std::string &cause);
 
     // quorum_bootstrap.cpp
     bool isBootstrapper() const;
--- a/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
@@ -1,8 +1,10 @@
 // See quorum_log.hpp. This file: single-member changes and the replacement of lost voters.
 //
-// A lost voter is removed only when a learner is ready, and the learner is promoted as soon as the
-// removal is committed. Each step changes the set of voters by one member, so any two majorities
-// have a voter in common.
+// A voter is replaced by promoting a learner that is up to date and removing the voter once the
+// promotion is committed, as in section 4 of Ongaro's dissertation on Raft. Each step changes the
+// set of voters by one member, so any two majorities have a voter in common. Removing the voter
+// first would leave a set in which each further loss is fatal, for as long as the learner is not
+// promoted.
 #include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -40,6 +42,12 @@
     members.erase(std::remove(members.begin(), members.end(), member), members.end());
 }
 
+// Why a voter is replaced.
+std::string lossOf(const MemberProgress &voter)
+{
+    return voter.superseded ? "data_folder_lost" : "silent";
+}
+
 } // namespace
 
 void QuorumLog::rebuildProgress()
@@ -194,16 +202,22 @@
 {
     if (!this->checkChangeAllowed().ok())
         return;
-    if (this->membership().voters.size() < this->membership().voterTarget) {
-        if (const MemberProgress *learner = this->bestReplacement({}))
-            this->promoteLearner(learner->member);
+    const QuorumMembership &current = this->membership();
+    const MemberProgress *lost = this->findLostVoter();
+    if (current.voters.size() > current.voterTarget) {
+        const MemberProgress *surplus = lost != nullptr ? lost : this->leastAdvancedVoter();
+        if (surplus != nullptr && this->majorityWithout(surplus->member))
+            this->dropVoter(surplus->member, lost != nullptr ? lossOf(*lost) : "surplus");
         return;
     }
-    const MemberProgress *lost = this->findLostVoter();
-    if (lost == nullptr || this->bestReplacement(lost->member.peer.instance) == nullptr)
+    const bool isShort = current.voters.size() < current.voterTarget;
+    if (!isShort && lost == nullptr)
+        return;
+    const MemberProgress *learner =
+        this->bestReplacement(lost != nullptr ? lost->member.peer.instance : InstanceId());
+    if (learner == nullptr || !this->majorityWith(learner->member))
         return;
-    if (this->majorityWithout(lost->member))
-        this->replaceVoter(lost->member, lost->superseded ? "data_folder_lost" : "silent");
+    this->promoteLearner(learner->member, isShort ? "voter_missing" : lossOf(*lost));
 }
 
 bool QuorumLog::answeredRecently(const MemberProgress &progress) const
@@ -212,21 +226,35 @@
            && this->currentTime < *progress.lastAnswerAt + this->settings.electionTimeoutMax;
 }
 
+bool QuorumLog::isReachable(const QuorumMember &member) const
+{
+    const auto found = this->progressByMember.find(keyOf(member));
+    return keyOf(member) == this->selfKey()
+           || (found != this->progressByMember.end() && this->answeredRecently(found->second));
+}
+
+bool QuorumLog::isMajorityReachable(const std::vector<QuorumMember> &voters) const
+{
+    const auto reachable =
+        std::count_if(voters.begin(), voters.end(),
+                      [this](const QuorumMember &voter) { return this->isReachable(voter); });
+    return static_cast<std::size_t>(reachable) > voters.size() / 2;
+}
+
 // Whether enough voters other than `lost` are reachable to commit its removal.
 bool QuorumLog::majorityWithout(const QuorumMember &lost) const
 {
-    std::size_t remaining = 0;
-    std::size_t alive = 0;
-    for (const QuorumMember &voter : this->membership().voters) {
-        if (voter == lost)
-            continue;
-        ++remaining;
-        const auto found = this->progressByMember.find(keyOf(voter));
-        if (keyOf(voter) == this->selfKey()
-            || (found != this->progressByMember.end() && this->answeredRecently(found->second)))
-            ++alive;
-    }
-    return alive > remaining / 2;
+    std::vector<QuorumMember> voters = this->membership().voters;
+    removeMember(voters, lost);
+    return this->isMajorityReachable(voters);
+}
+
+// Whether enough voters are reachable to commit the promotion of `learner`.
+bool QuorumLog::majorityWith(const QuorumMember &learner) const
+{
+    std::vector<QuorumMember> voters = this->membership().voters;
+    voters.push_back(learner);
+    return this->isMajorityReachable(voters);
 }
 
 const MemberProgress *QuorumLog::findLostVoter() const
@@ -244,9 +272,22 @@
     return silent;
 }
 
+// The voter to remove when all of a too large set answer; null if this instance is the only voter.
+const MemberProgress *QuorumLog::leastAdvancedVoter() const
+{
+    const MemberProgress *least = nullptr;
+    for (const QuorumMember &voter : this->membership().voters) {
+        const auto found = this->progressByMember.find(keyOf(voter));
+        if (found != this->progressByMember.end()
+            && (least == nullptr || found->second.matchIndex < least->matchIndex))
+            least = &found->second;
+    }
+    return least;
+}
+
 // Returns an up-to-date learner, preferably in a failure domain without a voter; null if there is
 // none. `vacating` is an instance that is about to lose its vote: its new incarnation may replace
-// the old one.
+// the old one, which counts as lost and is removed next.
 const MemberProgress *QuorumLog::bestReplacement(const InstanceId &vacating) const
 {
     const QuorumMembership &current = this->membership();
@@ -274,7 +315,7 @@
     return best;
 }
 
-void QuorumLog::replaceVoter(const QuorumMember &lost, const std::string &cause)
+void QuorumLog::dropVoter(const QuorumMember &lost, const std::string &cause)
 {
     QuorumMembership next = this->membership();
     removeMember(next.voters, lost);
@@ -282,14 +323,13 @@
                             {{"instance", lost.peer.instance.value}, {"cause", cause}});
 }
 
-void QuorumLog::promoteLearner(const QuorumMember &learner)
+void QuorumLog::promoteLearner(const QuorumMember &learner, const std::string &cause)
 {
     QuorumMembership next = this->membership();
     removeMember(next.learners, learner);
     next.voters.push_back(learner);
     this->proposeMembership(next, "quorum_voter_added",
-                            {{"instance", learner.peer.instance.value},
-                             {"cause", "voter_missing_and_learner_caught_up"}});
+                            {{"instance", learner.peer.instance.value}, {"cause", cause}});
 }
 
 } // namespace rhubarbweir
