Hand over the vote of an instance that is stopped as planned

Cause: an instance that stops gave up its leadership, but not its vote, until it was replaced as silent 3 s later. In that time a single lost disk took the majority, although a learner held the whole log.

Change: rhubarb-fleet and rhubarb-control leave the quorum before they end, within half of the grace time (2.5 s in the first product): the leader promotes a learner, removes the voter and confirms. A leader promotes its replacement, hands over, and asks its successor. Without a learner the answer comes at once and the vote stays.

--- a/src/programs/control/control_program.cpp
+++ b/src/programs/control/control_program.cpp
@@ -15,6 +15,8 @@
 
 // Time to send queued messages before the event loops stop.
 constexpr std::chrono::milliseconds FlushTime{150};
+// A planned stop waits this long for the confirmation that the instance has left the quorum.
+constexpr std::chrono::milliseconds LeaveTimeout{2500};
 
 std::uint64_t randomSeed()
 {
@@ -263,15 +265,17 @@
     this->stopping = true;
     logEvent(LogLevel::Info, "stop_requested", {{"cause", "signal"}});
     this->controlLoop.post([this] {
-        const absl::Status handedOver = this->quorum.handOverLeadership(EventLoop::now());
-        logEvent(LogLevel::Info, "leadership_handed_over", {{"status", handedOver.ToString()}});
+        this->quorum.leave(EventLoop::now());
         this->updateLeadershipAndTimer();
     });
-    this->networkLoop.schedule(EventLoop::now() + FlushTime, [this] { this->closeAndStop(); });
+    // Without a reachable majority the vote cannot be handed over.
+    this->networkLoop.schedule(EventLoop::now() + LeaveTimeout, [this] { this->closeAndStop(); });
 }
 
 void ControlProgram::closeAndStop()
 {
+    if (std::exchange(this->closing, true))
+        return;
     this->server.closeAll(CloseReason::GoingAway);
     this->networkLoop.schedule(EventLoop::now() + FlushTime, [this] {
         logEvent(LogLevel::Info, "control_stopped", {});
@@ -300,6 +304,11 @@
         this->node.leadershipChanged(EventLoop::now());
     }
     this->timer.wakeAt(std::min(this->quorum.nextDeadline(), this->node.nextDeadline()));
+    if (this->quorum.hasLeft() && !std::exchange(this->hasLeft, true))
+        this->networkLoop.post([this] {
+            this->networkLoop.schedule(EventLoop::now() + FlushTime,
+                                       [this] { this->closeAndStop(); });
+        });
 }
 
 std::vector<VoterStatus> ControlProgram::voterStatuses() const
--- a/src/programs/control/control_program.hpp
+++ b/src/programs/control/control_program.hpp
@@ -64,10 +64,12 @@
     std::map<ConnectionId, InstanceId> peers;
     // Leadership that the node was last notified of.
     bool wasLeader = false;
+    bool hasLeft = false;
     InstanceId lastLeader;
     // Written by the control thread, read by the network thread for health checks.
     std::atomic<bool> knowsLeader{false};
     bool stopping = false;
+    bool closing = false;
     std::thread controlThread;
 };
 
--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -25,6 +25,8 @@
 // Delay of the exit after a failed disk write. A full disk lasts for seconds, so an immediate
 // restart would fail again.
 constexpr std::chrono::milliseconds DiskFailureExitDelay{1500};
+// An instance that stops leaves the quorum within this part of the time that the platform gives.
+constexpr int LeaveGraceDivisor = 2;
 // An election has to complete well within a pooler's lease, but must not be started by a short
 // stall of a disk or processor.
 constexpr std::chrono::milliseconds QuorumHeartbeat{75};
@@ -406,6 +408,8 @@
         std::min(this->quorum.nextDeadline(),
                  this->wasLeader ? this->controller.nextDeadline() : TimePoint::max());
     this->timer.wakeAt(deadline);
+    if (this->quorum.hasLeft() && !std::exchange(this->ending, true))
+        this->loop.schedule(EventLoop::now() + FlushTime, [this] { this->loop.stop(); });
 }
 
 void FleetProgram::stopRequested()
@@ -414,12 +418,14 @@
         this->loop.stop();
         return;
     }
-    const absl::Status handedOver = this->quorum.handOverLeadership(EventLoop::now());
-    this->event("stop_requested", {{"leadership", handedOver.ToString()}});
+    this->event("stop_requested", {{"leads", this->quorum.isLeader() ? "yes" : "no"}});
+    // Without a reachable majority the vote cannot be handed over.
+    this->loop.schedule(EventLoop::now() + this->settings.grace / LeaveGraceDivisor, [this] {
+        this->event("stopped_as_member", {{"cause", "no confirmation of leaving in time"}});
+        this->loop.stop();
+    });
+    this->quorum.leave(EventLoop::now());
     this->finishEvent();
-    // A leader stays up long enough for another one to take over.
-    const Duration exitDelay = handedOver.ok() ? Duration(ElectionTimeoutMax) : Duration(FlushTime);
-    this->loop.schedule(EventLoop::now() + exitDelay, [this] { this->loop.stop(); });
 }
 
 } // namespace rhubarbweir
--- a/src/programs/fleet/fleet_program.hpp
+++ b/src/programs/fleet/fleet_program.hpp
@@ -70,6 +70,8 @@
     std::map<ConnectionId, InstanceId> peers;
     bool wasLeader = false;
     bool stopping = false;
+    // The process has left the quorum and ends after its last messages are sent.
+    bool ending = false;
     bool failed = false;
 };
 
--- a/src/rhubarbweir/coordination/quorum/quorum_bootstrap.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_bootstrap.cpp
@@ -65,7 +65,7 @@
     if (this->currentTime < this->joinDeadline)
         return;
     this->joinDeadline = this->currentTime + this->settings.electionTimeoutMax;
-    if (this->hasRecentLeader())
+    if (this->hasRecentLeader() || this->leaveStep != LeaveStep::Member)
         return;
     if (this->isBootstrapper()) {
         for (const QuorumPeer &peer : this->settings.initialVoters) {
@@ -90,8 +90,8 @@
 // that are not members.
 void QuorumLog::askToJoin(const InstanceId &member)
 {
-    if (this->isLeader() || this->hasRecentLeader() || member.empty()
-        || member == this->settings.self.instance)
+    if (this->isLeader() || this->hasRecentLeader() || this->leaveStep != LeaveStep::Member
+        || member.empty() || member == this->settings.self.instance)
         return;
     this->joinContact = member;
     if (std::exchange(this->joinContactAsked, true))
@@ -101,6 +101,8 @@
 
 void QuorumLog::handle(const InstanceId &, const QuorumJoinRedirect &redirect)
 {
+    if (this->leaveStep == LeaveStep::Leaving)
+        this->leaveContact = redirect.leader.instance;
     this->askToJoin(redirect.leader.instance);
 }
 
--- a/src/rhubarbweir/coordination/quorum/quorum_election.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_election.cpp
@@ -66,7 +66,7 @@
 
 void QuorumLog::advanceElection()
 {
-    if (this->currentTime >= this->electionDeadline && this->isVoter())
+    if (this->currentTime >= this->electionDeadline && this->isVoter() && !this->hasLeft())
         this->startPreVote();
 }
 
@@ -268,8 +268,11 @@
         if (found == this->progressByMember.end() || !this->answeredRecently(found->second))
             continue;
         const MemberProgress &progress = found->second;
+        // An instance that leaves would hand over again.
         if (progress.matchIndex >= this->committed
-            && (best == nullptr || progress.matchIndex > best->matchIndex))
+            && (best == nullptr
+                || std::make_tuple(!progress.leaveAskedAt, progress.matchIndex)
+                       > std::make_tuple(!best->leaveAskedAt, best->matchIndex)))
             best = &progress;
     }
     return best;
--- a/src/rhubarbweir/coordination/quorum/quorum_log.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.cpp
@@ -79,6 +79,7 @@
         this->advanceElection();
         this->advanceJoining();
     }
+    this->advanceLeaving();
     this->finishEvent();
 }
 
@@ -154,9 +155,14 @@
 {
     if (this->currentRole == QuorumRole::Stopped)
         return TimePoint::max();
-    if (!this->isLeader())
-        return this->isVoter() ? std::min(this->electionDeadline, this->joinDeadline)
-                               : this->joinDeadline;
+    if (!this->isLeader()) {
+        TimePoint deadline = this->joinDeadline;
+        if (this->isVoter() && !this->hasLeft())
+            deadline = std::min(deadline, this->electionDeadline);
+        if (this->leaveStep == LeaveStep::Leaving && !this->leaveContact.empty())
+            deadline = std::min(deadline, this->leaveRequestAt);
+        return deadline;
+    }
     TimePoint deadline = this->currentTime + this->settings.heartbeat;
     for (const auto &[key, progress] : this->progressByMember)
         deadline = std::min(deadline, progress.heartbeatAt);
@@ -209,7 +215,8 @@
                                  || std::holds_alternative<QuorumBootstrapAnswer>(message)
                                  || std::holds_alternative<QuorumJoin>(message)
                                  || std::holds_alternative<QuorumJoinRedirect>(message)
-                                 || std::holds_alternative<QuorumVoteRequest>(message);
+                                 || std::holds_alternative<QuorumVoteRequest>(message)
+                                 || std::holds_alternative<QuorumLeave>(message);
     if (!neverRaisesTerm && received.term > this->term())
         this->becomeFollower(received.term, "newer_term");
 }
--- a/src/rhubarbweir/coordination/quorum/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.hpp
@@ -90,6 +90,13 @@
     // voter has all committed entries.
     absl::Status handOverLeadership(TimePoint now);
 
+    // Gives up the membership of this instance before a planned stop, so that its vote does not
+    // count as lost: a learner takes its vote, and a leader hands over. Progress is visible through
+    // hasLeft(). The instance votes and replicates until then; a restart joins again.
+    void leave(TimePoint now);
+    // Whether the leader has confirmed that this instance may stop.
+    bool hasLeft() const { return this->leaveStep == LeaveStep::Left; }
+
     QuorumRole role() const { return this->currentRole; }
     bool isLeader() const { return this->currentRole == QuorumRole::Leader; }
     std::uint64_t term() const { return this->hardState.term; }
@@ -118,6 +125,13 @@
 private:
     using MemberKey = std::pair<InstanceId, std::uint64_t>;
 
+    enum class LeaveStep {
+        Member,
+        // Asks the leader to be removed.
+        Leaving,
+        Left,
+    };
+
     // quorum_log.cpp
     void beginEvent(TimePoint time);
     void finishEvent();
@@ -215,6 +229,13 @@
     void dropVoter(const QuorumMember &lost, const std::string &cause);
     void promoteLearner(const QuorumMember &learner, const std::string &cause);
 
+    // quorum_leaving.cpp
+    void advanceLeaving();
+    bool hasLearnerFor(const InstanceId &leaving) const;
+    void handle(const InstanceId &from, const QuorumLeave &leave);
+    void handle(const InstanceId &from, const QuorumLeaveAnswer &answer);
+    void answerLeave(const InstanceId &to, const QuorumHeader &received, bool removed);
+
     // quorum_bootstrap.cpp
     bool isBootstrapper() const;
     void generateIncarnation();
@@ -279,6 +300,11 @@
     // this term.
     std::optional<TimePoint> handoverLeaseEnd;
     bool handoverSent = false;
+    LeaveStep leaveStep = LeaveStep::Member;
+    // When a leaving instance asks again, and whom: the leader heard last, or the one it was
+    // referred to.
+    TimePoint leaveRequestAt;
+    InstanceId leaveContact;
 
     // Bootstrapping instance: incarnations that promised to join its cluster.
     std::map<InstanceId, std::uint64_t> promises;
--- a/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
@@ -45,7 +45,9 @@
 // Why a voter is replaced.
 std::string lossOf(const MemberProgress &voter)
 {
-    return voter.superseded ? "data_folder_lost" : "silent";
+    if (voter.superseded)
+        return "data_folder_lost";
+    return voter.leaveAskedAt ? "leaving" : "silent";
 }
 
 } // namespace
@@ -204,20 +206,28 @@
         return;
     const QuorumMembership &current = this->membership();
     const MemberProgress *lost = this->findLostVoter();
+    const bool isLeaving = this->leaveStep != LeaveStep::Member;
     if (current.voters.size() > current.voterTarget) {
+        // A leader that leaves is removed by its successor, after it has asked it.
+        const bool mayLeaverAsk =
+            isLeaving
+            || this->currentTime < this->leadershipStart + 2 * this->settings.electionTimeoutMax;
+        if (lost == nullptr && mayLeaverAsk)
+            return;
         const MemberProgress *surplus = lost != nullptr ? lost : this->leastAdvancedVoter();
         if (surplus != nullptr && this->majorityWithout(surplus->member))
             this->dropVoter(surplus->member, lost != nullptr ? lossOf(*lost) : "surplus");
         return;
     }
     const bool isShort = current.voters.size() < current.voterTarget;
-    if (!isShort && lost == nullptr)
+    if (!isShort && lost == nullptr && !isLeaving)
         return;
     const MemberProgress *learner =
         this->bestReplacement(lost != nullptr ? lost->member.peer.instance : InstanceId());
     if (learner == nullptr || !this->majorityWith(learner->member))
         return;
-    this->promoteLearner(learner->member, isShort ? "voter_missing" : lossOf(*lost));
+    const std::string cause = lost != nullptr ? lossOf(*lost) : "leaving";
+    this->promoteLearner(learner->member, isShort ? "voter_missing" : cause);
 }
 
 bool QuorumLog::answeredRecently(const MemberProgress &progress) const
@@ -259,6 +269,7 @@
 
 const MemberProgress *QuorumLog::findLostVoter() const
 {
+    const MemberProgress *leaving = nullptr;
     const MemberProgress *silent = nullptr;
     for (const QuorumMember &voter : this->membership().voters) {
         const auto found = this->progressByMember.find(keyOf(voter));
@@ -268,8 +279,10 @@
             return &found->second;
         if (*found->second.lastAnswerAt + this->settings.replaceAfter <= this->currentTime)
             silent = &found->second;
+        else if (found->second.leaveAskedAt)
+            leaving = &found->second;
     }
-    return silent;
+    return silent != nullptr ? silent : leaving;
 }
 
 // The voter to remove when all of a too large set answer; null if this instance is the only voter.
@@ -305,7 +318,8 @@
             continue;
         const auto found = this->progressByMember.find(keyOf(learner));
         if (found == this->progressByMember.end() || !this->answeredRecently(found->second)
-            || found->second.probing || found->second.matchIndex < this->committed)
+            || found->second.probing || found->second.matchIndex < this->committed
+            || found->second.leaveAskedAt)
             continue;
         if (!domainTaken(learner.peer.failureDomain))
             return &found->second;
--- a/src/rhubarbweir/coordination/quorum/quorum_messages.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_messages.hpp
@@ -131,9 +131,24 @@
     QuorumHeader header;
 };
 
+// Sent to the leader by an instance that is about to stop; repeated until it is answered.
+struct QuorumLeave
+{
+    QuorumHeader header;
+};
+
+// Answer to QuorumLeave once the sender may stop.
+struct QuorumLeaveAnswer
+{
+    QuorumHeader header;
+    // The sender is no member any more. Otherwise no other instance can take its vote.
+    bool removed = false;
+};
+
 using QuorumMessage =
     std::variant<QuorumBootstrapQuery, QuorumBootstrapAnswer, QuorumJoin, QuorumVoteRequest,
                  QuorumVoteAnswer, QuorumAppend, QuorumAppendAnswer, QuorumSnapshotChunk,
-                 QuorumSnapshotAnswer, QuorumTimeoutNow, QuorumJoinRedirect>;
+                 QuorumSnapshotAnswer, QuorumTimeoutNow, QuorumJoinRedirect, QuorumLeave,
+                 QuorumLeaveAnswer>;
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/quorum/quorum_progress.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_progress.hpp
@@ -38,6 +38,8 @@
     std::uint64_t snapshotOffset = 0;
     // The instance has returned under another incarnation, so this one will not come back.
     bool superseded = false;
+    // When the instance last asked to leave; empty once it has answered again after a restart.
+    std::optional<TimePoint> leaveAskedAt;
 };
 
 // The part of a snapshot received so far.
--- a/src/rhubarbweir/coordination/quorum/quorum_replication.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_replication.cpp
@@ -115,6 +115,10 @@
     MemberProgress &progress = found->second;
     progress.lastAnswerAt = this->currentTime;
     progress.answered = true;
+    // A restarted instance has answered, as one that still leaves asks with every heartbeat.
+    if (progress.leaveAskedAt
+        && this->currentTime >= *progress.leaveAskedAt + 2 * this->settings.electionTimeoutMax)
+        progress.leaveAskedAt.reset();
     progress.newestAnsweredSentAt =
         std::max(progress.newestAnsweredSentAt, std::make_optional(sent->second));
     progress.answeredSequence = std::max(progress.answeredSequence, answered);
--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -71,6 +71,8 @@
     "fleet_redirect",
     "position_report",
     "quorum_join_redirect",
+    "quorum_leave",
+    "quorum_leave_answer",
 };
 static_assert(std::size(TypeNames) == std::variant_size_v<Message>);
 
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -129,6 +129,8 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumSnapshotAnswer, header, sequence, index, nextOffset)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumTimeoutNow, header)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumJoinRedirect, header, leader)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumLeave, header)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(QuorumLeaveAnswer, header, removed)
 
 // fleet_state.hpp, fleet_messages.hpp
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegisteredTarget, target, group, address, failureDomain, phase,
--- a/src/rhubarbweir/protocol/message.hpp
+++ b/src/rhubarbweir/protocol/message.hpp
@@ -13,17 +13,16 @@
 
 namespace rhubarbweir {
 
-using Message =
-    std::variant<OpenSession, SessionOpened, MoveSession, CallerRequest, CallerAnswer, PeerHello,
-                 ForwardRequest, ForwardAnswer, EndTransaction, OpenConnection, ConnectionOpened,
-                 ConnectionRefused, Statement, StatementReply, StatusProbe, TargetStatus,
-                 Announcement, FenceTarget, TargetFenced, PromoteTarget, TargetPromoted,
-                 FollowPrimary, RenewLease, LeaseGranted, LeaseRefused, ViewChanged, TableEdit,
-                 TableEditResult, TableQuery, TableRows, InForceQuery, InForceReport, StatusQuery,
-                 StatusReport, PlannedChange, PlannedChangeResult, DrainInstance, DrainStarted,
-                 ReplicateEntries, ReplicateAnswer, ObserverReport, QuorumBootstrapQuery,
-                 QuorumBootstrapAnswer, QuorumJoin, QuorumVoteRequest, QuorumVoteAnswer,
-                 QuorumAppend, QuorumAppendAnswer, QuorumSnapshotChunk, QuorumSnapshotAnswer,
-                 QuorumTimeoutNow, FleetLease, FleetRedirect, PositionReport, QuorumJoinRedirect>;
+using Message = std::variant<
+    OpenSession, SessionOpened, MoveSession, CallerRequest, CallerAnswer, PeerHello, ForwardRequest,
+    ForwardAnswer, EndTransaction, OpenConnection, ConnectionOpened, ConnectionRefused, Statement,
+    StatementReply, StatusProbe, TargetStatus, Announcement, FenceTarget, TargetFenced,
+    PromoteTarget, TargetPromoted, FollowPrimary, RenewLease, LeaseGranted, LeaseRefused,
+    ViewChanged, TableEdit, TableEditResult, TableQuery, TableRows, InForceQuery, InForceReport,
+    StatusQuery, StatusReport, PlannedChange, PlannedChangeResult, DrainInstance, DrainStarted,
+    ReplicateEntries, ReplicateAnswer, ObserverReport, QuorumBootstrapQuery, QuorumBootstrapAnswer,
+    QuorumJoin, QuorumVoteRequest, QuorumVoteAnswer, QuorumAppend, QuorumAppendAnswer,
+    QuorumSnapshotChunk, QuorumSnapshotAnswer, QuorumTimeoutNow, FleetLease, FleetRedirect,
+    PositionReport, QuorumJoinRedirect, QuorumLeave, QuorumLeaveAnswer>;
 
 } // namespace rhubarbweir
--- a/tests/unit/quorum_faults.tests.cpp
+++ b/tests/unit/quorum_faults.tests.cpp
@@ -45,7 +45,8 @@
             QuorumNode &node = this->cluster.nodes[number];
             node.folder->failSyncs = false;
             node.folder->full = false;
-            if (node.log && node.log->role() == QuorumRole::Stopped)
+            const bool isStopping = this->stopping.count(number) != 0;
+            if (node.log && (isStopping || node.log->role() == QuorumRole::Stopped))
                 this->cluster.crash(number);
             this->cluster.start(number);
         }
@@ -80,7 +81,7 @@
         const std::size_t number = this->pick(this->cluster.nodes.size());
         const std::size_t other = this->pick(this->cluster.nodes.size());
         QuorumNode &node = this->cluster.nodes[number];
-        switch (this->pick(12)) {
+        switch (this->pick(13)) {
         case 0:
         case 1:
             this->cluster.crash(number);
@@ -119,12 +120,30 @@
                 (void)log.removeVoter(node.peer.instance, now);
             });
             break;
+        case 10:
+            this->stopAsPlanned(number);
+            break;
         default:
             this->restartAll();
             break;
         }
     }
 
+    // The process ends once it has left, or when its time is up.
+    void stopAsPlanned(std::size_t number)
+    {
+        QuorumNode &node = this->cluster.nodes[number];
+        if (!node.log)
+            return;
+        node.log->leave(this->cluster.local(node));
+        this->stopping.insert(number);
+        const std::uint64_t process = node.processNumber;
+        this->cluster.schedule(milliseconds(100 + this->pick(1500)), [this, number, process] {
+            if (this->cluster.nodes[number].processNumber == process)
+                this->cluster.crash(number);
+        });
+    }
+
     void atLeader(const std::function<void(QuorumLog &, TimePoint)> &action)
     {
         const auto leader = this->cluster.leader();
@@ -192,6 +211,8 @@
     }
 
     bool loading = true;
+    // Instances that were told to stop at some time.
+    std::set<std::size_t> stopping;
 };
 
 // RHUBARBWEIR_FIRST_SEED is added to all seeds, to run other ranges manually.
--- a/tests/unit/quorum_replacement.tests.cpp
+++ b/tests/unit/quorum_replacement.tests.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::uint64_t Seeds = 400;
+// Time for which a program waits for the confirmation that it may stop.
+constexpr seconds LeaveLimit{3};
 // Time of the recovery after the last instance is back.
 constexpr seconds RecoveryLimit{12};
 
@@ -55,6 +57,21 @@
     // A voter of the first three, which counts from the leader on.
     std::size_t voter(std::size_t skipped) { return (this->leader() + skipped) % 3; }
 
+    // Stops the instance as a program does; it is gone for good after that.
+    bool stopAsPlanned(std::size_t number)
+    {
+        QuorumNode &node = this->cluster.nodes[number];
+        node.log->leave(this->cluster.local(node));
+        const bool hasLeft = this->cluster.runUntil(LeaveLimit, [&] {
+            // advance() is due again, as leave() was no event of the cluster.
+            if (!node.log->hasLeft())
+                node.log->advance(this->cluster.local(node));
+            return node.log->hasLeft();
+        });
+        this->cluster.crash(number);
+        return hasLeft;
+    }
+
     void loseFolder(std::size_t number, milliseconds downFor)
     {
         this->cluster.wipe(number);
@@ -123,3 +140,78 @@
         run.checkRecovery();
     });
 }
+
+// Guards against a vote that nobody hands over when its voter stops for good.
+Test(quorum_replacement, folder_lost_after_a_planned_stop,
+     .description = "a folder lost after a voter was replaced as planned ends no cluster")
+{
+    runSeeds([](ReplacementRun &run) {
+        run.startVoters();
+        run.startLearner();
+        const std::size_t leaving = run.voter(run.cluster.random() % 3);
+        run.cluster.check(run.stopAsPlanned(leaving), "the voter could not leave in time");
+        run.wait(milliseconds(3000));
+        run.cluster.check(run.cluster.awaitLeader(), "no leader after the planned stop");
+        std::size_t wiped = run.cluster.random() % 4;
+        while (wiped == leaving)
+            wiped = run.cluster.random() % 4;
+        run.loseFolder(wiped, milliseconds(1000));
+        run.checkRecovery();
+    });
+}
+
+Test(quorum_replacement, successor_not_ready,
+     .description = "a voter leaves at once if no learner can take its vote, and votes on later")
+{
+    runSeeds([](ReplacementRun &run) {
+        run.startVoters();
+        const std::size_t leaving = run.voter(run.cluster.random() % 3);
+        run.cluster.check(run.stopAsPlanned(leaving), "the voter could not leave in time");
+        run.cluster.check(run.cluster.commitOne(), "two of three voters do not commit");
+        run.wait(milliseconds(2000));
+        run.cluster.start(leaving);
+        run.cluster.runFor(seconds(2));
+        run.cluster.crash(run.voter(1));
+        run.checkRecovery();
+    });
+}
+
+Test(quorum_replacement, two_planned_stops,
+     .description = "of two voters that leave together one is replaced, and both return")
+{
+    runSeeds([](ReplacementRun &run) {
+        run.startVoters();
+        run.startLearner();
+        const std::size_t first = run.voter(run.cluster.random() % 3);
+        const std::size_t second = (first + 1) % 3;
+        for (const std::size_t number : {first, second}) {
+            QuorumNode &node = run.cluster.nodes[number];
+            node.log->leave(run.cluster.local(node));
+        }
+        run.cluster.runFor(LeaveLimit);
+        for (const std::size_t number : {first, second})
+            run.cluster.crash(number);
+        run.wait(milliseconds(1500));
+        for (const std::size_t number : {first, second})
+            run.cluster.start(number);
+        run.checkRecovery();
+    });
+}
+
+Test(quorum_replacement, stop_cut_short,
+     .description = "a planned stop that is cut short by a kill costs no more than a lost voter")
+{
+    runSeeds([](ReplacementRun &run) {
+        run.startVoters();
+        run.startLearner();
+        const std::size_t leaving = run.voter(run.cluster.random() % 3);
+        QuorumNode &node = run.cluster.nodes[leaving];
+        node.log->leave(run.cluster.local(node));
+        run.wait(milliseconds(400));
+        run.cluster.crash(leaving);
+        run.cluster.runFor(seconds(5));
+        const std::size_t wiped = (leaving + 1 + run.cluster.random() % 2) % 3;
+        run.loseFolder(wiped, milliseconds(500));
+        run.checkRecovery();
+    });
+}
