--- a/src/programs/control/control_program.cpp
+++ b/src/programs/control/control_program.cpp
@@ -95,8 +95,8 @@
               {"failure_domain", this->settings.control.failureDomain.value}});
     this->networkLoop.onStopSignal([this](int) { this->stopRequested(); });
     this->links.start();
-    this->controlLoop.post([this, state = *std::move(recovered)] {
-        this->quorum.start(state, EventLoop::now());
+    this->controlLoop.post([this, state = *std::move(recovered)]() mutable {
+        this->quorum.start(std::move(state), EventLoop::now());
         this->updateLeadershipAndTimer();
     });
     this->controlThread = std::thread([this] { this->controlLoop.run(); });
--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -144,7 +144,7 @@
         this->finishEvent();
     };
     this->links.start();
-    this->quorum.start(*recovered, EventLoop::now());
+    this->quorum.start(*std::move(recovered), EventLoop::now());
     this->seeds.start();
     this->finishEvent();
     this->loop.run();
--- a/src/rhubarbweir/coordination/quorum/quorum_entries.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_entries.cpp
@@ -77,6 +77,29 @@
     return result;
 }
 
+std::size_t QuorumEntries::bytesAfter(std::uint64_t index) const
+{
+    std::size_t bytes = 0;
+    for (std::uint64_t next = std::max(index + 1, this->firstIndex()); next <= this->lastIndex();
+         ++next)
+        bytes += this->at(next).payload.bytes.size();
+    return bytes;
+}
+
+std::uint64_t QuorumEntries::trailingFrom(std::uint64_t index, std::uint64_t maxEntries,
+                                          std::size_t maxBytes) const
+{
+    std::uint64_t first = index + 1;
+    std::size_t bytes = 0;
+    while (first > this->firstIndex() && index + 1 - first < maxEntries) {
+        bytes += this->at(first - 1).payload.bytes.size();
+        if (bytes > maxBytes)
+            break;
+        --first;
+    }
+    return first;
+}
+
 const QuorumMembership &QuorumEntries::membershipAt(std::uint64_t index) const
 {
     const std::uint64_t found = this->membershipIndexAt(index);
--- a/src/rhubarbweir/coordination/quorum/quorum_entries.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_entries.hpp
@@ -32,6 +32,12 @@
     // even if it exceeds `maxBytes`.
     std::vector<QuorumEntry> slice(std::uint64_t from, std::size_t maxEntries,
                                    std::size_t maxBytes) const;
+    // Payload bytes of the entries after `index`.
+    std::size_t bytesAfter(std::uint64_t index) const;
+    // The first of the entries before and including `index` that together stay within both bounds;
+    // index + 1 if none does.
+    std::uint64_t trailingFrom(std::uint64_t index, std::uint64_t maxEntries,
+                               std::size_t maxBytes) const;
     // The latest membership at or before `index`.
     const QuorumMembership &membershipAt(std::uint64_t index) const;
     // Index of the entry that set membershipAt(index), or firstIndex() - 1 if that entry was
--- a/src/rhubarbweir/coordination/quorum/quorum_log.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.cpp
@@ -17,21 +17,23 @@
     this->entries.reset(0, 0, {});
 }
 
-void QuorumLog::start(const RecoveredState &recovered, TimePoint time)
+void QuorumLog::start(RecoveredState recovered, TimePoint time)
 {
     this->currentTime = time;
     if (recovered.hardState) {
         this->hardState = *recovered.hardState;
         if (recovered.snapshot) {
-            this->snapshot = recovered.snapshot;
+            this->snapshot = std::move(recovered.snapshot);
             this->entries.reset(this->snapshot->index, this->snapshot->term,
                                 this->snapshot->membership);
             this->committed = this->snapshot->index;
             this->applied = this->snapshot->index;
             this->hooks.restoreSnapshot(this->snapshot->state.bytes, this->snapshot->index);
         }
-        for (const QuorumEntry &entry : recovered.entries)
-            this->entries.append(entry);
+        for (QuorumEntry &entry : recovered.entries) {
+            this->loggedBytes += entry.payload.bytes.size();
+            this->entries.append(std::move(entry));
+        }
     } else {
         this->generateIncarnation();
     }
--- a/src/rhubarbweir/coordination/quorum/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.hpp
@@ -58,7 +58,7 @@
 
     // Has to be called first. A damaged data folder has to be emptied before, and an empty
     // RecoveredState passed.
-    void start(const RecoveredState &recovered, TimePoint now);
+    void start(RecoveredState recovered, TimePoint now);
     void receive(const InstanceId &from, const QuorumMessage &message, TimePoint now);
     void advance(TimePoint now);
     // The batch with this token and all earlier ones are synced to disk.
@@ -295,6 +295,8 @@
     std::uint64_t sequence = 0;
     std::uint64_t firstIndexOfTerm = 0;
     std::size_t uncommittedBytes = 0;
+    // Payload bytes written to the log since the last snapshot, also of entries removed meanwhile.
+    std::size_t loggedBytes = 0;
     TimePoint leadershipStart;
     // Set during a leadership handover: the lease ends at this time and is not extended again in
     // this term.
--- a/src/rhubarbweir/coordination/quorum/quorum_replication.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_replication.cpp
@@ -22,6 +22,7 @@
     entry.kind = kind;
     entry.payload.bytes = std::move(payload);
     entry.membership = change;
+    this->loggedBytes += entry.payload.bytes.size();
     this->persistence.append(entry);
     this->entries.append(std::move(entry));
     if (kind == EntryKind::Membership)
@@ -203,6 +204,7 @@
             this->persistence.truncateFrom(entry.index);
             this->durable = std::min(this->durable, entry.index - 1);
         }
+        this->loggedBytes += entry.payload.bytes.size();
         this->persistence.append(entry);
         this->entries.append(entry);
     }
--- a/src/rhubarbweir/coordination/quorum/quorum_settings.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_settings.hpp
@@ -47,14 +47,18 @@
     // Unacknowledged appends with entries per follower.
     std::size_t maxInflightAppends = 8;
     // propose() refuses payloads that would bring the uncommitted ones above this size, in bytes.
-    std::size_t maxUncommittedBytes = 16 * 1024 * 1024;
+    std::size_t maxUncommittedBytes = 8 * 1024 * 1024;
     // Maximum payload of one proposal, in bytes.
     std::size_t maxPayloadBytes = 512 * 1024;
-    // Number of entries applied between two snapshots.
+    // A snapshot is due after this number of applied entries, or once the entries since the last
+    // one have more bytes than `snapshotBytes` and than that snapshot. Together with
+    // maxUncommittedBytes this bounds the log on disk.
     std::uint64_t snapshotInterval = 1000;
-    // Number of entries before a snapshot that are retained, so that slightly lagging followers do
-    // not need the snapshot.
+    std::size_t snapshotBytes = 4 * 1024 * 1024;
+    // Entries before a snapshot that are retained in memory within both bounds, so that slightly
+    // lagging followers do not need the snapshot.
     std::uint64_t trailingEntries = 200;
+    std::size_t trailingBytes = 2 * 1024 * 1024;
     std::size_t snapshotChunkBytes = 256 * 1024;
 };
 
--- a/src/rhubarbweir/coordination/quorum/quorum_snapshots.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_snapshots.cpp
@@ -3,6 +3,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace rhubarbweir {
@@ -10,7 +11,10 @@
 void QuorumLog::snapshotIfDue()
 {
     const std::uint64_t last = this->snapshot ? this->snapshot->index : 0;
-    if (this->applied < last + this->settings.snapshotInterval)
+    const std::size_t lastBytes = this->snapshot ? this->snapshot->state.bytes.size() : 0;
+    const bool isLogLarge = this->loggedBytes >= std::max(this->settings.snapshotBytes, lastBytes);
+    if (this->applied == last
+        || (!isLogLarge && this->applied < last + this->settings.snapshotInterval))
         return;
     QuorumSnapshot created;
     created.index = this->applied;
@@ -18,9 +22,16 @@
     created.membership = this->entries.membershipAt(created.index);
     created.state.bytes = this->hooks.makeSnapshot();
     this->persistence.setSnapshot(created, false);
-    if (created.index > this->settings.trailingEntries)
-        this->entries.dropUpTo(created.index - this->settings.trailingEntries);
+    this->entries.dropUpTo(this->entries.trailingFrom(created.index, this->settings.trailingEntries,
+                                                      this->settings.trailingBytes)
+                           - 1);
+    this->loggedBytes = this->entries.bytesAfter(created.index);
     this->snapshot = std::move(created);
+    this->emitEvent("quorum_snapshot_created",
+                    {{"index", absl::StrCat(this->snapshot->index)},
+                     {"bytes", absl::StrCat(this->snapshot->state.bytes.size())},
+                     {"entries", absl::StrCat(this->snapshot->index - last)},
+                     {"cause", isLogLarge ? "bytes" : "entries"}});
 }
 
 void QuorumLog::sendChunk(MemberProgress &progress)
@@ -110,6 +121,7 @@
         this->entries.reset(received.index, received.term, received.membership);
         this->durable = 0;
     }
+    this->loggedBytes = this->entries.bytesAfter(received.index);
     this->committed = received.index;
     this->applied = received.index;
     this->currentRole = QuorumRole::Follower;
--- a/src/rhubarbweir/transport/quorum_store.cpp
+++ b/src/rhubarbweir/transport/quorum_store.cpp
@@ -1,6 +1,7 @@
 // See quorum_store.hpp.
 #include "rhubarbweir/transport/quorum_store.hpp"
 
+#include "rhubarbweir/protocol/compression.hpp"
 #include "rhubarbweir/protocol/internal/json_messages.hpp"
 #include "rhubarbweir/transport/internal/record_format.hpp"
 
@@ -10,6 +11,7 @@
 #include <absl/strings/strip.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace rhubarbweir {
 
@@ -27,6 +29,10 @@
 constexpr const char *TruncateRecord = "truncate";
 constexpr const char *EntryRecord = "entry";
 constexpr const char *SnapshotRecord = "snapshot";
+// A snapshot whose state is compressed, so that it fits on a disk that is nearly full.
+constexpr const char *CompressedSnapshotRecord = "compressed_snapshot";
+
+constexpr std::size_t MaxSnapshotBytes = std::size_t{256} * 1024 * 1024;
 
 template<typename Body>
 std::string encodeRecord(const char *type, const Body &body)
@@ -36,6 +42,18 @@
     return bytes;
 }
 
+absl::StatusOr<QuorumSnapshot> decodeSnapshot(const json &record)
+{
+    QuorumSnapshot snapshot = record.at("b").get<QuorumSnapshot>();
+    if (record.at("r") != CompressedSnapshotRecord)
+        return snapshot;
+    auto state = decompress(snapshot.state.bytes, MaxSnapshotBytes);
+    if (!state.ok())
+        return absl::DataLossError("the snapshot cannot be decompressed");
+    snapshot.state.bytes = *std::move(state);
+    return snapshot;
+}
+
 // Applies one record of the log to `state`.
 absl::Status applyRecord(const json &record, RecoveredState &state)
 {
@@ -122,19 +140,28 @@
         const auto records = scanRecords(*file);
         if (!records.ok() || records->bodies.size() != 1)
             return absl::DataLossError("the snapshot file is damaged");
-        state.snapshot = json::from_cbor(records->bodies.front()).at("b").get<QuorumSnapshot>();
+        auto snapshot = decodeSnapshot(json::from_cbor(records->bodies.front()));
+        if (!snapshot.ok())
+            return snapshot.status();
+        state.snapshot = *std::move(snapshot);
         this->snapshotIndex = state.snapshot->index;
     }
     for (std::size_t number = 1; number < scan->bodies.size(); ++number) {
-        absl::Status applied = applyRecord(json::from_cbor(scan->bodies[number]), state);
+        const std::string_view body = scan->bodies[number];
+        absl::Status applied = applyRecord(json::from_cbor(body), state);
         if (!applied.ok())
             return applied;
+        while (this->tail.size() > state.entries.size())
+            this->tail.pop_back();
+        if (this->tail.size() < state.entries.size())
+            this->tail.push_back({state.entries.back().index,
+                                  static_cast<std::uint64_t>(body.data() - bytes->data()),
+                                  body.size()});
     }
+    this->logBytes = scan->validBytes;
     if (!state.hardState)
         return absl::DataLossError("the log has no hard state record");
     this->hardState = *state.hardState;
-    for (const QuorumEntry &entry : state.entries)
-        this->tail.emplace_back(entry.index, encodeRecord(EntryRecord, entry));
     if (scan->validBytes == bytes->size())
         return state;
     absl::Status cut = this->folder->truncate(this->logName(), scan->validBytes);
@@ -162,50 +189,85 @@
         appendRecord(bytes, encodeRecord(HardStateRecord, *batch.hardState));
     if (batch.truncateFrom)
         appendRecord(bytes, encodeRecord(TruncateRecord, *batch.truncateFrom));
-    const std::size_t before = batch.entries.size();
-    this->updateState(batch);
-    for (std::size_t number = this->tail.size() - before; number < this->tail.size(); ++number)
-        appendRecord(bytes, this->tail[number].second);
+    this->dropEntries(batch);
+    for (const QuorumEntry &entry : batch.entries)
+        this->appendEntry(bytes, this->logBytes, entry.index, encodeRecord(EntryRecord, entry));
     absl::Status appended = this->folder->append(this->logName(), bytes);
-    return appended.ok() ? this->folder->sync(this->logName()) : appended;
+    if (!appended.ok())
+        return appended;
+    this->logBytes += bytes.size();
+    if (batch.hardState)
+        this->hardState = *batch.hardState;
+    return this->folder->sync(this->logName());
+}
+
+void QuorumStore::dropEntries(const PersistBatch &batch)
+{
+    if (batch.discardEntries)
+        this->tail.clear();
+    while (batch.truncateFrom && !this->tail.empty()
+           && this->tail.back().index >= *batch.truncateFrom)
+        this->tail.pop_back();
+    while (batch.snapshot && !this->tail.empty()
+           && this->tail.front().index <= batch.snapshot->index)
+        this->tail.pop_front();
+}
+
+void QuorumStore::appendEntry(std::string &bytes, std::uint64_t fileBytes, std::uint64_t index,
+                              std::string_view body)
+{
+    appendRecord(bytes, body);
+    this->tail.push_back({index, fileBytes + bytes.size() - body.size(), body.size()});
 }
 
 // The batch takes effect atomically when the log file is renamed.
 absl::Status QuorumStore::startGeneration(const PersistBatch &batch)
 {
-    ++this->generation;
+    this->dropEntries(batch);
+    if (batch.hardState)
+        this->hardState = *batch.hardState;
     if (batch.snapshot) {
         this->hasSnapshot = true;
         this->snapshotIndex = batch.snapshot->index;
-        if (batch.discardEntries)
-            this->tail.clear();
+    }
+    const auto log = this->encodeGeneration(batch);
+    if (!log.ok())
+        return log.status();
+    ++this->generation;
+    if (batch.snapshot) {
+        QuorumSnapshot compressed = *batch.snapshot;
+        compressed.state.bytes = compress(compressed.state.bytes);
         std::string bytes;
-        appendRecord(bytes, encodeRecord(SnapshotRecord, *batch.snapshot));
+        appendRecord(bytes, encodeRecord(CompressedSnapshotRecord, compressed));
         absl::Status saved = this->writeFileAtomically(this->snapshotName(), bytes);
         if (!saved.ok())
             return saved;
     }
-    this->updateState(batch);
-    std::string bytes;
-    appendRecord(bytes, encodeRecord(StartRecord, this->hasSnapshot));
-    appendRecord(bytes, encodeRecord(HardStateRecord, this->hardState));
-    for (const auto &[index, record] : this->tail)
-        appendRecord(bytes, record);
-    absl::Status written = this->writeFileAtomically(this->logName(), bytes);
+    this->logBytes = log->size();
+    absl::Status written = this->writeFileAtomically(this->logName(), *log);
     return written.ok() ? this->removeObsoleteFiles() : written;
 }
 
-void QuorumStore::updateState(const PersistBatch &batch)
+// The next generation's log: the remaining entries of the current one and those of the batch.
+absl::StatusOr<std::string> QuorumStore::encodeGeneration(const PersistBatch &batch)
 {
-    if (batch.hardState)
-        this->hardState = *batch.hardState;
-    while (batch.truncateFrom && !this->tail.empty()
-           && this->tail.back().first >= *batch.truncateFrom)
-        this->tail.pop_back();
-    for (const QuorumEntry &entry : batch.entries)
-        this->tail.emplace_back(entry.index, encodeRecord(EntryRecord, entry));
-    while (!this->tail.empty() && this->tail.front().first <= this->snapshotIndex)
-        this->tail.pop_front();
+    std::string bytes;
+    appendRecord(bytes, encodeRecord(StartRecord, this->hasSnapshot));
+    appendRecord(bytes, encodeRecord(HardStateRecord, this->hardState));
+    const std::deque<StoredEntry> kept = std::exchange(this->tail, {});
+    if (!kept.empty()) {
+        const auto current = this->folder->read(this->logName());
+        if (!current.ok())
+            return current.status();
+        for (const StoredEntry &entry : kept)
+            this->appendEntry(bytes, 0, entry.index,
+                              std::string_view(*current).substr(entry.offset, entry.length));
+    }
+    for (const QuorumEntry &entry : batch.entries) {
+        if (entry.index > this->snapshotIndex)
+            this->appendEntry(bytes, 0, entry.index, encodeRecord(EntryRecord, entry));
+    }
+    return bytes;
 }
 
 absl::Status QuorumStore::writeFileAtomically(const std::string &name, const std::string &bytes)
@@ -258,6 +320,7 @@
     this->hasSnapshot = false;
     this->snapshotIndex = 0;
     this->tail.clear();
+    this->logBytes = 0;
     this->hardState = {};
     this->hasFailed = false;
     return this->folder->syncFolder();
--- a/src/rhubarbweir/transport/quorum_store.hpp
+++ b/src/rhubarbweir/transport/quorum_store.hpp
@@ -18,7 +18,7 @@
 #include <deque>
 #include <memory>
 #include <string>
-#include <utility>
+#include <string_view>
 
 namespace rhubarbweir {
 
@@ -42,7 +42,20 @@
     absl::Status startGeneration(const PersistBatch &batch);
     absl::Status writeFileAtomically(const std::string &name, const std::string &bytes);
     absl::Status removeObsoleteFiles();
-    void updateState(const PersistBatch &batch);
+    // An entry after the snapshot, and where the body of its record is in the log file.
+    struct StoredEntry
+    {
+        std::uint64_t index = 0;
+        std::uint64_t offset = 0;
+        std::size_t length = 0;
+    };
+
+    // Drops the entries that the batch removes or its snapshot covers.
+    void dropEntries(const PersistBatch &batch);
+    // Appends the record of the entry to `bytes`, which follow the first `fileBytes` of the log.
+    void appendEntry(std::string &bytes, std::uint64_t fileBytes, std::uint64_t index,
+                     std::string_view body);
+    absl::StatusOr<std::string> encodeGeneration(const PersistBatch &batch);
     absl::StatusOr<RecoveredState> loadCurrentGeneration();
     std::string logName() const;
     std::string snapshotName() const;
@@ -54,8 +67,9 @@
     // Whether the current generation has a snapshot file, and the last log index it covers.
     bool hasSnapshot = false;
     std::uint64_t snapshotIndex = 0;
-    // Log indexes and encoded records of the entries after the snapshot.
-    std::deque<std::pair<std::uint64_t, std::string>> tail;
+    // Entries after the snapshot in log order; their contents are only in the file.
+    std::deque<StoredEntry> tail;
+    std::uint64_t logBytes = 0;
     bool hasFailed = false;
 };
 
--- a/tests/unit/support/fake_folder.hpp
+++ b/tests/unit/support/fake_folder.hpp
@@ -5,6 +5,7 @@
 #include "rhubarbweir/coordination/quorum/quorum_storage.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -37,8 +38,10 @@
         std::shared_ptr<File> &file = this->files[name];
         if (!file)
             file = std::make_shared<File>();
-        file->content += bytes;
-        return absl::OkStatus();
+        const std::size_t used = this->usedBytes();
+        const std::size_t left = this->capacity - std::min(this->capacity, used);
+        file->content += bytes.substr(0, left);
+        return bytes.size() <= left ? absl::OkStatus() : absl::ResourceExhaustedError("full");
     }
     absl::Status sync(const std::string &name) override
     {
@@ -103,6 +106,16 @@
         this->files.at(name)->synced = content;
     }
 
+    std::size_t usedBytes() const
+    {
+        std::size_t used = 0;
+        for (const auto &[name, file] : this->files)
+            used += file->content.size();
+        return used;
+    }
+
+    // Bytes that fit into the folder. What does not fit is cut off, as on a real disk.
+    std::size_t capacity = std::numeric_limits<std::size_t>::max();
     bool full = false;
     bool failSyncs = false;
     // Syncs succeed without making data durable. Simulates a crash in the middle of a write.
