Wait for room on a full disk in place of stopping for good

Cause: a write that did not fit was treated like a failed sync, after which the disk's content is unknown.

Change: a write that does not fit is undone and has no effect, and the disk thread tries it again every 0.2 s; a start waits likewise. Entries that wait count against the limit of uncommitted bytes, and deferred answers are bounded. After a failed sync rhubarb-control ends as well, as rhubarb-fleet did.

--- a/src/programs/control/control_program.cpp
+++ b/src/programs/control/control_program.cpp
@@ -15,6 +15,8 @@
 
 // Time to send queued messages before the event loops stop.
 constexpr std::chrono::milliseconds FlushTime{150};
+// Delay of the exit after a failed sync, so that a faulty disk causes no tight loop of restarts.
+constexpr std::chrono::milliseconds DiskFailureExitDelay{1500};
 // A planned stop waits this long for the confirmation that the instance has left the quorum.
 constexpr std::chrono::milliseconds LeaveTimeout{2500};
 
@@ -101,7 +103,7 @@
     });
     this->controlThread = std::thread([this] { this->controlLoop.run(); });
     this->networkLoop.run();
-    return absl::OkStatus();
+    return this->failed ? absl::UnavailableError("the disk failed") : absl::OkStatus();
 }
 
 QuorumPort ControlProgram::quorumPort()
@@ -250,12 +252,24 @@
             } else {
                 logEvent(LogLevel::Error, "disk_failed", {{"cause", status.ToString()}});
                 this->quorum.persistFailed(token, EventLoop::now());
+                this->exitAfterDiskFailure();
             }
             this->updateLeadershipAndTimer();
         });
     });
 }
 
+// After a failed sync the contents of the disk are unknown. The instance may vote again only after
+// a restart that reads them.
+void ControlProgram::exitAfterDiskFailure()
+{
+    this->failed = true;
+    this->networkLoop.post([this] {
+        this->networkLoop.schedule(EventLoop::now() + DiskFailureExitDelay,
+                                   [this] { this->networkLoop.stop(); });
+    });
+}
+
 void ControlProgram::stopRequested()
 {
     if (this->stopping) {
--- a/src/programs/control/control_program.hpp
+++ b/src/programs/control/control_program.hpp
@@ -44,6 +44,7 @@
     void handleMessage(ConnectionId connection, const Message &message);
     void handleControlMessage(ConnectionId connection, const Message &message);
     void persist(const PersistBatch &batch);
+    void exitAfterDiskFailure();
     void stopRequested();
     void closeAndStop();
     HttpReply get(const std::string &path) const;
@@ -68,6 +69,8 @@
     InstanceId lastLeader;
     // Written by the control thread, read by the network thread for health checks.
     std::atomic<bool> knowsLeader{false};
+    // A sync failed. Written by the control thread.
+    std::atomic<bool> failed{false};
     bool stopping = false;
     bool closing = false;
     std::thread controlThread;
--- a/src/programs/control/disk_writer.cpp
+++ b/src/programs/control/disk_writer.cpp
@@ -8,6 +8,12 @@
 
 namespace rhubarbweir {
 
+namespace {
+
+constexpr std::chrono::milliseconds FullDiskRetryInterval{200};
+
+} // namespace
+
 DiskWriter::~DiskWriter()
 {
     this->loop.stop();
@@ -18,6 +24,14 @@
 absl::StatusOr<RecoveredState> DiskWriter::open(const std::string &folder)
 {
     auto files = FileStorage::open(folder);
+    for (bool isReported = false; absl::IsResourceExhausted(files.status()); isReported = true) {
+        if (!isReported)
+            logEvent(LogLevel::Error, "disk_full",
+                     {{"cause", files.status().ToString()},
+                      {"action", "the start waits until there is room"}});
+        std::this_thread::sleep_for(FullDiskRetryInterval);
+        files = FileStorage::open(folder);
+    }
     if (!files.ok())
         return files.status();
     this->store = std::make_unique<QuorumStore>(*files);
@@ -38,7 +52,34 @@
 
 void DiskWriter::persist(const PersistBatch &batch, Done done)
 {
-    this->loop.post([this, batch, done = std::move(done)] { done(this->store->write(batch)); });
+    this->loop.post([this, shared = std::make_shared<const PersistBatch>(batch),
+                     done = std::move(done)] { this->write(shared, done); });
+}
+
+void DiskWriter::write(const std::shared_ptr<const PersistBatch> &batch, const Done &done)
+{
+    const absl::Status written = this->store->write(*batch);
+    const TimePoint now = EventLoop::now();
+    if (absl::IsResourceExhausted(written)) {
+        if (!this->fullSince)
+            logEvent(LogLevel::Error, "disk_full",
+                     {{"cause", written.ToString()},
+                      {"entries", static_cast<std::int64_t>(batch->entries.size())},
+                      {"action", "changes wait until there is room"}});
+        this->fullSince = this->fullSince.value_or(now);
+        this->loop.schedule(now + FullDiskRetryInterval,
+                            [this, batch, done] { this->write(batch, done); });
+        return;
+    }
+    if (this->fullSince) {
+        const auto fullFor =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now - *this->fullSince);
+        logEvent(LogLevel::Info, "disk_has_room",
+                 {{"full_ms", static_cast<std::int64_t>(fullFor.count())},
+                  {"status", written.ToString()}});
+        this->fullSince.reset();
+    }
+    done(written);
 }
 
 } // namespace rhubarbweir
--- a/src/programs/control/disk_writer.hpp
+++ b/src/programs/control/disk_writer.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -26,12 +27,16 @@
     // incarnation.
     // Errors: Unavailable when the folder cannot be opened or is locked by another process.
     absl::StatusOr<RecoveredState> open(const std::string &folder);
-    // `done` runs on the disk thread.
+    // `done` runs on the disk thread. While the disk is full the batch is tried again.
     void persist(const PersistBatch &batch, Done done);
 
 private:
+    void write(const std::shared_ptr<const PersistBatch> &batch, const Done &done);
+
     EventLoop loop;
     std::unique_ptr<QuorumStore> store;
+    // Since when writes have failed because the disk is full. Only on the disk thread.
+    std::optional<TimePoint> fullSince;
     std::thread thread;
 };
 
--- a/src/rhubarbweir/coordination/quorum/quorum_log.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.cpp
@@ -111,8 +111,9 @@
     if (payload.size() > this->settings.maxPayloadBytes)
         return absl::InvalidArgumentError(
             absl::StrCat("payload of ", payload.size(), " bytes exceeds the limit"));
-    if (this->uncommittedBytes + payload.size() > this->settings.maxUncommittedBytes)
-        return absl::ResourceExhaustedError("uncommitted payloads exceed the limit");
+    const std::size_t unsaved = this->uncommittedBytes + this->persistence.pendingBytes();
+    if (unsaved + payload.size() > this->settings.maxUncommittedBytes)
+        return absl::ResourceExhaustedError("uncommitted or unsaved payloads exceed the limit");
     this->uncommittedBytes += payload.size();
     const std::uint64_t index = this->appendLocally(EntryKind::Payload, std::move(payload), {});
     this->replicate();
--- a/src/rhubarbweir/coordination/quorum/quorum_persistence.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_persistence.cpp
@@ -5,6 +5,13 @@
 
 namespace rhubarbweir {
 
+namespace {
+
+// About a minute of answers to a leader's messages.
+constexpr std::size_t MaxDeferredActions = 4096;
+
+} // namespace
+
 void QuorumPersistence::setHardState(const QuorumHardState &state)
 {
     this->pending.hardState = state;
@@ -36,6 +43,9 @@
 
 void QuorumPersistence::afterSync(std::function<void()> action)
 {
+    const bool mayWait = this->deferredActions.size() < MaxDeferredActions;
+    if (!mayWait && (this->hasPendingChanges() || this->inFlightToken))
+        return;
     if (this->hasPendingChanges())
         this->deferredActions.push_back({this->nextToken, std::move(action)});
     else if (this->inFlightToken)
@@ -73,6 +83,14 @@
     return done;
 }
 
+std::size_t QuorumPersistence::pendingBytes() const
+{
+    std::size_t bytes = 0;
+    for (const QuorumEntry &entry : this->pending.entries)
+        bytes += entry.payload.bytes.size();
+    return bytes;
+}
+
 bool QuorumPersistence::hasPendingChanges() const
 {
     return this->pending.hardState || this->pending.snapshot || this->pending.truncateFrom
--- a/src/rhubarbweir/coordination/quorum/quorum_persistence.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_persistence.hpp
@@ -22,9 +22,12 @@
     void setSnapshot(const QuorumSnapshot &snapshot, bool discardEntries);
 
     // Runs `action` once all changes made so far are durable; immediately if they already are.
+    // Dropped like a lost message if too many wait, as the disk has been full or stalled for long.
     void afterSync(std::function<void()> action);
     // Returns the next batch unless there are no changes or a batch is in flight.
     std::optional<PersistBatch> nextBatch();
+    // Payload bytes of entries that are in no batch yet.
+    std::size_t pendingBytes() const;
     bool isOutstanding(std::uint64_t token) const
     {
         return this->inFlightToken && *this->inFlightToken == token;
--- a/src/rhubarbweir/transport/file_storage.cpp
+++ b/src/rhubarbweir/transport/file_storage.cpp
@@ -56,7 +56,7 @@
     storage->lockDescriptor =
         ::openat(storage->folderDescriptor, LockFileName, O_RDWR | O_CREAT | O_CLOEXEC, FileMode);
     if (storage->lockDescriptor < 0)
-        return absl::UnavailableError(absl::StrCat("cannot open the lock file in ", path));
+        return statusFromErrno("open the lock file in", path);
     if (::flock(storage->lockDescriptor, LOCK_EX | LOCK_NB) != 0)
         return absl::UnavailableError(absl::StrCat("another process has locked folder ", path));
     return storage;
--- a/src/rhubarbweir/transport/quorum_store.cpp
+++ b/src/rhubarbweir/transport/quorum_store.cpp
@@ -54,6 +54,12 @@
     return snapshot;
 }
 
+// Whether the device wrote anything is unknown after a failed sync or rename, also if it was full.
+absl::Status unlessDiskFull(const absl::Status &status)
+{
+    return absl::IsResourceExhausted(status) ? absl::UnavailableError(status.message()) : status;
+}
+
 // Applies one record of the log to `state`.
 absl::Status applyRecord(const json &record, RecoveredState &state)
 {
@@ -108,10 +114,8 @@
         return RecoveredState{};
     try {
         auto recovered = this->loadCurrentGeneration();
-        if (!recovered.ok())
-            return recovered;
-        if (absl::Status removed = this->removeObsoleteFiles(); !removed.ok())
-            return removed;
+        if (recovered.ok())
+            this->removeObsoleteFiles();
         return recovered;
     } catch (const std::exception &error) {
         return absl::DataLossError(error.what());
@@ -162,23 +166,54 @@
     if (!state.hardState)
         return absl::DataLossError("the log has no hard state record");
     this->hardState = *state.hardState;
-    if (scan->validBytes == bytes->size())
-        return state;
-    absl::Status cut = this->folder->truncate(this->logName(), scan->validBytes);
+    this->needsRepair = scan->validBytes != bytes->size();
+    const absl::Status repaired = this->repairLog();
+    if (!repaired.ok() && !absl::IsResourceExhausted(repaired))
+        return repaired;
+    return state;
+}
+
+absl::Status QuorumStore::repairLog()
+{
+    if (!this->needsRepair)
+        return absl::OkStatus();
+    absl::Status cut = this->folder->truncate(this->logName(), this->logBytes);
     if (cut.ok())
         cut = this->folder->sync(this->logName());
-    if (!cut.ok())
-        return cut;
-    return state;
+    this->needsRepair = !cut.ok();
+    return cut;
 }
 
 absl::Status QuorumStore::write(const PersistBatch &batch)
 {
     if (this->hasFailed)
         return absl::FailedPreconditionError("an earlier write failed");
-    const bool newGeneration = this->generation == 0 || batch.snapshot;
-    absl::Status written = newGeneration ? this->startGeneration(batch) : this->appendBatch(batch);
-    this->hasFailed = !written.ok();
+    absl::Status written = this->tryWrite(batch);
+    const bool mayDeferSnapshot = batch.snapshot && !batch.discardEntries && this->generation != 0;
+    if (absl::IsResourceExhausted(written) && mayDeferSnapshot) {
+        // The log still has everything that the snapshot replaces.
+        PersistBatch rest = batch;
+        rest.snapshot.reset();
+        written = this->tryWrite(rest);
+    }
+    this->hasFailed = !written.ok() && !absl::IsResourceExhausted(written);
+    return written;
+}
+
+absl::Status QuorumStore::tryWrite(const PersistBatch &batch)
+{
+    if (absl::Status repaired = this->repairLog(); !repaired.ok())
+        return repaired;
+    const std::deque<StoredEntry> tailBefore = this->tail;
+    const bool isNewGeneration = this->generation == 0 || batch.snapshot;
+    absl::Status written =
+        isNewGeneration ? this->startGeneration(batch) : this->appendBatch(batch);
+    if (written.ok())
+        return written;
+    this->tail = tailBefore;
+    // If it fails, it is tried again before the next write.
+    if (absl::IsResourceExhausted(written))
+        (void)this->repairLog();
     return written;
 }
 
@@ -193,12 +228,14 @@
     for (const QuorumEntry &entry : batch.entries)
         this->appendEntry(bytes, this->logBytes, entry.index, encodeRecord(EntryRecord, entry));
     absl::Status appended = this->folder->append(this->logName(), bytes);
-    if (!appended.ok())
+    if (!appended.ok()) {
+        this->needsRepair = true;
         return appended;
+    }
     this->logBytes += bytes.size();
     if (batch.hardState)
         this->hardState = *batch.hardState;
-    return this->folder->sync(this->logName());
+    return unlessDiskFull(this->folder->sync(this->logName()));
 }
 
 void QuorumStore::dropEntries(const PersistBatch &batch)
@@ -224,36 +261,40 @@
 absl::Status QuorumStore::startGeneration(const PersistBatch &batch)
 {
     this->dropEntries(batch);
-    if (batch.hardState)
-        this->hardState = *batch.hardState;
-    if (batch.snapshot) {
-        this->hasSnapshot = true;
-        this->snapshotIndex = batch.snapshot->index;
-    }
     const auto log = this->encodeGeneration(batch);
     if (!log.ok())
         return log.status();
-    ++this->generation;
+    const std::uint64_t next = this->generation + 1;
     if (batch.snapshot) {
         QuorumSnapshot compressed = *batch.snapshot;
         compressed.state.bytes = compress(compressed.state.bytes);
         std::string bytes;
         appendRecord(bytes, encodeRecord(CompressedSnapshotRecord, compressed));
-        absl::Status saved = this->writeFileAtomically(this->snapshotName(), bytes);
+        absl::Status saved = this->writeFileAtomically(snapshotName(next), bytes);
         if (!saved.ok())
             return saved;
     }
+    absl::Status written = this->writeFileAtomically(logName(next), *log);
+    if (!written.ok())
+        return written;
+    this->generation = next;
     this->logBytes = log->size();
-    absl::Status written = this->writeFileAtomically(this->logName(), *log);
-    return written.ok() ? this->removeObsoleteFiles() : written;
+    if (batch.hardState)
+        this->hardState = *batch.hardState;
+    if (batch.snapshot) {
+        this->hasSnapshot = true;
+        this->snapshotIndex = batch.snapshot->index;
+    }
+    this->removeObsoleteFiles();
+    return absl::OkStatus();
 }
 
 // The next generation's log: the remaining entries of the current one and those of the batch.
 absl::StatusOr<std::string> QuorumStore::encodeGeneration(const PersistBatch &batch)
 {
     std::string bytes;
-    appendRecord(bytes, encodeRecord(StartRecord, this->hasSnapshot));
-    appendRecord(bytes, encodeRecord(HardStateRecord, this->hardState));
+    appendRecord(bytes, encodeRecord(StartRecord, this->hasSnapshot || batch.snapshot));
+    appendRecord(bytes, encodeRecord(HardStateRecord, batch.hardState.value_or(this->hardState)));
     const std::deque<StoredEntry> kept = std::exchange(this->tail, {});
     if (!kept.empty()) {
         const auto current = this->folder->read(this->logName());
@@ -263,8 +304,9 @@
             this->appendEntry(bytes, 0, entry.index,
                               std::string_view(*current).substr(entry.offset, entry.length));
     }
+    const std::uint64_t coveredIndex = batch.snapshot ? batch.snapshot->index : this->snapshotIndex;
     for (const QuorumEntry &entry : batch.entries) {
-        if (entry.index > this->snapshotIndex)
+        if (entry.index > coveredIndex)
             this->appendEntry(bytes, 0, entry.index, encodeRecord(EntryRecord, entry));
     }
     return bytes;
@@ -276,32 +318,32 @@
     absl::Status status = this->folder->remove(temporary);
     if (status.ok() || absl::IsNotFound(status))
         status = this->folder->append(temporary, bytes);
-    if (status.ok())
-        status = this->folder->sync(temporary);
+    if (!status.ok()) {
+        (void)this->folder->remove(temporary);
+        return status;
+    }
+    status = this->folder->sync(temporary);
     if (status.ok())
         status = this->folder->rename(temporary, name);
     if (status.ok())
         status = this->folder->syncFolder();
-    return status;
+    return unlessDiskFull(status);
 }
 
-absl::Status QuorumStore::removeObsoleteFiles()
+void QuorumStore::removeObsoleteFiles()
 {
     const auto names = this->folder->list();
     if (!names.ok())
-        return names.status();
+        return;
     for (const std::string &name : *names) {
         const bool isCurrent =
             name == this->logName() || (this->hasSnapshot && name == this->snapshotName());
         const bool isStoreFile =
             absl::StartsWith(name, LogPrefix) || absl::StartsWith(name, SnapshotPrefix);
-        if (isCurrent || !isStoreFile)
-            continue;
-        absl::Status removed = this->folder->remove(name);
-        if (!removed.ok())
-            return removed;
+        if (!isCurrent && isStoreFile)
+            (void)this->folder->remove(name);
     }
-    return this->folder->syncFolder();
+    (void)this->folder->syncFolder();
 }
 
 absl::Status QuorumStore::reset()
@@ -321,19 +363,20 @@
     this->snapshotIndex = 0;
     this->tail.clear();
     this->logBytes = 0;
+    this->needsRepair = false;
     this->hardState = {};
     this->hasFailed = false;
     return this->folder->syncFolder();
 }
 
-std::string QuorumStore::logName() const
+std::string QuorumStore::logName(std::uint64_t number)
 {
-    return absl::StrCat(LogPrefix, this->generation);
+    return absl::StrCat(LogPrefix, number);
 }
 
-std::string QuorumStore::snapshotName() const
+std::string QuorumStore::snapshotName(std::uint64_t number)
 {
-    return absl::StrCat(SnapshotPrefix, this->generation);
+    return absl::StrCat(SnapshotPrefix, number);
 }
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/transport/quorum_store.hpp
+++ b/src/rhubarbweir/transport/quorum_store.hpp
@@ -30,18 +30,23 @@
     // Must be called before any other method. Errors: DataLoss for damaged or missing files, and
     // those of the folder.
     absl::StatusOr<RecoveredState> load();
-    // Writes and syncs a batch. After an error, all further writes fail, because the content of the
-    // disk is unknown until the files are loaded again. Errors: those of the folder,
-    // FailedPrecondition after an earlier error.
+    // Writes and syncs a batch. Errors: ResourceExhausted if the disk is full; nothing of the batch
+    // has taken effect then, and it may be written again. After any other error of the folder the
+    // content of the disk is unknown until the files are loaded again, and all further writes fail
+    // with FailedPrecondition.
     absl::Status write(const PersistBatch &batch);
     // Removes all files after DataLoss, so that the instance starts as a new incarnation.
     absl::Status reset();
 
 private:
+    absl::Status tryWrite(const PersistBatch &batch);
+    // Removes what a failed append left at the end of the log.
+    absl::Status repairLog();
     absl::Status appendBatch(const PersistBatch &batch);
     absl::Status startGeneration(const PersistBatch &batch);
     absl::Status writeFileAtomically(const std::string &name, const std::string &bytes);
-    absl::Status removeObsoleteFiles();
+    // Files that cannot be removed now are removed later.
+    void removeObsoleteFiles();
     // An entry after the snapshot, and where the body of its record is in the log file.
     struct StoredEntry
     {
@@ -57,8 +62,10 @@
                      std::string_view body);
     absl::StatusOr<std::string> encodeGeneration(const PersistBatch &batch);
     absl::StatusOr<RecoveredState> loadCurrentGeneration();
-    std::string logName() const;
-    std::string snapshotName() const;
+    static std::string logName(std::uint64_t number);
+    static std::string snapshotName(std::uint64_t number);
+    std::string logName() const { return logName(this->generation); }
+    std::string snapshotName() const { return snapshotName(this->generation); }
 
     std::shared_ptr<StorageFolder> folder;
     // Number in the names of the current files; 0 before the first write.
@@ -69,7 +76,10 @@
     std::uint64_t snapshotIndex = 0;
     // Entries after the snapshot in log order; their contents are only in the file.
     std::deque<StoredEntry> tail;
+    // Size of the log's complete records.
     std::uint64_t logBytes = 0;
+    // Whether the log file may have further bytes.
+    bool needsRepair = false;
     bool hasFailed = false;
 };
 
