Promote only a target that holds all commits of a synchronous group

Cause: control did not read sync_replicas; a ready replica went before one that holds more, and a survey did not ask whether an unheard replica may hold a commit alone.

Change: in such groups the most advanced log goes first, after enough replicas have answered, and never a target behind the start of the granted term; for 15 s, then the best that answers. A leaving primary that no replica can follow serves on. A log is on the granted path only if no later term cut it off.

--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -182,6 +182,15 @@
     hooks.compress = [](const OpaqueBytes &document) {
         return OpaqueBytes(compress(document.bytes));
     };
+    hooks.syncReplicas = [](const OpaqueBytes &document) {
+        std::map<GroupId, std::uint32_t> replicas;
+        const auto table = platform::decodeRouteTable(document.bytes);
+        if (!table.ok())
+            return replicas;
+        for (const auto &[group, limits] : table->groups)
+            replicas[group] = limits.syncReplicas;
+        return replicas;
+    };
     hooks.callObserver = [this](const std::string &address) {
         this->links.addPeer(peerAt(address, {}));
         this->links.send(InstanceId(address), FleetRedirect{this->self});
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -71,6 +71,7 @@
     this->changeCauses.clear();
     this->overloadedSince.clear();
     this->drainingSince.clear();
+    this->keptAt.clear();
     this->relievedAt.clear();
     this->replicaRoleSince.clear();
     this->lastAnnouncements.clear();
@@ -107,6 +108,7 @@
     if (const auto *granted = std::get_if<GrantAuthority>(&command)) {
         this->proposedUntil.erase(granted->group);
         if (changed) {
+            this->recordKeptPrimary(*granted, now);
             this->changes.erase(granted->group);
             this->changeCauses.erase(granted->group);
             this->detector.clearEvidence(granted->primary, now);
@@ -141,6 +143,16 @@
     this->finishCalls(index, FleetCallOutcome::Accepted);
 }
 
+// A leaving primary that is granted the authority again serves on for a while.
+void FleetController::recordKeptPrimary(const GrantAuthority &granted, TimePoint now)
+{
+    const RegisteredTarget *primary = this->fleet.find(granted.primary);
+    const auto cause = this->changeCauses.find(granted.group);
+    if (primary != nullptr && primary->phase == TargetPhase::Draining
+        && cause != this->changeCauses.end() && cause->second == ChangeCause::PrimaryLeaves)
+        this->keptAt[granted.primary] = now;
+}
+
 void FleetController::restored(const FleetState::Snapshot &snapshot, TimePoint now)
 {
     this->fleet.restore(snapshot);
@@ -439,6 +451,9 @@
         // A draining primary still serves. Revoking its authority while a pooler is silent would
         // leave the group without a primary until that pooler's lease ends.
         const TimePoint since = this->drainingSince.emplace(authority.primary, now).first->second;
+        const auto kept = this->keptAt.find(authority.primary);
+        if (kept != this->keptAt.end() && now < kept->second + this->settings.leaveRetryInterval)
+            return;
         if (!this->registry.hasSilentPooler(now) || now >= since + this->settings.drainTimeout)
             this->revoke(authority, "primary_draining", ChangeCause::PrimaryLeaves, {}, now);
         return;
@@ -561,10 +576,28 @@
     ports.reachability = [this](const TargetId &target) {
         return this->detector.reachability(target, this->advanceTime);
     };
+    ports.syncReplicas = [this, group] {
+        return this->syncReplicasOf(group);
+    };
+    ports.isLongSilent = [this](const TargetId &target) {
+        return this->advanceTime
+               >= this->detector.lastHeartbeat(target) + this->settings.lastResortTimeout;
+    };
     ports.event = this->hooks.event;
     return ports;
 }
 
+std::uint32_t FleetController::syncReplicasOf(const GroupId &group)
+{
+    const ConfigurationDocument &configuration = this->fleet.configuration();
+    if (configuration.version != this->syncReplicasVersion) {
+        this->syncReplicasVersion = configuration.version;
+        this->syncReplicas = this->hooks.syncReplicas(configuration.document);
+    }
+    const auto found = this->syncReplicas.find(group);
+    return found == this->syncReplicas.end() ? 0 : found->second;
+}
+
 void FleetController::probed(const RegisteredTarget &target,
                              const std::optional<TargetProbe> &result, TimePoint now)
 {
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -83,6 +83,7 @@
     void grantFirstAuthorities(TimePoint now);
     void revoke(const PrimaryAuthority &authority, const std::string &cause,
                 ChangeCause changeCause, const FleetEventFields &evidence, TimePoint now);
+    void recordKeptPrimary(const GrantAuthority &granted, TimePoint now);
     void deposeFormerPrimary(const RegisteredTarget &target);
     bool needsRelief(const GroupId &group, TimePoint now);
     bool reportsReplicaRole(const RegisteredTarget &primary, TimePoint now);
@@ -93,6 +94,7 @@
     void delayPromotions(TimePoint now);
     void answerObserver(ConnectionId connection, const RenewLease &message, TimePoint now);
     PrimaryChangePorts changePorts(const GroupId &group);
+    std::uint32_t syncReplicasOf(const GroupId &group);
     void probeSuspected(const RegisteredTarget &target, TimePoint now);
 
     FleetSettings settings;
@@ -125,8 +127,13 @@
     std::map<GroupId, TimePoint> overloadedSince;
     std::map<GroupId, TimePoint> relievedAt;
     std::map<TargetId, TimePoint> probeAt;
-    // When a primary was first seen draining.
+    // When a primary was first seen draining, and when it was last granted the authority back as no
+    // replica could follow it.
     std::map<TargetId, TimePoint> drainingSince;
+    std::map<TargetId, TimePoint> keptAt;
+    // SyncReplicas of the configuration of this version.
+    std::uint64_t syncReplicasVersion = 0;
+    std::map<GroupId, std::uint32_t> syncReplicas;
     // Since when a primary has reported itself as a replica.
     std::map<TargetId, TimePoint> replicaRoleSince;
 };
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -47,10 +48,14 @@
     // While no target that answers knows the newest granted term, a survey waits this long for one
     // that does. A promotion before rolls back every commit of that term.
     Duration newestTermTimeout = std::chrono::milliseconds(1000);
-    // While all targets that answer have entries that a promotion rolled back, a survey waits this
-    // long for another one. A promotion before brings entries back that reads have not seen since.
-    // Longer than most network partitions.
-    Duration partedLogTimeout = std::chrono::seconds(15);
+    // A survey waits this long for a target without entries that a promotion rolled back, and in a
+    // synchronous group for one that is known to hold all confirmed commits; then it takes the best
+    // of those that answer. Longer than most network partitions. A target without an announcement
+    // for this long is not waited for.
+    Duration lastResortTimeout = std::chrono::seconds(15);
+    // A leaving primary of a synchronous group that no replica could follow within reliefTimeout
+    // serves on for this long before the next attempt.
+    Duration leaveRetryInterval = std::chrono::milliseconds(2000);
     // The same when the primary is only overloaded; the change is cancelled after it.
     Duration reliefTimeout = std::chrono::milliseconds(500);
     // An overloaded primary is replaced after being overloaded continuously for this long.
@@ -136,6 +141,9 @@
     std::function<OpaqueBytes(const OpaqueBytes &)> compress;
     // Tells the observer at the internal address that this instance leads. Best effort.
     std::function<void(const std::string &address)> callObserver;
+    // How many replicas hold a commit before it is confirmed, by group; groups without such a rule
+    // may be absent.
+    std::function<std::map<GroupId, std::uint32_t>(const OpaqueBytes &document)> syncReplicas;
     // Answered through FleetController::probed().
     std::function<void(const RegisteredTarget &)> probe;
     // Answered through FleetController::promotionAnswered().
--- a/src/rhubarbweir/coordination/fleet/primary_change.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.cpp
@@ -11,8 +11,10 @@
 
 namespace {
 
-Duration catchUpTimeout(const FleetSettings &settings, ChangeCause cause)
+Duration catchUpTimeout(const FleetSettings &settings, ChangeCause cause, bool isSynchronous)
 {
+    if (cause == ChangeCause::PrimaryLeaves && isSynchronous)
+        return settings.reliefTimeout;
     switch (cause) {
     case ChangeCause::PrimaryLost:
         return settings.failoverCatchUpTimeout;
@@ -31,7 +33,8 @@
     , group(std::move(groupId))
     , cause(changeCause)
     , ports(std::move(changePorts))
-    , catchUpDeadline(now + catchUpTimeout(fleetSettings, changeCause))
+    , catchUpDeadline(now
+                      + catchUpTimeout(fleetSettings, changeCause, this->ports.syncReplicas() > 0))
 {
 }
 
@@ -45,7 +48,7 @@
         this->enterSurvey(now);
     } else if (this->step == Step::AwaitRevocation && this->canCancel(*authority)
                && now >= this->catchUpDeadline) {
-        this->cancelRelief(*authority, now);
+        this->cancel(*authority, now);
     }
     if (this->step == Step::Survey)
         this->survey(state, *authority, now);
@@ -65,7 +68,7 @@
     this->probeAt = now;
     if (!this->newestTermDeadline) {
         this->newestTermDeadline = now + this->settings.newestTermTimeout;
-        this->partedLogDeadline = now + this->settings.partedLogTimeout;
+        this->lastResortDeadline = now + this->settings.lastResortTimeout;
     }
 }
 
@@ -143,11 +146,12 @@
                            TimePoint now)
 {
     this->probeAll(state, authority, now);
-    this->mayPromotePartedLog = now >= this->partedLogDeadline;
+    this->isLastResort = now >= this->lastResortDeadline;
     const bool isDecided =
         this->isComplete() || now >= this->surveyDeadline || this->hasCaughtUp(state, authority);
-    if (!isDecided || this->awaitsRelief(state, authority, now)
-        || this->awaitsStepDown(state, authority, now) || this->awaitsNewestTerm(authority, now))
+    if (!isDecided || this->awaitsReplica(state, authority, now)
+        || this->awaitsStepDown(state, authority, now) || this->awaitsNewestTerm(authority, now)
+        || this->awaitsHolders(state, authority))
         return;
     if (this->cause != ChangeCause::PrimaryOverloaded
         && this->adoptExistingPrimary(state, authority))
@@ -206,37 +210,72 @@
     return true;
 }
 
+// In a group that confirms a commit once n replicas hold it, any n replicas have one that answered
+// if fewer than n did not.
+bool PrimaryChange::awaitsHolders(const FleetState &state, const PrimaryAuthority &authority) const
+{
+    const std::uint32_t holders = this->ports.syncReplicas();
+    if (holders == 0 || this->isLastResort || this->hasCaughtUp(state, authority))
+        return false;
+    std::size_t unheard = 0;
+    for (const auto &[id, target] : state.targets()) {
+        const bool mayHold = target.group == this->group && target.phase != TargetPhase::Left
+                             && id != authority.former && !this->ports.isLongSilent(id);
+        if (mayHold && this->answers.count(id) == 0)
+            ++unheard;
+    }
+    return unheard >= holders;
+}
+
+// Whether the target may be a candidate, if need be once it has stepped down.
+bool PrimaryChange::isEligible(const TargetId &id, const TargetProbe &probe,
+                               const PrimaryAuthority &authority) const
+{
+    return id != authority.former
+           && (this->isLastResort || isOnGrantedPath(authority, probe.received));
+}
+
 // The candidate for promotion: targets that are ready come first, then the most advanced log, then
-// the better reachability. A log that has parted from the group's holds entries that a promotion
-// rolled back; they must not come back after reads without them.
+// the better reachability. In a synchronous group only the most advanced log is known to hold all
+// confirmed commits, also if its target is leaving and has to be replaced again. A log that has
+// parted from the group's holds entries that a promotion rolled back; they must not come back after
+// reads without them.
 std::optional<TargetId> PrimaryChange::chooseCandidate(const FleetState &state,
                                                        const PrimaryAuthority &authority) const
 {
     std::optional<TargetId> best;
+    // What the newest granted term began with may have been confirmed.
+    LogPosition mostAdvanced;
+    if (!authority.termStarts.empty())
+        mostAdvanced = authority.termStarts.back().position;
     auto rankOf = [this, &state](const TargetId &id, const TargetProbe &probe) {
         const RegisteredTarget *target = state.find(id);
         const bool isReady = target != nullptr && target->phase == TargetPhase::Ready;
-        return std::make_tuple(isReady, probe.received, this->ports.reachability(id));
+        return std::make_tuple(isReady || this->isSynchronous(), probe.received, isReady,
+                               this->ports.reachability(id));
     };
     for (const auto &[id, probe] : this->answers) {
         const RegisteredTarget *target = state.find(id);
-        if (target == nullptr || this->refused.count(id) != 0 || id == authority.former
-            || this->isStalePrimary(probe, authority)
-            || (!this->mayPromotePartedLog && !isOnGrantedPath(authority, probe.received)))
+        if (target == nullptr || !this->isEligible(id, probe, authority))
+            continue;
+        mostAdvanced = std::max(mostAdvanced, probe.received);
+        if (this->refused.count(id) != 0 || this->isStalePrimary(probe, authority))
             continue;
         if (!best || rankOf(*best, this->answers.at(*best)) < rankOf(id, probe))
             best = id;
     }
-    return best;
+    const bool mayLackCommits = best && this->isSynchronous() && !this->isLastResort
+                                && this->answers.at(*best).received < mostAdvanced;
+    return mayLackCommits ? std::nullopt : best;
 }
 
-bool PrimaryChange::awaitsRelief(const FleetState &state, const PrimaryAuthority &authority,
-                                 TimePoint now)
+bool PrimaryChange::awaitsReplica(const FleetState &state, const PrimaryAuthority &authority,
+                                  TimePoint now)
 {
     if (!this->canCancel(authority) || this->hasCaughtUp(state, authority))
         return false;
     if (now >= this->catchUpDeadline)
-        this->cancelRelief(authority, now);
+        this->cancel(authority, now);
     return true;
 }
 
@@ -244,14 +283,19 @@
 // effect, so the change has to go on.
 bool PrimaryChange::canCancel(const PrimaryAuthority &authority) const
 {
-    return this->cause == ChangeCause::PrimaryOverloaded && authority.candidate.empty();
+    const bool serves = this->cause == ChangeCause::PrimaryOverloaded
+                        || (this->cause == ChangeCause::PrimaryLeaves && this->isSynchronous()
+                            && this->formerLeads(authority));
+    return serves && authority.candidate.empty();
 }
 
-void PrimaryChange::cancelRelief(const PrimaryAuthority &authority, TimePoint now)
+void PrimaryChange::cancel(const PrimaryAuthority &authority, TimePoint now)
 {
-    this->ports.event("relief_given_up", {{"group", this->group.value},
-                                          {"surveyed", this->step == Step::Survey ? "yes" : "no"},
-                                          {"answered", absl::StrCat(this->answers.size())}});
+    this->ports.event("primary_change_given_up",
+                      {{"group", this->group.value},
+                       {"cause", std::string(nameOf(this->cause))},
+                       {"surveyed", this->step == Step::Survey ? "yes" : "no"},
+                       {"answered", absl::StrCat(this->answers.size())}});
     this->proposedUntil = now + this->settings.proposalTimeout;
     this->proposeGrant({this->group, authority.generation, authority.former, authority.term, {}},
                        authority);
@@ -277,6 +321,13 @@
     return this->answers.at(candidate).received < former->second.received;
 }
 
+bool PrimaryChange::formerLeads(const PrimaryAuthority &authority) const
+{
+    const auto former = this->answers.find(authority.former);
+    return former != this->answers.end() && former->second.isPrimary
+           && former->second.term == authority.term;
+}
+
 bool PrimaryChange::isChoiceCommitted(const PrimaryAuthority &authority) const
 {
     return authority.candidate == this->chosen
--- a/src/rhubarbweir/coordination/fleet/primary_change.hpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.hpp
@@ -43,6 +43,10 @@
     // Whether some pooler may still use the former primary.
     std::function<bool(TimePoint)> mayFormerBeUsed;
     std::function<int(const TargetId &)> reachability;
+    // How many replicas hold a commit of the group before it is confirmed.
+    std::function<std::uint32_t()> syncReplicas;
+    // Whether the target has not announced itself for lastResortTimeout.
+    std::function<bool(const TargetId &)> isLongSilent;
     std::function<void(std::string_view event, const FleetEventFields &)> event;
 };
 
@@ -75,15 +79,21 @@
     void survey(const FleetState &state, const PrimaryAuthority &authority, TimePoint now);
     void probeAll(const FleetState &state, const PrimaryAuthority &authority, TimePoint now);
     bool isComplete() const;
+    bool isSynchronous() const { return this->ports.syncReplicas() > 0; }
+    // Whether a confirmed commit may be on targets alone that have not answered.
+    bool awaitsHolders(const FleetState &state, const PrimaryAuthority &authority) const;
+    bool isEligible(const TargetId &id, const TargetProbe &probe,
+                    const PrimaryAuthority &authority) const;
     bool hasCaughtUp(const FleetState &state, const PrimaryAuthority &authority) const;
     bool adoptExistingPrimary(const FleetState &state, const PrimaryAuthority &authority);
     std::optional<TargetId> chooseCandidate(const FleetState &state,
                                             const PrimaryAuthority &authority) const;
-    // True while the relief of an overloaded primary waits for a replica to catch up. Cancels the
-    // relief at the deadline.
-    bool awaitsRelief(const FleetState &state, const PrimaryAuthority &authority, TimePoint now);
+    // True while a change that may be cancelled waits for a replica to catch up. Cancels it at the
+    // deadline.
+    bool awaitsReplica(const FleetState &state, const PrimaryAuthority &authority, TimePoint now);
+    bool formerLeads(const PrimaryAuthority &authority) const;
     bool canCancel(const PrimaryAuthority &authority) const;
-    void cancelRelief(const PrimaryAuthority &authority, TimePoint now);
+    void cancel(const PrimaryAuthority &authority, TimePoint now);
     bool awaitsCatchUp(const TargetId &candidate, const PrimaryAuthority &authority,
                        TimePoint now) const;
     // Whether the choice is committed with this instance as the chooser.
@@ -104,9 +114,9 @@
     TimePoint catchUpDeadline;
     // End of the wait for a target that knows the newest granted term; set by the first survey.
     std::optional<TimePoint> newestTermDeadline;
-    // Set with it: from then on a target may be promoted whose log has parted from the group's.
-    TimePoint partedLogDeadline;
-    bool mayPromotePartedLog = false;
+    // Set with it; see FleetSettings::lastResortTimeout.
+    TimePoint lastResortDeadline;
+    bool isLastResort = false;
     TimePoint stepDownAt;
     TimePoint promotionDeadline;
     TimePoint probeAt;
--- a/src/rhubarbweir/coordination/fleet/primary_failure_detector.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_failure_detector.cpp
@@ -92,6 +92,12 @@
     return complaints * OverloadReportDivisor > poolers;
 }
 
+TimePoint PrimaryFailureDetector::lastHeartbeat(const TargetId &target) const
+{
+    const auto found = this->lastHeartbeatAt.find(target);
+    return found == this->lastHeartbeatAt.end() ? this->startedAt : found->second;
+}
+
 PrimaryEvidence PrimaryFailureDetector::evaluate(const TargetId &target, const LeaseTracker &leases,
                                                  TimePoint now) const
 {
@@ -104,12 +110,9 @@
     }
     const auto probes = this->failedProbes.find(target);
     evidence.failedProbes = probes == this->failedProbes.end() ? 0 : probes->second;
-    const auto found = this->lastHeartbeatAt.find(target);
-    const TimePoint lastHeartbeat =
-        found == this->lastHeartbeatAt.end() ? this->startedAt : found->second;
     const auto overdueAfter =
         std::chrono::duration_cast<Duration>(this->settings.heartbeatInterval * OverdueIntervals);
-    evidence.heartbeatOverdue = now >= lastHeartbeat + overdueAfter;
+    evidence.heartbeatOverdue = now >= this->lastHeartbeat(target) + overdueAfter;
 
     const bool probeFailed = evidence.failedProbes >= RequiredFailedProbes;
     const bool mostComplain = evidence.poolers > 1 && evidence.complaints * 2 > evidence.poolers;
--- a/src/rhubarbweir/coordination/fleet/primary_failure_detector.hpp
+++ b/src/rhubarbweir/coordination/fleet/primary_failure_detector.hpp
@@ -48,6 +48,8 @@
     // Discards the evidence against the target.
     void clearEvidence(const TargetId &target, TimePoint now);
 
+    // The start of the observation if there was none since.
+    TimePoint lastHeartbeat(const TargetId &target) const;
     PrimaryEvidence evaluate(const TargetId &target, const LeaseTracker &leases,
                              TimePoint now) const;
     // Whether more than a third of the poolers report the group as overloaded; see
--- a/src/rhubarbweir/state/fleet_state.cpp
+++ b/src/rhubarbweir/state/fleet_state.cpp
@@ -29,14 +29,12 @@
 
 bool isOnGrantedPath(const PrimaryAuthority &authority, const LogPosition &end)
 {
-    const auto replacing =
-        std::find_if(authority.termStarts.begin(), authority.termStarts.end(),
-                     [&end](const TermStart &start) { return start.term > end.term; });
-    if (replacing == authority.termStarts.end())
-        return true;
-    const bool mayHaveMissedStarts =
-        replacing == authority.termStarts.begin() && authority.termStarts.size() == MaxTermStarts;
-    return !mayHaveMissedStarts && !(replacing->position < end);
+    const std::vector<TermStart> &starts = authority.termStarts;
+    const bool mayPrecedeRecord = starts.size() == MaxTermStarts && end.term < starts.front().term;
+    return !mayPrecedeRecord
+           && std::all_of(starts.begin(), starts.end(), [&end](const TermStart &start) {
+                  return start.term <= end.term || !(start.position < end);
+              });
 }
 
 bool isNewer(const RegisteredTarget &next, const RegisteredTarget &known)
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -227,6 +227,8 @@
     bool hasLease = true;
     // Proposals stay uncommitted.
     bool withholdsCommits = false;
+    // In force once a configuration is sent.
+    std::uint32_t syncReplicas = 0;
     std::uint64_t sequence = 0;
     std::uint64_t lastIndex = 0;
     std::uint64_t term = 1;
@@ -283,6 +285,9 @@
         hooks.compress = [](const OpaqueBytes &document) {
             return document;
         };
+        hooks.syncReplicas = [this](const OpaqueBytes &) {
+            return std::map<GroupId, std::uint32_t>{{Group, this->syncReplicas}};
+        };
         hooks.callObserver = [this](const std::string &address) {
             this->calledObservers.push_back(address);
         };
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -313,6 +313,131 @@
     cr_assert(fleet.stepDowns.empty());
 }
 
+namespace {
+
+// A commit is confirmed once one replica holds it.
+struct SynchronousFleet : RunningFleet
+{
+    SynchronousFleet()
+    {
+        this->syncReplicas = 1;
+        this->configure(1, "one");
+    }
+
+    void drain(const std::string &target)
+    {
+        this->announce(FleetFixture::target(target, TargetId(target) == this->actualPrimary,
+                                            ++this->sequence, TargetPhase::Draining));
+    }
+};
+
+} // namespace
+
+// Guards against a promoted database without commits that were confirmed to callers.
+Test(fleet_controller, leaving_holder,
+     .description =
+         "In a synchronous group a leaving replica with more commits goes before a ready one")
+{
+    SynchronousFleet fleet;
+    fleet.positions = {{TargetId("t2"), {1, 21}}, {TargetId("t3"), {1, 1}}};
+    fleet.drain("t2");
+    fleet.failPrimary();
+    fleet.renewBoth({"t1"});
+    fleet.advance(milliseconds(800));
+    cr_assert_eq(fleet.promotions.back().target, TargetId("t2"));
+}
+
+Test(fleet_controller, leaving_replica,
+     .description = "In an asynchronous group a ready replica goes before a leaving one")
+{
+    RunningFleet fleet;
+    fleet.positions = {{TargetId("t2"), {1, 21}}, {TargetId("t3"), {1, 1}}};
+    fleet.announce(FleetFixture::target("t2", false, ++fleet.sequence, TargetPhase::Draining));
+    fleet.failPrimary();
+    fleet.renewBoth({"t1"});
+    fleet.advance(milliseconds(800));
+    cr_assert_eq(fleet.promotions.back().target, TargetId("t3"));
+}
+
+Test(
+    fleet_controller, silent_holder,
+    .description = "A synchronous group waits for a replica that may alone hold a confirmed commit")
+{
+    SynchronousFleet fleet;
+    fleet.positions = {{TargetId("t2"), {1, 21}}, {TargetId("t3"), {1, 1}}};
+    fleet.unreachable.insert(TargetId("t2"));
+    fleet.failPrimary();
+    for (int round = 0; round < 10; ++round) {
+        fleet.renewBoth({"t1"});
+        fleet.advance(milliseconds(500));
+    }
+    cr_assert(fleet.promotions.empty());
+    fleet.unreachable.erase(TargetId("t2"));
+    fleet.renewBoth({"t1"});
+    fleet.advance(milliseconds(500));
+    cr_assert_eq(fleet.promotions.back().target, TargetId("t2"));
+}
+
+Test(fleet_controller, lost_holder,
+     .description = "A synchronous group does not wait for a replica that is gone for good")
+{
+    SynchronousFleet fleet;
+    fleet.unreachable.insert(TargetId("t2"));
+    fleet.failPrimary();
+    for (int round = 0; round < 36; ++round) {
+        fleet.renewBoth({"t1"});
+        fleet.advance(milliseconds(500));
+    }
+    cr_assert_eq(fleet.promotions.back().target, TargetId("t3"));
+}
+
+Test(fleet_controller, refused_holder,
+     .description = "A refused promotion of the only holder is not followed by that of another one")
+{
+    SynchronousFleet fleet;
+    fleet.positions = {{TargetId("t2"), {1, 21}}, {TargetId("t3"), {1, 1}}};
+    fleet.failPrimary();
+    fleet.renewBoth({"t1"});
+    fleet.advance(milliseconds(400));
+    for (int round = 0; round < 4; ++round) {
+        cr_assert_eq(fleet.promotions.back().target, TargetId("t2"));
+        fleet.answerPromotion(PromotionOutcome::Refused);
+        fleet.renewBoth({"t1"});
+        fleet.advance(milliseconds(1000));
+    }
+    cr_assert_eq(fleet.promotions.back().target, TargetId("t2"));
+}
+
+Test(fleet_controller, leaving_primary_kept,
+     .description =
+         "A leaving primary of a synchronous group serves on until a replica has caught up")
+{
+    SynchronousFleet fleet;
+    fleet.failPrimary();
+    fleet.renewBoth({"t1"});
+    fleet.advance(milliseconds(400));
+    fleet.answerPromotion(PromotionOutcome::Accepted);
+    fleet.advance(milliseconds(200));
+    const TargetId primary = fleet.authority().primary;
+    const TargetId replica(primary == TargetId("t2") ? "t3" : "t2");
+    fleet.positions = {{primary, {2, 30}}, {replica, {2, 1}}};
+    fleet.drain(primary.value);
+    int served = 0;
+    for (int round = 0; round < 80; ++round) {
+        fleet.renewBoth();
+        fleet.advance(milliseconds(100));
+        served += fleet.authority().primary == primary ? 1 : 0;
+    }
+    cr_assert_gt(served, 50);
+    cr_assert_eq(fleet.promotions.size(), 1);
+    fleet.positions[replica] = {2, 30};
+    for (int round = 0; round < 30; ++round) {
+        fleet.renewBoth();
+        fleet.advance(milliseconds(100));
+    }
+    cr_assert_eq(fleet.promotions.back().target, replica);
+}
+
 Test(fleet_controller, silent_pooler,
      .description = "A promotion waits for the end of a silent pooler's lease")
 {
