Refuse announcements with names, addresses or numbers out of range

Here an address without a usable port, a name with a line break, or a sequence of 2^64-1 was acknowledged and sent to all poolers; slots were cut to 32 bits.

Cause: fields were checked for their type alone.

Times and counts of a configuration that would overflow act like the largest.

--- a/tests/unit/platform.tests.cpp
+++ b/tests/unit/platform.tests.cpp
@@ -100,6 +100,62 @@
                   faulty.c_str());
 }
 
+// Guards against entries of other writers that poolers dial for ever or that hide later ones.
+Test(platform, odd_announcements,
+     .description = "An announcement with a name, an address or a number out of range is refused")
+{
+    const std::string address = "\"10.0.0.9:8080\"";
+    for (const char *odd : {"\"10.0.0.9\"", "\"10.0.0.9:\"", "\"10.0.0.9:0\"", "\"10.0.0.9:-1\"",
+                            "\"10.0.0.9:+80\"", "\"10.0.0.9:65536\"", "\"10.0.0.9:99999\"",
+                            "\"10.0.0.9:12345678901234567890123\"", "\"10.0.0.9:80\\r\\nQUERY\"",
+                            "\"10.0.0.256:80\"", "\"0.0.0.0:80\"", "\"host:80\"", "\":80\""})
+        cr_assert(std::holds_alternative<InvalidCall>(
+                      decodeHeartbeat(replaced(HeartbeatBody, address, odd))),
+                  "%s", odd);
+    const std::string longName(200000, 'z');
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>>{
+             {"\"service\":\"s\"", "\"service\":\"s\\r\\nQUERY - STEPDOWN 9\""},
+             {"\"service\":\"s\"", "\"service\":\"s t\""},
+             {"\"service\":\"s\"", "\"service\":\"\""},
+             {"\"sequence\":4", "\"sequence\":18446744073709551615"},
+             {"\"sequence\":4", "\"sequence\":9007199254740992"},
+             {"\"sequence\":4", "\"sequence\":1e400"},
+             {"\"born\":17", "\"born\":18446744073709551615"},
+             {"\"born\":17", "\"born\":4102444800000"},
+             {"\"slots\":3", "\"slots\":4294967299"},
+             {"\"slots\":3", "\"slots\":18446744073709551615"},
+             {"\"zone\":\"z\"", "\"zone\":\"" + longName + "\""}}) {
+        const std::string odd = replaced(HeartbeatBody, from, to);
+        cr_assert_neq(odd, HeartbeatBody, "%s", from.c_str());
+        cr_assert(std::holds_alternative<InvalidCall>(decodeHeartbeat(odd)), "%s",
+                  to.substr(0, 80).c_str());
+    }
+    const std::string nested = std::string(100000, '[') + std::string(100000, ']');
+    cr_assert(std::holds_alternative<InvalidCall>(decodeHeartbeat(nested)));
+    cr_assert(std::holds_alternative<InvalidCall>(
+        decodeCall(post("/api/Instances.Heartbeat/i%20\r\n1", HeartbeatBody))));
+}
+
+Test(
+    platform, large_numbers,
+    .description = "Numbers of a configuration that no time or count can hold act like the largest")
+{
+    const std::string huge = "18446744073709551615";
+    const auto table = decodeRouteTable(
+        "{\"version\":1,\"services\":[{\"name\":\"s\",\"max_connections\":" + huge
+        + ",\"sync_replicas\":4294967296}],\"routes\":[{\"host\":\"h\",\"path_prefix\":\"/\","
+          "\"service\":\"s\",\"kind\":\"primary\",\"timeout_ms\":"
+        + huge + ",\"target_latency_ms\":" + huge + ",\"max_staleness_ms\":" + huge
+        + "}],\"limits\":{\"transaction_idle_ms\":" + huge + "}}");
+    cr_assert(table.ok());
+    const Route &route = table->routes.at("h");
+    for (const Duration time :
+         {route.timeout, route.latencyObjective, route.maxAge, table->transactionIdle})
+        cr_assert_eq(time, std::chrono::hours(24));
+    cr_assert_gt(table->groups.at(GroupId("s")).maxConnections, 1000000);
+    cr_assert_gt(table->groups.at(GroupId("s")).syncReplicas, 0);
+}
+
 Test(platform, other_calls,
      .description = "Calls are recognised by method and path, all others are unknown")
 {
