Serve a group again whose targets have all lost their data

Found by reading the diff: a group whose databases were all born again begins with its first term, which the newest granted term of the state exceeds for ever, so no promotion would ever have counted.

Change: in the last resort, after 15 s, the terms of the answers decide, and a grant of a lower term forgets the former ones.

Evidence: reborn_group of fleet_controller.

--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -131,7 +131,7 @@
     // replica could follow it.
     std::map<TargetId, TimePoint> drainingSince;
     std::map<TargetId, TimePoint> keptAt;
-    // SyncReplicas of the configuration of this version.
+    // What FleetHooks::syncReplicas told of the configuration of this version.
     std::uint64_t syncReplicasVersion = 0;
     std::map<GroupId, std::uint32_t> syncReplicas;
     // Since when a primary has reported itself as a replica.
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -45,19 +45,20 @@
     Duration catchUpTimeout = std::chrono::milliseconds(2000);
     // The same after the primary was lost. A few times the typical replication lag.
     Duration failoverCatchUpTimeout = std::chrono::milliseconds(150);
+    // The same when the primary is only overloaded, or leaves a synchronous group; the change is
+    // cancelled after it.
+    Duration reliefTimeout = std::chrono::milliseconds(500);
     // While no target that answers knows the newest granted term, a survey waits this long for one
     // that does. A promotion before rolls back every commit of that term.
     Duration newestTermTimeout = std::chrono::milliseconds(1000);
-    // A survey waits this long for a target without entries that a promotion rolled back, and in a
-    // synchronous group for one that is known to hold all confirmed commits; then it takes the best
-    // of those that answer. Longer than most network partitions. A target without an announcement
-    // for this long is not waited for.
+    // A survey waits this long for a target of the newest granted term or without entries that a
+    // promotion rolled back, and in a synchronous group for one that is known to hold all confirmed
+    // commits; then it takes the best of those that answer. Longer than most network partitions. A
+    // target without an announcement for this long is not waited for.
     Duration lastResortTimeout = std::chrono::seconds(15);
     // A leaving primary of a synchronous group that no replica could follow within reliefTimeout
     // serves on for this long before the next attempt.
     Duration leaveRetryInterval = std::chrono::milliseconds(2000);
-    // The same when the primary is only overloaded; the change is cancelled after it.
-    Duration reliefTimeout = std::chrono::milliseconds(500);
     // An overloaded primary is replaced after being overloaded continuously for this long.
     Duration overloadThreshold = std::chrono::milliseconds(500);
     // Minimum time between two changes of a group's primary because of overload. A few times the
--- a/src/rhubarbweir/coordination/fleet/primary_change.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.cpp
@@ -74,7 +74,8 @@
 
 std::uint64_t PrimaryChange::newestTerm(const PrimaryAuthority &authority) const
 {
-    std::uint64_t newest = authority.term;
+    // A group whose targets have all lost their data begins with its first term again.
+    std::uint64_t newest = this->isLastResort ? 0 : authority.term;
     for (const auto &[id, probe] : this->answers)
         newest = std::max(newest, probe.term);
     return newest;
--- a/src/rhubarbweir/coordination/fleet/primary_change.hpp
+++ b/src/rhubarbweir/coordination/fleet/primary_change.hpp
@@ -70,7 +70,7 @@
     };
 
     void enterSurvey(TimePoint now);
-    // Newest term of the group's log that the answers or the state tell.
+    // Newest term of the group's log that the answers tell, or the state unless in the last resort.
     std::uint64_t newestTerm(const PrimaryAuthority &authority) const;
     // Whether the target still leads a term that a newer one has ended.
     bool isStalePrimary(const TargetProbe &probe, const PrimaryAuthority &authority) const;
--- a/src/rhubarbweir/state/fleet_state.cpp
+++ b/src/rhubarbweir/state/fleet_state.cpp
@@ -141,7 +141,9 @@
     authority.group = command.group;
     ++authority.generation;
     authority.primary = command.primary;
-    if (command.term > authority.term) {
+    if (command.term != 0 && command.term != authority.term) {
+        if (command.term < authority.term)
+            authority.termStarts.clear();
         authority.term = command.term;
         authority.termStarts.push_back({command.term, command.start});
         if (authority.termStarts.size() > MaxTermStarts)
--- a/src/rhubarbweir/state/fleet_state.hpp
+++ b/src/rhubarbweir/state/fleet_state.hpp
@@ -73,8 +73,8 @@
     std::uint64_t generation = 0;
     // Empty while the authority is revoked.
     TargetId primary;
-    // Newest term of the group's log in which the authority was granted; 0 if none is known. Never
-    // decreases.
+    // Newest term of the group's log in which the authority was granted; 0 if none is known. A
+    // lower one is granted only to a group that has lost its log.
     std::uint64_t term = 0;
     // Starts of the newest granted terms, by increasing term. Not sent to poolers.
     std::vector<TermStart> termStarts;
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -241,6 +241,28 @@
     cr_assert_eq(fleet.authority().term, 3);
 }
 
+Test(fleet_controller, reborn_group,
+     .description = "A group whose targets have all lost their data is served again")
+{
+    ReturnedFormerPrimary fleet;
+    fleet.unreachable.clear();
+    fleet.ownAnswers = {{TargetId("t1"), {true, 1, {1, 0}}},
+                        {TargetId("t2"), {false, 1, {1, 0}}},
+                        {TargetId("t3"), {false, 1, {1, 0}}}};
+    for (int round = 0; round < 40; ++round) {
+        fleet.renewBoth();
+        fleet.advance(milliseconds(500));
+        if (!fleet.promotions.empty() && fleet.promotions.size() > 1
+            && fleet.authority().primary.empty()) {
+            fleet.ownAnswers[fleet.promotions.back().target] = {true, 2, {1, 0}};
+            fleet.controller.promotionAnswered(fleet.promotions.back(), PromotionOutcome::Accepted,
+                                               fleet.now);
+        }
+    }
+    cr_assert(!fleet.authority().primary.empty());
+    cr_assert_leq(fleet.authority().term, 2);
+}
+
 // Guards against commits that return after reads without them.
 Test(fleet_controller, parted_log,
      .description = "A log with entries that were rolled back is promoted only as the last resort")
