--- a/src/rhubarbweir/transport/quorum_store.cpp
+++ b/src/rhubarbweir/transport/quorum_store.cpp
@@ -275,8 +275,12 @@
             return saved;
     }
     absl::Status written = this->writeFileAtomically(logName(next), *log);
-    if (!written.ok())
+    if (!written.ok()) {
+        // It would take the room that the next attempt needs.
+        if (absl::IsResourceExhausted(written) && batch.snapshot)
+            (void)this->folder->remove(snapshotName(next));
         return written;
+    }
     this->generation = next;
     this->logBytes = log->size();
     if (batch.hardState)
--- a/tests/unit/file_storage.tests.cpp
+++ b/tests/unit/file_storage.tests.cpp
@@ -260,6 +260,7 @@
     PersistBatch change = entriesBatch(6, 6);
     change.snapshot = snapshotBatch(4).snapshot;
     cr_assert(store.write(change).ok());
+    cr_assert_eq(folder->list()->size(), 1, "nothing is left of the snapshot");
     auto recovered = reload(folder);
     cr_assert_not(recovered->snapshot.has_value());
     cr_assert_eq(recovered->entries.size(), 6);
