--- a/tests/unit/file_storage.tests.cpp
+++ b/tests/unit/file_storage.tests.cpp
@@ -211,6 +211,25 @@
     cr_assert(absl::IsFailedPrecondition(store.write(entriesBatch(3, 3))));
 }
 
+// Guards against an acknowledged entry that a loss of power after a restart takes back.
+Test(file_storage, unsynced_entries,
+     .description = "entries that a killed process wrote are durable once they are loaded")
+{
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        std::mt19937_64 random(seed);
+        const auto folder = std::make_shared<FakeFolder>();
+        QuorumStore store(folder);
+        cr_assert(store.load().ok());
+        cr_assert(store.write(entriesBatch(1, 3)).ok());
+        folder->dropSyncs = true;
+        cr_assert(store.write(entriesBatch(4, 5)).ok());
+        folder->dropSyncs = false;
+        cr_assert_eq(reload(folder)->entries.size(), 5);
+        folder->crash(random);
+        cr_assert_eq(reload(folder)->entries.size(), 5, "seed %d", static_cast<int>(seed));
+    }
+}
+
 // Guards against instances that stop for good once their disk has been full for a moment.
 Test(
     file_storage, full_disk,
