--- a/src/rhubarbweir/transport/quorum_store.cpp
+++ b/src/rhubarbweir/transport/quorum_store.cpp
@@ -170,8 +170,8 @@
     const absl::Status repaired = this->repairLog();
     if (!repaired.ok() && !absl::IsResourceExhausted(repaired))
         return repaired;
-    // A process that was killed may have written what it did not sync. It counts as durable from now
-    // on.
+    // A process that was killed may have written what it did not sync. It counts as durable from
+    // now on.
     absl::Status synced = this->folder->sync(this->logName());
     if (synced.ok())
         synced = this->folder->syncFolder();
