Identify callers by the keys of teams

Configuration documents may hold teams with API keys, a limit and a priority. A pooler looks up the team of a caller's key, tells targets the team's name instead of its own, and uses a connection only for the team it was opened for. With strict revocation it serves keyed statements only while an answer of the leader proves that its configuration is young enough, and refuses them as busy otherwise. Documents without teams are served as before.

--- a/src/programs/pooler/caller_streams.cpp
+++ b/src/programs/pooler/caller_streams.cpp
@@ -1,6 +1,7 @@
 // See caller_streams.hpp.
 #include "programs/pooler/caller_streams.hpp"
 
+#include "rhubarbweir/protocol/key_digest.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 
 #include <utility>
@@ -81,7 +82,7 @@
     }
     const auto *opening = std::get_if<platform::SessionStart>(&parsed);
     if (opening != nullptr && !link.isOpen && link.awaitedDatabase.empty()) {
-        this->start(number, link, opening->database);
+        this->start(number, link, opening->database, digestOfKey(opening->key));
         return true;
     }
     if (std::holds_alternative<platform::SessionEnd>(parsed))
@@ -91,10 +92,12 @@
     return false;
 }
 
-void CallerStreams::start(SessionNumber number, Link &link, const std::string &database)
+void CallerStreams::start(SessionNumber number, Link &link, const std::string &database,
+                          const KeyDigest &key)
 {
     if (!this->hooks.isReady()) {
         link.awaitedDatabase = database;
+        link.awaitedKey = key;
         this->loop.schedule(EventLoop::now() + SessionOpenTimeout, [this, number] {
             const auto found = this->links.find(number);
             if (found != this->links.end() && !found->second->awaitedDatabase.empty())
@@ -103,11 +106,21 @@
         return;
     }
     link.awaitedDatabase.clear();
-    link.isOpen = this->hooks.opened(number, database);
-    if (link.isOpen)
+    switch (this->hooks.opened(number, database, key)) {
+    case SessionOpening::Opened:
+        link.isOpen = true;
         link.stream->send(platform::encodeSessionOpened());
-    else
+        return;
+    case SessionOpening::UnknownDatabase:
         this->refuse(number, link, StatementFault::NoDatabase, database);
+        return;
+    case SessionOpening::Denied:
+        this->refuse(number, link, StatementFault::Denied, "no team holds the key");
+        return;
+    case SessionOpening::Unproven:
+        this->refuse(number, link, StatementFault::Busy, "configuration not proven");
+        return;
+    }
 }
 
 void CallerStreams::openWaiting()
@@ -119,7 +132,7 @@
     }
     for (const SessionNumber number : waiting) {
         const std::shared_ptr<Link> link = this->links.at(number);
-        this->start(number, *link, std::string(link->awaitedDatabase));
+        this->start(number, *link, std::string(link->awaitedDatabase), link->awaitedKey);
     }
 }
 
--- a/src/programs/pooler/caller_streams.hpp
+++ b/src/programs/pooler/caller_streams.hpp
@@ -17,8 +17,8 @@
 {
     // False while no configuration is known; sessions then wait for one.
     std::function<bool()> isReady;
-    // False for an unknown database.
-    std::function<bool(SessionNumber, const std::string &database)> opened;
+    std::function<SessionOpening(SessionNumber, const std::string &database, const KeyDigest &)>
+        opened;
     std::function<void(SessionNumber, TextStatement)> statement;
     std::function<void(SessionNumber)> closed;
 };
@@ -53,12 +53,14 @@
         std::size_t stateBytes = 0;
         // Requested database while the session waits for a configuration; empty otherwise.
         std::string awaitedDatabase;
+        KeyDigest awaitedKey;
     };
 
     void accepted(const ByteStreamPtr &stream);
     void received(SessionNumber session, std::string_view bytes);
     bool lineReceived(SessionNumber session, Link &link, const std::string &line);
-    void start(SessionNumber session, Link &link, const std::string &database);
+    void start(SessionNumber session, Link &link, const std::string &database,
+               const KeyDigest &key);
     void refuse(SessionNumber session, Link &link, StatementFault fault, const std::string &detail);
     void end(SessionNumber session);
     static void updateHeld(const Link &link);
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -47,6 +47,7 @@
     PoolerSettings pooler;
     pooler.instance = settings.instance;
     pooler.failureDomain = settings.failureDomain;
+    pooler.revokeWithin = settings.revokeWithin;
     return pooler;
 }
 
@@ -119,8 +120,9 @@
     hooks.stateChanged = [this](SessionNumber session, std::size_t bytes) {
         this->callers.setStateSize(session, bytes);
     };
-    hooks.openTarget = [this](ConnectionId connection, const RegisteredTarget &target) {
-        this->targets.open(connection, target);
+    hooks.openTarget = [this](ConnectionId connection, const RegisteredTarget &target,
+                              const TeamId &team) {
+        this->targets.open(connection, target, team);
     };
     hooks.sendToTarget = [this](ConnectionId connection,
                                 const std::vector<TargetCommand> &commands) {
@@ -169,8 +171,9 @@
     hooks.isReady = [this] {
         return this->pooler.isReady();
     };
-    hooks.opened = [this](SessionNumber session, const std::string &database) {
-        return this->pooler.sessionOpened(session, database, EventLoop::now());
+    hooks.opened = [this](SessionNumber session, const std::string &database,
+                          const KeyDigest &key) {
+        return this->pooler.sessionOpened(session, database, key, EventLoop::now());
     };
     hooks.statement = [this](SessionNumber session, TextStatement statement) {
         this->pooler.statement(session, std::move(statement), EventLoop::now());
@@ -228,6 +231,8 @@
             logEvent(LogLevel::Error, "configuration_unreadable",
                      {{"cause", table.status().ToString()}});
     }
+    if (sentAt)
+        this->pooler.configurationAnswered(lease.configurationVersion, *sentAt, now);
     const bool holdsView = this->pooler.authorityView().revision() >= lease.view.revision;
     if (sentAt)
         this->pooler.positionsReceived(lease.positions, *sentAt, now);
@@ -255,7 +260,8 @@
         return;
     }
     const bool isStopping = this->stopBy != TimePoint::max();
-    respond(platform::encodeReadiness(this->pooler.isReady() && !isStopping));
+    const bool isReady = this->pooler.isReady() && this->pooler.servesTeams(EventLoop::now());
+    respond(platform::encodeReadiness(isReady && !isStopping));
 }
 
 void PoolerProgram::scheduleAdvance()
--- a/src/programs/pooler/target_streams.cpp
+++ b/src/programs/pooler/target_streams.cpp
@@ -33,13 +33,13 @@
 {
 }
 
-void TargetStreams::open(ConnectionId id, const RegisteredTarget &target)
+void TargetStreams::open(ConnectionId id, const RegisteredTarget &target, const TeamId &team)
 {
     this->links[id] = std::make_shared<Link>();
     connectStream(this->loop, target.address, EventLoop::now() + ConnectTimeout,
-                  [this, id, target](absl::StatusOr<ByteStreamPtr> result) {
+                  [this, id, target, team](absl::StatusOr<ByteStreamPtr> result) {
                       if (result.ok())
-                          this->connected(id, target, *result);
+                          this->connected(id, target, team, *result);
                       else
                           this->fail(id, absl::IsDeadlineExceeded(result.status())
                                              ? TargetFailure::Silent
@@ -47,7 +47,7 @@
                   });
 }
 
-void TargetStreams::connected(ConnectionId id, const RegisteredTarget &target,
+void TargetStreams::connected(ConnectionId id, const RegisteredTarget &target, const TeamId &team,
                               const ByteStreamPtr &stream)
 {
     const auto found = this->links.find(id);
@@ -62,7 +62,8 @@
     stream->onClosed = [this, id](bool) {
         this->fail(id, TargetFailure::Reset);
     };
-    stream->send(platform::encodeTargetStart(target.group, this->self, target.target));
+    const std::string &caller = team.empty() ? this->self : team.value;
+    stream->send(platform::encodeTargetStart(target.group, caller, target.target));
 }
 
 void TargetStreams::send(ConnectionId id, const std::vector<TargetCommand> &commands)
--- a/src/programs/pooler/target_streams.hpp
+++ b/src/programs/pooler/target_streams.hpp
@@ -26,7 +26,8 @@
 public:
     TargetStreams(EventLoop &loop, std::string self, TargetStreamHooks hooks);
 
-    void open(ConnectionId id, const RegisteredTarget &target);
+    // The target is told the team, or this instance's name if it is empty.
+    void open(ConnectionId id, const RegisteredTarget &target, const TeamId &team);
     void send(ConnectionId id, const std::vector<TargetCommand> &commands);
     // After this no hook is called for the connection.
     void close(ConnectionId id);
@@ -40,7 +41,8 @@
         bool isOpen = false;
     };
 
-    void connected(ConnectionId id, const RegisteredTarget &target, const ByteStreamPtr &stream);
+    void connected(ConnectionId id, const RegisteredTarget &target, const TeamId &team,
+                   const ByteStreamPtr &stream);
     void received(ConnectionId id, std::string_view bytes);
     bool lineReceived(ConnectionId id, Link &link, const std::string &line);
     void fail(ConnectionId id, TargetFailure failure);
--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -136,6 +136,8 @@
             this->requeue(session, now);
             return;
         }
+        if (this->refuseWithoutAccess(session, now))
+            return;
         this->sendStatement(session, connection, now);
         return;
     }
@@ -289,7 +291,7 @@
     // A new attempt shows whether the target is down or only the connection was lost.
     if (record != nullptr && record->connections.empty() && failure == TargetFailure::Reset
         && record->target.phase == TargetPhase::Ready)
-        this->openIfAllowed(lost.target, now);
+        this->openIfAllowed(lost.target, lost.team, now);
     const auto owner = this->sessions.find(lost.owner);
     if (owner != this->sessions.end()) {
         Session &session = owner->second;
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -9,10 +9,6 @@
 
 namespace rhubarbweir {
 
-namespace {
-
-} // namespace
-
 // The log position that a read has to cover; empty when it is unknown, so that only the primary can
 // serve the read.
 std::optional<LogPosition> SessionPooler::requiredPosition(const Session &session,
@@ -73,20 +69,17 @@
 // Sends the session's statement on an idle connection, or queues it and opens one if allowed.
 void SessionPooler::dispatch(Session &session, TimePoint now)
 {
+    if (this->refuseWithoutAccess(session, now))
+        return;
     const std::vector<TargetId> ids = this->candidates(session, now);
     for (const TargetId &id : ids) {
-        if (PooledConnection *connection = this->targetTracker.idleConnection(id, session.values)) {
+        if (PooledConnection *connection =
+                this->targetTracker.idleConnection(id, session.team, session.values)) {
             this->startOn(session, *connection, now);
             return;
         }
     }
-    for (const TargetId &id : ids) {
-        const TargetRecord *record = this->targetTracker.find(id);
-        if (record->connections.size() < this->connectionShare(*record)) {
-            this->openIfAllowed(id, now);
-            break;
-        }
-    }
+    this->openFor(session, ids, now);
     session.pending->stage = StatementStage::Queued;
     if (this->needsAbsentPrimary(session, now))
         session.pending->queueDeadline = std::min(session.pending->queueDeadline,
@@ -96,6 +89,28 @@
     this->enqueue(session);
 }
 
+// Opens a connection for the session to the first target whose share allows one more, or else in
+// place of an idle connection of another team.
+void SessionPooler::openFor(const Session &session, const std::vector<TargetId> &targets,
+                            TimePoint now)
+{
+    for (const TargetId &id : targets) {
+        const TargetRecord *record = this->targetTracker.find(id);
+        if (record->connections.size() < this->connectionShare(*record)) {
+            this->openIfAllowed(id, session.team, now);
+            return;
+        }
+    }
+    for (const TargetId &id : targets) {
+        const PooledConnection *other = this->targetTracker.idleOfOtherTeam(id, session.team);
+        if (other == nullptr)
+            continue;
+        this->dropConnection(other->id);
+        this->openIfAllowed(id, session.team, now);
+        return;
+    }
+}
+
 // Whether only a primary can serve the statement and the group has had none for longer than a
 // planned change takes.
 bool SessionPooler::needsAbsentPrimary(const Session &session, TimePoint now) const
@@ -189,23 +204,26 @@
     return std::min(most, this->idleShare(record) + this->settings.surplusConnections);
 }
 
-void SessionPooler::openIfAllowed(const TargetId &id, TimePoint now)
+void SessionPooler::openIfAllowed(const TargetId &id, const TeamId &team, TimePoint now)
 {
     TargetRecord *record = this->targetTracker.find(id);
     if (record == nullptr || now < record->connectBlockedUntil
-        || this->targetTracker.connectingCount(id) > 0)
+        || this->targetTracker.connectingCount(id, team) > 0)
         return;
-    const PooledConnection &connection = this->targetTracker.addConnection(*record, now);
-    this->hooks.openTarget(connection.id, record->target);
+    const PooledConnection &connection = this->targetTracker.addConnection(*record, team, now);
+    this->hooks.openTarget(connection.id, record->target, team);
 }
 
-// Keeps one connection open to each target, so that the first statement does not wait for one.
+// Keeps one connection open to each target, so that the first statement does not wait for one. With
+// teams it is not known whose statement that will be.
 void SessionPooler::keepWarm(TimePoint now)
 {
+    if (this->view.routes().hasTeams)
+        return;
     for (const auto &[id, record] : this->targetTracker.records()) {
         if (record.connections.empty() && record.target.phase == TargetPhase::Ready
             && now >= record.suspendedUntil && this->idleShare(record) > 0)
-            this->openIfAllowed(id, now);
+            this->openIfAllowed(id, {}, now);
     }
 }
 
@@ -366,6 +384,8 @@
                      connection == nullptr ? "connection lost" : "primary changed", now);
         return;
     }
+    if (this->refuseWithoutAccess(session, now))
+        return;
     ++session.pending->attempts;
     this->sendStatement(session, *connection, now);
 }
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -79,6 +79,8 @@
     // A replica that has had none of the requested positions for this long counts as behind. A few
     // times the typical replication lag.
     Duration behindThreshold = std::chrono::milliseconds(300);
+    // A key that was taken away stops within this time; empty if keys may stop later.
+    std::optional<Duration> revokeWithin;
     // Limit on queued statements over all groups; further ones are refused.
     std::size_t queueLimit = 512;
     // Limit on the values and prepared statements of a session, in bytes. They are sent to a target
@@ -94,8 +96,9 @@
     std::function<void(SessionNumber)> closeSession;
     // The session's values and prepared statements take `bytes` from now on.
     std::function<void(SessionNumber, std::size_t bytes)> stateChanged;
-    // Answered through SessionPooler::targetOpened() or targetClosed().
-    std::function<void(ConnectionId, const RegisteredTarget &)> openTarget;
+    // The target is told the team; it is empty for callers without one. Answered through
+    // SessionPooler::targetOpened() or targetClosed().
+    std::function<void(ConnectionId, const RegisteredTarget &, const TeamId &)> openTarget;
     std::function<void(ConnectionId, const std::vector<TargetCommand> &)> sendToTarget;
     // After this, SessionPooler::targetClosed() is not called for the connection.
     std::function<void(ConnectionId)> closeTarget;
@@ -108,6 +111,16 @@
     std::function<void(std::string_view event, const PoolerEventFields &, bool sampled)> event;
 };
 
+// Outcome of opening a session.
+enum class SessionOpening {
+    Opened,
+    UnknownDatabase,
+    // The key belongs to no team.
+    Denied,
+    // The key belongs to no team of a configuration that may be too old.
+    Unproven,
+};
+
 // Why a connection to a target was closed or could not be opened.
 enum class TargetFailure {
     Refused,
--- a/src/rhubarbweir/coordination/sessions/route_table.hpp
+++ b/src/rhubarbweir/coordination/sessions/route_table.hpp
@@ -3,11 +3,13 @@
 
 #include "rhubarbweir/state/enum_names.hpp"
 #include "rhubarbweir/state/ids.hpp"
+#include "rhubarbweir/state/key_digest.hpp"
 #include "rhubarbweir/state/time.hpp"
 
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace rhubarbweir {
@@ -41,6 +43,8 @@
     Duration maxAge{0};
     // 0 is the highest priority.
     unsigned priority = 0;
+    // Whether callers need no API key.
+    bool isPublic = false;
 };
 
 struct GroupLimits
@@ -51,11 +55,32 @@
     std::uint32_t syncReplicas = 0;
 };
 
+// Limit on the operations of a team over the whole fleet: a token bucket. An operation is a
+// statement outside a transaction, or a whole transaction.
+struct TeamLimit
+{
+    double operationsPerSecond = 0;
+    double burst = 0;
+};
+
+struct Team
+{
+    // 0 is the highest priority.
+    unsigned priority = 0;
+    // Empty for a team without a limit.
+    std::optional<TeamLimit> limit;
+};
+
 struct RouteTable
 {
     std::uint64_t version = 0;
     std::map<std::string, Route> routes;
     std::map<GroupId, GroupLimits> groups;
+    // Whether callers of routes that are not public need the key of a team.
+    bool hasTeams = false;
+    std::map<TeamId, Team> teams;
+    // Each key belongs to one team.
+    std::map<KeyDigest, TeamId> teamsByKey;
     // A transaction is rolled back after being idle for this long.
     Duration transactionIdle = std::chrono::milliseconds(3000);
 };
--- a/src/rhubarbweir/coordination/sessions/session.hpp
+++ b/src/rhubarbweir/coordination/sessions/session.hpp
@@ -65,6 +65,9 @@
 {
     SessionNumber number = 0;
     std::string database;
+    KeyDigest key;
+    // Team of the key when the last operation began; empty on a public route.
+    TeamId team;
     std::map<std::string, std::string> values;
     std::map<std::string, PreparedStatement> prepared;
     // Approximate size of `values` and `prepared`.
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -22,6 +22,7 @@
 SessionPooler::SessionPooler(PoolerSettings poolerSettings, PoolerHooks poolerHooks)
     : settings(std::move(poolerSettings))
     , hooks(std::move(poolerHooks))
+    , proof(this->settings.revokeWithin)
     , targetTracker(this->settings)
     , retries(RetryShare)
 {
@@ -29,15 +30,26 @@
 
 // Callers.
 
-bool SessionPooler::sessionOpened(SessionNumber number, const std::string &database, TimePoint)
+SessionOpening SessionPooler::sessionOpened(SessionNumber number, const std::string &database,
+                                            const KeyDigest &key, TimePoint now)
 {
-    if (this->view.route(database) == nullptr)
-        return false;
+    const Route *route = this->view.route(database);
+    if (route == nullptr)
+        return SessionOpening::UnknownDatabase;
+    const RouteTable &table = this->view.routes();
+    if (table.hasTeams && !route->isPublic && table.teamsByKey.count(key) == 0)
+        return this->proof.isValid(now) ? SessionOpening::Denied : SessionOpening::Unproven;
     Session session;
     session.number = number;
     session.database = database;
+    session.key = key;
     this->sessions.emplace(number, std::move(session));
-    return true;
+    return SessionOpening::Opened;
+}
+
+bool SessionPooler::servesTeams(TimePoint now) const
+{
+    return !this->view.routes().hasTeams || this->proof.isValid(now);
 }
 
 void SessionPooler::statement(SessionNumber number, TextStatement statement, TimePoint now)
@@ -153,7 +165,44 @@
     return std::nullopt;
 }
 
-void SessionPooler::begin(Session &session, const TextStatement &statement, TimePoint)
+// Sets the session's team to the one that holds its key now. Returns why the session may not run
+// statements on the route.
+std::optional<StatementFault> SessionPooler::updateTeam(Session &session, const Route &route,
+                                                        TimePoint now) const
+{
+    const RouteTable &table = this->view.routes();
+    TeamId team;
+    if (table.hasTeams && !route.isPublic) {
+        const auto found = table.teamsByKey.find(session.key);
+        if (!this->proof.isValid(now))
+            return StatementFault::Busy;
+        if (found == table.teamsByKey.end())
+            return StatementFault::Denied;
+        team = found->second;
+    }
+    if (session.pinned != 0 && session.team != team)
+        return StatementFault::Aborted;
+    session.team = team;
+    return std::nullopt;
+}
+
+// Refuses the pending statement if its session has lost the right to run it. Checked again right
+// before sending, because the key may have been taken away while the statement waited.
+bool SessionPooler::refuseWithoutAccess(Session &session, TimePoint now)
+{
+    const std::optional<StatementFault> fault =
+        this->updateTeam(session, session.pending->route, now);
+    if (!fault)
+        return false;
+    this->refuse(session, *fault,
+                 *fault == StatementFault::Denied    ? "no team holds the key"
+                 : *fault == StatementFault::Aborted ? "key moved to another team"
+                                                     : "configuration not proven",
+                 now);
+    return true;
+}
+
+void SessionPooler::begin(Session &session, const TextStatement &statement, TimePoint now)
 {
     const Route *route = this->view.route(session.database);
     if (session.state != TransactionState::None || route == nullptr) {
@@ -162,6 +211,10 @@
                                              : StatementFault::Malformed);
         return;
     }
+    if (const std::optional<StatementFault> fault = this->updateTeam(session, *route, now)) {
+        this->answerLocally(session, statement, fault);
+        return;
+    }
     session.state = TransactionState::Open;
     session.readOnlyTransaction = statement.readOnly;
     session.transactionWrote = false;
@@ -179,7 +232,8 @@
 
 void SessionPooler::runAtTarget(Session &session, TextStatement statement, TimePoint now)
 {
-    if (!this->admitStatement(session, std::move(statement), now))
+    if (!this->admitStatement(session, std::move(statement), now)
+        || this->refuseWithoutAccess(session, now))
         return;
     if (session.pinned != 0) {
         this->sendOnPinned(session, now);
@@ -357,6 +411,7 @@
 {
     if (!this->view.updateRoutes(std::move(table)))
         return;
+    this->proof.applied(this->view.routes().version);
     this->hooks.event("configuration_in_force",
                       {{"version", absl::StrCat(this->view.routes().version)}}, false);
     this->dispatchQueue(now);
@@ -375,6 +430,15 @@
     }
 }
 
+void SessionPooler::configurationAnswered(std::uint64_t version, TimePoint sentAt, TimePoint now)
+{
+    const bool wasValid = this->servesTeams(now);
+    this->proof.answered(version, sentAt);
+    if (!wasValid && this->servesTeams(now))
+        this->hooks.event("configuration_proven",
+                          {{"version", absl::StrCat(this->view.routes().version)}}, false);
+}
+
 void SessionPooler::positionsReceived(const std::vector<GroupPosition> &positions, TimePoint sentAt,
                                       TimePoint now)
 {
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "rhubarbweir/coordination/proxy/retry_budget.hpp"
+#include "rhubarbweir/coordination/sessions/configuration_proof.hpp"
 #include "rhubarbweir/coordination/sessions/session.hpp"
 #include "rhubarbweir/coordination/sessions/target_tracker.hpp"
 
@@ -22,8 +23,10 @@
 public:
     SessionPooler(PoolerSettings settings, PoolerHooks hooks);
 
-    // Callers. False for an unknown database; the session is not opened then.
-    bool sessionOpened(SessionNumber session, const std::string &database, TimePoint now);
+    // Callers. Unless the outcome is Opened, the session does not exist. The key counts only on a
+    // route that is not public.
+    SessionOpening sessionOpened(SessionNumber session, const std::string &database,
+                                 const KeyDigest &key, TimePoint now);
     void statement(SessionNumber session, TextStatement statement, TimePoint now);
     void sessionClosed(SessionNumber session, TimePoint now);
 
@@ -39,6 +42,10 @@
     void leaseReceived(TimePoint end, std::uint32_t poolers, std::uint32_t formerPoolers,
                        TimePoint now);
 
+    // The leader's newest configuration had this version when it answered the renewal that was sent
+    // at `sentAt`.
+    void configurationAnswered(std::uint64_t version, TimePoint sentAt, TimePoint now);
+
     // Positions of primaries that other poolers learned. `sentAt` is when the answered renewal was
     // sent, so the ages were taken later.
     void positionsReceived(const std::vector<GroupPosition> &positions, TimePoint sentAt,
@@ -59,6 +66,8 @@
     void closeAll(TimePoint now);
 
     bool isReady() const { return this->view.routes().version != 0 && this->view.revision() != 0; }
+    // Whether sessions that need a key can be served.
+    bool servesTeams(TimePoint now) const;
     const AuthorityView &authorityView() const { return this->view; }
     std::vector<TargetObservation> observations() const
     {
@@ -80,6 +89,9 @@
     void process(Session &session, TextStatement statement, TimePoint now);
     std::optional<StatementFault> changeState(Session &session, const TextStatement &statement);
     void begin(Session &session, const TextStatement &statement, TimePoint now);
+    std::optional<StatementFault> updateTeam(Session &session, const Route &route,
+                                             TimePoint now) const;
+    bool refuseWithoutAccess(Session &session, TimePoint now);
     void rollback(Session &session, TimePoint now);
     void runAtTarget(Session &session, TextStatement statement, TimePoint now);
     bool admitStatement(Session &session, TextStatement statement, TimePoint now);
@@ -101,7 +113,8 @@
     bool needsAbsentPrimary(const Session &session, TimePoint now) const;
     void enqueue(const Session &session);
     void dequeue(SessionNumber number);
-    void openIfAllowed(const TargetId &target, TimePoint now);
+    void openIfAllowed(const TargetId &target, const TeamId &team, TimePoint now);
+    void openFor(const Session &session, const std::vector<TargetId> &targets, TimePoint now);
     void keepWarm(TimePoint now);
     std::uint32_t connectionsForPoolers(const TargetRecord &record) const;
     std::uint32_t idleShare(const TargetRecord &record) const;
@@ -146,6 +159,7 @@
     PoolerSettings settings;
     PoolerHooks hooks;
     AuthorityView view;
+    ConfigurationProof proof;
     TargetTracker targetTracker;
     RetryBudget retries;
     std::map<SessionNumber, Session> sessions;
--- a/src/rhubarbweir/coordination/sessions/statement.hpp
+++ b/src/rhubarbweir/coordination/sessions/statement.hpp
@@ -59,14 +59,16 @@
     NoSuchName,
     Malformed,
     NoDatabase,
+    // The caller's key belongs to no team.
+    Denied,
 };
 
 template<>
 struct EnumNames<StatementFault>
 {
     static constexpr std::string_view Names[] = {
-        "busy",     "aborted", "lagging", "read_only",    "wrong_target", "too_many",
-        "in_doubt", "timeout", "failed",  "no_such_name", "malformed",    "no_database"};
+        "busy",    "aborted", "lagging",      "read_only", "wrong_target", "too_many", "in_doubt",
+        "timeout", "failed",  "no_such_name", "malformed", "no_database",  "denied"};
 };
 
 enum class TransactionState {
--- a/src/rhubarbweir/coordination/sessions/target_tracker.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.cpp
@@ -68,12 +68,14 @@
     return found == this->open.end() ? nullptr : &found->second;
 }
 
-PooledConnection &TargetTracker::addConnection(const TargetRecord &record, TimePoint now)
+PooledConnection &TargetTracker::addConnection(const TargetRecord &record, const TeamId &team,
+                                               TimePoint now)
 {
     PooledConnection connection;
     connection.id = ++this->lastId;
     connection.target = record.target.target;
     connection.group = record.target.group;
+    connection.team = team;
     connection.connectDeadline = now + this->settings.connectTimeout;
     this->targets.at(record.target.target).connections.insert(connection.id);
     return this->open.emplace(connection.id, std::move(connection)).first->second;
@@ -92,7 +94,7 @@
     this->open.erase(found);
 }
 
-PooledConnection *TargetTracker::idleConnection(const TargetId &target,
+PooledConnection *TargetTracker::idleConnection(const TargetId &target, const TeamId &team,
                                                 const std::map<std::string, std::string> &values)
 {
     const TargetRecord *record = this->find(target);
@@ -101,7 +103,7 @@
     PooledConnection *best = nullptr;
     for (const ConnectionId id : record->connections) {
         PooledConnection &candidate = this->open.at(id);
-        if (candidate.phase != ConnectionPhase::Idle)
+        if (candidate.phase != ConnectionPhase::Idle || candidate.team != team)
             continue;
         if (candidate.values == values)
             return &candidate;
@@ -111,14 +113,31 @@
     return best;
 }
 
-std::size_t TargetTracker::connectingCount(const TargetId &target) const
+const PooledConnection *TargetTracker::idleOfOtherTeam(const TargetId &target,
+                                                       const TeamId &team) const
+{
+    const TargetRecord *record = this->find(target);
+    if (record == nullptr)
+        return nullptr;
+    const PooledConnection *oldest = nullptr;
+    for (const ConnectionId id : record->connections) {
+        const PooledConnection &candidate = this->open.at(id);
+        if (candidate.phase == ConnectionPhase::Idle && candidate.team != team
+            && (oldest == nullptr || candidate.idleSince < oldest->idleSince))
+            oldest = &candidate;
+    }
+    return oldest;
+}
+
+std::size_t TargetTracker::connectingCount(const TargetId &target, const TeamId &team) const
 {
     const TargetRecord *record = this->find(target);
     if (record == nullptr)
         return 0;
     return static_cast<std::size_t>(std::count_if(
-        record->connections.begin(), record->connections.end(), [this](ConnectionId id) {
-            return this->open.at(id).phase == ConnectionPhase::Connecting;
+        record->connections.begin(), record->connections.end(), [this, &team](ConnectionId id) {
+            const PooledConnection &connection = this->open.at(id);
+            return connection.phase == ConnectionPhase::Connecting && connection.team == team;
         }));
 }
 
--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -39,6 +39,8 @@
     ConnectionId id = 0;
     TargetId target;
     GroupId group;
+    // The target knows the connection as this team's, so it serves no other one.
+    TeamId team;
     ConnectionPhase phase = ConnectionPhase::Connecting;
     TimePoint connectDeadline;
     TimePoint idleSince;
@@ -104,12 +106,14 @@
     std::map<ConnectionId, PooledConnection> &connections() { return this->open; }
     const std::map<TargetId, TargetRecord> &records() const { return this->targets; }
 
-    PooledConnection &addConnection(const TargetRecord &record, TimePoint now);
+    PooledConnection &addConnection(const TargetRecord &record, const TeamId &team, TimePoint now);
     void removeConnection(ConnectionId id);
-    // An idle connection of the target; one with the same session values is preferred.
-    PooledConnection *idleConnection(const TargetId &target,
+    // An idle connection of the team to the target; one with the same session values is preferred.
+    PooledConnection *idleConnection(const TargetId &target, const TeamId &team,
                                      const std::map<std::string, std::string> &values);
-    std::size_t connectingCount(const TargetId &target) const;
+    // The idle connection of another team that has been unused for longest; null if there is none.
+    const PooledConnection *idleOfOtherTeam(const TargetId &target, const TeamId &team) const;
+    std::size_t connectingCount(const TargetId &target, const TeamId &team) const;
 
     void commandSent(PooledConnection &connection, AwaitedAnswer answer);
     // Removes and returns the entry of the answer; empty when no answer was awaited.
--- a/src/rhubarbweir/state/ids.hpp
+++ b/src/rhubarbweir/state/ids.hpp
@@ -39,6 +39,8 @@
 using TargetId = StrongId<struct TargetTag>;
 // A primary and its replicas.
 using GroupId = StrongId<struct GroupTag>;
+// A customer whose callers share limits and a priority, identified by API keys.
+using TeamId = StrongId<struct TeamTag>;
 // A client of the system. Queues are scheduled fairly between callers.
 using CallerId = StrongId<struct CallerTag>;
 // A caller's session, which can outlive individual connections.
--- a/tests/fakes/pooler_fixture.hpp
+++ b/tests/fakes/pooler_fixture.hpp
@@ -36,8 +36,8 @@
     static inline const TargetId ReplicaA{"t2"};
     static inline const TargetId ReplicaB{"t3"};
 
-    PoolerFixture()
-        : pooler(makeSettings(), this->makeHooks())
+    explicit PoolerFixture(std::optional<Duration> revokeWithin = std::nullopt)
+        : pooler(makeSettings(revokeWithin), this->makeHooks())
     {
         this->view.revision = 1;
         for (const TargetId &id : {Primary, ReplicaA, ReplicaB}) {
@@ -99,10 +99,11 @@
         this->pooler.viewReceived(this->view, this->now);
     }
 
-    SessionNumber open(const std::string &database)
+    SessionNumber open(const std::string &database, const KeyDigest &key = {})
     {
         const SessionNumber number = ++this->lastSession;
-        return this->pooler.sessionOpened(number, database, this->now) ? number : 0;
+        this->lastOpening = this->pooler.sessionOpened(number, database, key, this->now);
+        return this->lastOpening == SessionOpening::Opened ? number : 0;
     }
 
     void submit(SessionNumber session, TextStatementKind kind, const std::string &id,
@@ -224,6 +225,8 @@
     std::map<SessionNumber, std::vector<StatementAnswer>> answers;
     std::set<SessionNumber> closedSessions;
     std::map<ConnectionId, TargetId> targetOf;
+    std::map<ConnectionId, TeamId> teamOf;
+    SessionOpening lastOpening = SessionOpening::Opened;
     std::set<ConnectionId> closedConnections;
     std::map<ConnectionId, bool> inTransaction;
     SessionNumber lastSession = 0;
@@ -232,9 +235,10 @@
     SessionPooler pooler;
 
 private:
-    static PoolerSettings makeSettings()
+    static PoolerSettings makeSettings(std::optional<Duration> revokeWithin)
     {
         PoolerSettings settings;
+        settings.revokeWithin = revokeWithin;
         settings.failureDomain = FailureDomainId("d-t2");
         return settings;
     }
@@ -259,8 +263,10 @@
         };
         hooks.stateChanged = [](SessionNumber, std::size_t) {
         };
-        hooks.openTarget = [this](ConnectionId connection, const RegisteredTarget &target) {
+        hooks.openTarget = [this](ConnectionId connection, const RegisteredTarget &target,
+                                  const TeamId &team) {
             this->opening.emplace_back(connection, target.target);
+            this->teamOf[connection] = team;
             this->targetOf[connection] = target.target;
         };
         hooks.sendToTarget = [this](ConnectionId connection,
