--- a/tests/unit/platform.tests.cpp
+++ b/tests/unit/platform.tests.cpp
@@ -3,6 +3,7 @@
 #include "platform/fleet_calls.hpp"
 #include "platform/process_settings.hpp"
 #include "platform/text_protocol.hpp"
+#include "rhubarbweir/protocol/key_digest.hpp"
 
 #include <criterion/criterion.h>
 
@@ -69,6 +70,104 @@
         cr_assert(!decodeRouteTable(faulty).ok(), "%s", faulty.c_str());
 }
 
+namespace {
+
+// Two teams with three keys, all of which contain "secret".
+const char *const Teams =
+    R"("tenants":[{"name":"red","api_keys":["secret-r1","secret-r2"],"priority":1,"rate_per_s":7.5,)"
+    R"("burst":7},{"name":"blue","api_keys":["secret-b"]},{"name":"grey","api_keys":[]}],)";
+
+std::string withTeams(const std::string &teams = Teams)
+{
+    return replaced(ConfigurationBody, "\"routes\"", teams + "\"routes\"");
+}
+
+// The refusal of a call that stores the document; empty if it is accepted.
+std::string refusalOf(const std::string &document)
+{
+    const FleetCall call = decodeCall(post("/api/Configuration.Replace", document));
+    const auto *invalid = std::get_if<InvalidCall>(&call);
+    return invalid == nullptr ? std::string() : invalid->cause;
+}
+
+} // namespace
+
+Test(platform, teams, .description = "Teams are decoded with digests of their keys")
+{
+    const auto table =
+        decodeRouteTable(replaced(withTeams(), "\"priority\":2", "\"priority\":2,\"public\":true"));
+    cr_assert(table.ok());
+    cr_assert(table->hasTeams);
+    cr_assert(table->routes.at("board").isPublic);
+    cr_assert_eq(table->teams.size(), 3);
+    const Team &red = table->teams.at(TeamId("red"));
+    cr_assert_eq(red.priority, 1);
+    cr_assert_eq(red.limit->operationsPerSecond, 7.5);
+    cr_assert_eq(red.limit->burst, 7);
+    cr_assert(!table->teams.at(TeamId("blue")).limit);
+    cr_assert_eq(table->teamsByKey.size(), 3);
+    cr_assert_eq(table->teamsByKey.at(digestOfKey("secret-r2")), TeamId("red"));
+    // SHA-256 of "abc", from FIPS 180-2.
+    cr_assert_eq(digestOfKey("abc").bytes[0], 0xba);
+    cr_assert_eq(digestOfKey("abc").bytes[31], 0xad);
+}
+
+Test(platform, no_teams,
+     .description = "Without a list of teams no key is needed; an empty list admits no key")
+{
+    cr_assert(!decodeRouteTable(ConfigurationBody)->hasTeams);
+    const auto empty = decodeRouteTable(withTeams("\"tenants\":[],"));
+    cr_assert(empty.ok());
+    cr_assert(empty->hasTeams && empty->teamsByKey.empty());
+}
+
+Test(platform, invalid_teams,
+     .description = "A document with invalid teams is refused with the fault and without a key")
+{
+    cr_assert_eq(refusalOf(withTeams()), "");
+    for (const auto &[from, to, fault] :
+         std::vector<std::tuple<const char *, const char *, const char *>>{
+             {"secret-b", "secret-r2", "two teams share a key"},
+             {"blue", "red", "a team is named twice"},
+             {"\"blue\"", "\"secret \\u0007\"", "not a name: name"},
+             {"\"blue\"", "\"two words\"", "not a name: name"},
+             {"\"blue\"", "\"\"", "not a name: name"},
+             {"\"name\":\"blue\",", "", "missing or malformed: name"},
+             {"7.5", "\"secret\"", "missing or malformed: rate_per_s"},
+             {"7.5", "-1", "not a positive number: rate_per_s"},
+             {"\"burst\":7", "\"burst\":true", "missing or malformed: burst"},
+             {"\"burst\":7", "\"burst\":-0.5", "not a positive number: burst"},
+             {"\"priority\":1", "\"priority\":-1", "missing or malformed: priority"},
+             {"\"priority\":1", "\"priority\":1.5", "missing or malformed: priority"},
+             {"\"priority\":2", "\"priority\":2,\"public\":1", "missing or malformed: public"},
+             {"[\"secret-b\"]", "\"secret-b\"", "missing or malformed: api_keys"},
+             {",\"api_keys\":[]", "", "missing or malformed: api_keys"},
+             {"\"secret-b\"", "5", "not a key: api_keys"},
+             {"\"secret-b\"", "\"\"", "not a key: api_keys"},
+             {"\"secret-b\"", "\"secret b\"", "not a key: api_keys"},
+             {"[{\"name\":\"red\"", "[\"secret\",{\"name\":\"red\"", "not an object"},
+             {"\"tenants\":[", "\"tenants\":\"secret\",\"x\":[",
+              "missing or malformed: tenants"}}) {
+        const std::string refusal = refusalOf(replaced(withTeams(), from, to));
+        cr_assert_eq(refusal, fault, "%s: %s", to, refusal.c_str());
+        cr_assert_eq(refusal.find("secret"), std::string::npos);
+    }
+    const std::string torn = withTeams();
+    for (std::size_t length = 0; length < torn.size(); ++length)
+        cr_assert_eq(refusalOf(torn.substr(0, length)).find("secret"), std::string::npos);
+}
+
+Test(platform, session_start, .description = "A session starts with a database and a key")
+{
+    const auto start = std::get<SessionStart>(parseCallerLine("STARTUP board secret-b"));
+    cr_assert_eq(start.database, "board");
+    cr_assert_eq(start.key, "secret-b");
+    cr_assert_eq(std::get<SessionStart>(parseCallerLine("STARTUP board")).key, "");
+    cr_assert_eq(encodeSessionRefused(StatementFault::Denied, "no team"),
+                 "ERROR DENIED no team\r\n");
+    cr_assert_eq(encodeTargetStart(GroupId("s"), "red", TargetId("i-1")), "STARTUP s red i-1\r\n");
+}
+
 Test(platform, unknown_fields, .description = "Unknown fields are ignored")
 {
     cr_assert(
@@ -269,6 +368,14 @@
         parseProcessSettings(replaced(text, R"("later":{})", R"("bounds":{"catch_up_s":6})"));
     cr_assert(bounded.ok());
     cr_assert(bounded->catchUpTime == std::chrono::seconds(6));
+    // Keys may stop late unless the settings tell how soon they have to.
+    cr_assert(!bounded->revokeWithin);
+    const auto lenient = parseProcessSettings(
+        replaced(text, R"("later":{})", R"("bounds":{"strict_revocation":false,"revoke_ms":9})"));
+    cr_assert(!lenient->revokeWithin);
+    const auto strict = parseProcessSettings(
+        replaced(text, R"("later":{})", R"("bounds":{"strict_revocation":true,"revoke_ms":4000})"));
+    cr_assert(strict->revokeWithin == std::chrono::milliseconds(4000));
     cr_assert(!parseProcessSettings("{}").ok());
     cr_assert(!parseProcessSettings(replaced(text, "[7440,7455]", "7440")).ok());
     cr_assert(!readProcessSettings("/nowhere/settings.json").ok());
--- /dev/null
+++ b/tests/unit/team_sessions.tests.cpp
@@ -0,0 +1,310 @@
+// Tests of sessions with teams: keys, proofs of the configuration, and connections of teams.
+#include "fakes/pooler_fixture.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace rhubarbweir;
+using namespace rhubarbweir::fakes;
+
+namespace {
+
+using Kind = TextStatementKind;
+using std::chrono::seconds;
+
+constexpr milliseconds RevokeWithin{5000};
+// The end of a proof, counted from when the renewal was sent.
+constexpr milliseconds ProvenFor{4950};
+
+const TeamId Red("red");
+const TeamId Blue("blue");
+
+KeyDigest keyOf(std::uint8_t number)
+{
+    KeyDigest digest;
+    digest.bytes.fill(number);
+    return digest;
+}
+
+const KeyDigest RedKey = keyOf(1);
+const KeyDigest BlueKey = keyOf(2);
+
+// Routes and teams; the route "open" is public.
+RouteTable tableWith(std::uint64_t version, const std::map<KeyDigest, TeamId> &teamsByKey)
+{
+    RouteTable table = PoolerFixture::routes(version);
+    Route open = table.routes.at("latest");
+    open.database = "open";
+    open.isPublic = true;
+    table.routes["open"] = open;
+    table.hasTeams = true;
+    table.teams = {{Red, {}}, {Blue, {}}};
+    table.teamsByKey = teamsByKey;
+    return table;
+}
+
+// A pooler that serves two teams and is in contact with control.
+class TeamFixture : public PoolerFixture
+{
+public:
+    explicit TeamFixture(std::optional<Duration> revokeWithin = std::nullopt)
+        : PoolerFixture(revokeWithin)
+    {
+        this->configure({{RedKey, Red}, {BlueKey, Blue}});
+        this->prove();
+        this->openConnections();
+    }
+
+    void configure(const std::map<KeyDigest, TeamId> &teamsByKey)
+    {
+        this->pooler.routesReceived(tableWith(++this->version, teamsByKey), this->now);
+    }
+
+    void revokeRed() { this->configure({{BlueKey, Blue}}); }
+
+    // Control answers a renewal that was sent just now.
+    void prove() { this->pooler.configurationAnswered(this->version, this->now, this->now); }
+
+    // Leaves this pooler one connection to each target.
+    void makeConnectionsScarce()
+    {
+        this->pooler.leaseReceived(this->now + seconds(60), 37, 0, this->now);
+        this->advance(milliseconds(2500));
+        this->prove();
+    }
+
+    bool wasSent(const std::string &id) const
+    {
+        const auto sentStatements = this->statements();
+        return std::any_of(sentStatements.begin(), sentStatements.end(),
+                           [&id](const SentCommand &each) { return each.command.id == id; });
+    }
+
+    std::optional<StatementFault> faultOf(SessionNumber session) const
+    {
+        return this->lastAnswer(session).fault;
+    }
+
+    std::uint64_t version = 1;
+};
+
+// Opens a session of the red team whose transaction has run a write.
+SessionNumber beginRed(TeamFixture &fixture)
+{
+    const SessionNumber session = fixture.open("latest", RedKey);
+    fixture.submit(session, Kind::Begin, "b");
+    fixture.submit(session, Kind::Write, "w");
+    fixture.answerAll();
+    cr_assert_eq(fixture.answerCount(session), 2);
+    cr_assert(!fixture.faultOf(session));
+    return session;
+}
+
+} // namespace
+
+Test(team_sessions, opening,
+     .description = "A session needs the key of a team, except on a public route")
+{
+    TeamFixture fixture;
+    cr_assert_eq(fixture.open("latest", keyOf(9)), 0);
+    cr_assert_eq(fixture.lastOpening, SessionOpening::Denied);
+    cr_assert_eq(fixture.open("nowhere", RedKey), 0);
+    cr_assert_eq(fixture.lastOpening, SessionOpening::UnknownDatabase);
+    cr_assert_neq(fixture.open("latest", RedKey), 0);
+    cr_assert_neq(fixture.open("open", keyOf(9)), 0);
+}
+
+Test(team_sessions, document_without_teams,
+     .description = "Without teams keys are not looked at and connections belong to no team")
+{
+    PoolerFixture fixture(RevokeWithin);
+    fixture.warmUp();
+    fixture.submit(fixture.open("latest", keyOf(9)), Kind::Write, "w");
+    cr_assert_eq(fixture.statements().size(), 1);
+    for (const auto &[connection, team] : fixture.teamOf)
+        cr_assert(team.empty());
+}
+
+Test(team_sessions, names_of_teams,
+     .description = "Targets are told the team of the key, and none on a public route")
+{
+    TeamFixture fixture;
+    for (const auto &[database, key, team] :
+         std::vector<std::tuple<std::string, KeyDigest, TeamId>>{
+             {"latest", RedKey, Red}, {"latest", BlueKey, Blue}, {"open", RedKey, TeamId()}}) {
+        const SessionNumber session = fixture.open(database, key);
+        fixture.submit(session, Kind::Write, "w");
+        fixture.answerAll();
+        cr_assert(!fixture.faultOf(session));
+        cr_assert_eq(fixture.teamOf.at(fixture.statements().back().connection), team);
+    }
+}
+
+Test(team_sessions, revoked_while_waiting,
+     .description = "A statement that waits for a connection is denied once its key is taken away")
+{
+    TeamFixture fixture;
+    const SessionNumber session = fixture.open("latest", RedKey);
+    fixture.submit(session, Kind::Write, "w");
+    fixture.revokeRed();
+    cr_assert_eq(fixture.faultOf(session), StatementFault::Denied);
+    fixture.answerAll();
+    cr_assert(!fixture.wasSent("w"));
+}
+
+Test(
+    team_sessions, revoked_while_beginning,
+    .description = "A key that is taken away after the begin was sent stops the statement after it")
+{
+    TeamFixture fixture;
+    const SessionNumber session = fixture.open("latest", RedKey);
+    fixture.submit(session, Kind::Begin, "b");
+    fixture.submit(session, Kind::Write, "w");
+    fixture.openConnections();
+    cr_assert_eq(fixture.sent.back().command.kind, TargetCommandKind::Begin);
+    fixture.revokeRed();
+    fixture.answerNext();
+    cr_assert_eq(fixture.faultOf(session), StatementFault::Denied);
+    cr_assert(!fixture.wasSent("w"));
+    cr_assert_eq(fixture.sent.back().command.kind, TargetCommandKind::Rollback);
+}
+
+Test(team_sessions, older_document,
+     .description = "An older document that arrives late brings no revoked key back")
+{
+    TeamFixture fixture(RevokeWithin);
+    const SessionNumber session = fixture.open("latest", RedKey);
+    const RouteTable older = tableWith(fixture.version, {{RedKey, Red}});
+    fixture.revokeRed();
+    fixture.prove();
+    fixture.pooler.routesReceived(older, fixture.now);
+    fixture.submit(session, Kind::Write, "w");
+    cr_assert_eq(fixture.faultOf(session), StatementFault::Denied);
+}
+
+Test(team_sessions, moved_key,
+     .description = "A key that moves to another team runs as that team from the next operation on")
+{
+    TeamFixture fixture;
+    const SessionNumber session = fixture.open("latest", RedKey);
+    fixture.submit(session, Kind::Write, "first");
+    fixture.answerAll();
+    fixture.configure({{RedKey, Blue}});
+    fixture.submit(session, Kind::Write, "second");
+    fixture.answerAll();
+    cr_assert(!fixture.faultOf(session));
+    cr_assert_eq(fixture.teamOf.at(fixture.statements().back().connection), Blue);
+}
+
+Test(team_sessions, moved_in_transaction,
+     .description = "A transaction is aborted when its key moves to another team")
+{
+    TeamFixture fixture;
+    const SessionNumber session = beginRed(fixture);
+    fixture.configure({{RedKey, Blue}});
+    fixture.submit(session, Kind::Write, "late");
+    cr_assert_eq(fixture.faultOf(session), StatementFault::Aborted);
+    cr_assert(!fixture.wasSent("late"));
+    fixture.submit(session, Kind::Rollback, "r");
+    cr_assert(!fixture.faultOf(session));
+}
+
+Test(team_sessions, lost_contact,
+     .description =
+         "Without control keyed statements are served for a while, then refused as busy, "
+         "and served again at once when contact is back")
+{
+    TeamFixture fixture(RevokeWithin);
+    const SessionNumber session = fixture.open("latest", RedKey);
+    const SessionNumber open = fixture.open("open", keyOf(9));
+    const auto run = [&fixture](SessionNumber number) {
+        fixture.submit(number, Kind::Write, "w");
+        fixture.answerAll();
+        return fixture.faultOf(number);
+    };
+    fixture.extendLease(seconds(60));
+    fixture.advance(RevokeWithin * 6 / 10);
+    cr_assert(!run(session));
+    fixture.advance(RevokeWithin * 4 / 10);
+    cr_assert_eq(run(session), StatementFault::Busy);
+    cr_assert(!run(open));
+    cr_assert(!fixture.pooler.servesTeams(fixture.now));
+    cr_assert_eq(fixture.open("latest", keyOf(9)), 0);
+    cr_assert_eq(fixture.lastOpening, SessionOpening::Unproven);
+    fixture.prove();
+    cr_assert(fixture.pooler.servesTeams(fixture.now));
+    cr_assert(!run(session));
+}
+
+Test(team_sessions, unproven_transaction,
+     .description = "A transaction without proof fails and can be rolled back by its caller")
+{
+    TeamFixture fixture(RevokeWithin);
+    fixture.extendLease(seconds(60));
+    fixture.advance(ProvenFor - milliseconds(100));
+    const SessionNumber session = beginRed(fixture);
+    fixture.advance(milliseconds(100));
+    fixture.submit(session, Kind::Commit, "late");
+    cr_assert_eq(fixture.faultOf(session), StatementFault::Busy);
+    cr_assert_eq(fixture.lastAnswer(session).state, TransactionState::None);
+    cr_assert(!fixture.wasSent("late"));
+    cr_assert_eq(fixture.sent.back().command.kind, TargetCommandKind::Rollback);
+}
+
+Test(team_sessions, partition,
+     .description = "No statement runs later than the bound after a revocation, wherever a "
+                    "partition begins")
+{
+    for (int cut = 0; cut <= 1000; cut += 50) {
+        TeamFixture fixture(RevokeWithin);
+        fixture.extendLease(seconds(60));
+        const SessionNumber session = fixture.open("latest", RedKey);
+        const TimePoint start = fixture.now;
+        // The document that takes the key away is acknowledged right after the partition begins.
+        TimePoint revoked;
+        for (int step = 0; fixture.now < start + seconds(8); ++step) {
+            if (fixture.now < start + milliseconds(cut)) {
+                if (step % 10 == 0)
+                    fixture.prove();
+                revoked = fixture.now;
+            }
+            fixture.submit(session, Kind::Write, absl::StrCat("w", step));
+            fixture.answerAll();
+            fixture.advance(milliseconds(50));
+        }
+        if (cut == 0)
+            revoked = start;
+        const auto sent = fixture.statements();
+        cr_assert_gt(sent.back().at, start + seconds(4));
+        cr_assert_lt(sent.back().at, revoked + RevokeWithin, "cut at %d ms", cut);
+        cr_assert_eq(fixture.faultOf(session), StatementFault::Busy);
+    }
+}
+
+Test(team_sessions, suspension,
+     .description = "A pooler that was suspended for longer than the bound runs nothing when it "
+                    "resumes, whichever event comes first")
+{
+    for (const int first : {0, 1, 2}) {
+        TeamFixture fixture(RevokeWithin);
+        fixture.extendLease(seconds(60));
+        const SessionNumber waiting = fixture.open("latest", RedKey);
+        fixture.submit(waiting, Kind::Write, "waiting");
+        const SessionNumber idle = fixture.open("latest", BlueKey);
+        fixture.now += RevokeWithin;
+        if (first == 0)
+            fixture.openConnections();
+        else if (first == 1)
+            fixture.pooler.advance(fixture.now);
+        fixture.submit(idle, Kind::Write, "arrived");
+        fixture.answerAll();
+        cr_assert(fixture.statements().empty(), "event %d", first);
+        cr_assert_eq(fixture.faultOf(idle), StatementFault::Busy);
+        // An answer to a renewal that was sent before the suspension proves nothing any more.
+        fixture.pooler.configurationAnswered(fixture.version, fixture.now - RevokeWithin,
+                                             fixture.now);
+        fixture.submit(idle, Kind::Write, "still");
+        cr_assert_eq(fixture.faultOf(idle), StatementFault::Busy);
+    }
+}
