--- a/tests/unit/team_sessions.tests.cpp
+++ b/tests/unit/team_sessions.tests.cpp
@@ -308,3 +308,64 @@
         cr_assert_eq(fixture.faultOf(idle), StatementFault::Busy);
     }
 }
+
+Test(team_sessions, connections_of_teams,
+     .description = "A connection serves one team only, however scarce connections are")
+{
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        TeamFixture fixture;
+        std::mt19937_64 random(seed);
+        fixture.pooler.leaseReceived(fixture.now + seconds(600), seed % 3 == 0 ? 1 : 37, 0,
+                                     fixture.now);
+        std::map<SessionNumber, TeamId> teams;
+        fixture.onSent = [&fixture, &teams](const SentCommand &each) {
+            if (each.command.id.empty())
+                return;
+            const SessionNumber session = std::stoull(each.command.id);
+            cr_assert_eq(fixture.teamOf.at(each.connection), teams.at(session));
+        };
+        for (int number = 0; number < 6; ++number) {
+            const bool isOpen = number == 5;
+            const SessionNumber session =
+                fixture.open(isOpen ? "open" : "latest", number % 2 == 0 ? RedKey : BlueKey);
+            teams[session] = isOpen ? TeamId() : number % 2 == 0 ? Red : Blue;
+        }
+        for (int step = 0; step < 400; ++step) {
+            const SessionNumber session = 1 + random() % teams.size();
+            const Kind kinds[] = {Kind::Read,   Kind::Write,    Kind::Begin,
+                                  Kind::Commit, Kind::Rollback, Kind::Write};
+            if (random() % 2 == 0)
+                fixture.submit(session, kinds[random() % 6], absl::StrCat(session));
+            else if (!fixture.unanswered.empty())
+                fixture.answerNext(random() % 6 == 0
+                                       ? std::optional<StatementFault>(StatementFault::Busy)
+                                       : std::nullopt);
+            if (random() % 3 == 0)
+                fixture.openConnections();
+            if (random() % 20 == 0 && !fixture.unanswered.empty())
+                fixture.closeConnection(fixture.unanswered.front().connection);
+            fixture.advance(milliseconds(random() % 30));
+        }
+        cr_assert_gt(fixture.statements().size(), 30U);
+    }
+}
+
+// Guards against the use of a connection that was replaced as soon as it became idle.
+Test(team_sessions, replaced_after_a_refused_begin,
+     .description = "A begin that is refused may cost its connection to another team's statement")
+{
+    TeamFixture fixture;
+    fixture.makeConnectionsScarce();
+    const SessionNumber red = fixture.open("latest", RedKey);
+    fixture.submit(red, Kind::Begin, "b");
+    fixture.submit(red, Kind::Write, "w");
+    fixture.openConnections();
+    const SessionNumber blue = fixture.open("latest", BlueKey);
+    fixture.submit(blue, Kind::Write, "other");
+    fixture.answerNext(StatementFault::Failed);
+    fixture.answerAll();
+    fixture.advance(milliseconds(100));
+    fixture.answerAll();
+    cr_assert(!fixture.faultOf(blue));
+    cr_assert_eq(fixture.teamOf.at(fixture.statements().front().connection), Blue);
+}
