Close a connection of another team only if one is opened in its place

A statement without a connection closed an idle connection of another team also when a connection for its own team was being opened already or the target rejected new ones. Each dispatch of each waiting statement cost one connection, and nothing was opened for it.

team_sessions (one_replaced_at_a_time, kept_while_none_may_be_opened) failed before and pass.

--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -101,9 +101,14 @@
             return;
         }
     }
+    const bool isOpening = std::any_of(targets.begin(), targets.end(), [&](const TargetId &id) {
+        return this->targetTracker.connectingCount(id, session.team) > 0;
+    });
+    if (isOpening)
+        return;
     for (const TargetId &id : targets) {
         const PooledConnection *other = this->targetTracker.idleOfOtherTeam(id, session.team);
-        if (other == nullptr)
+        if (other == nullptr || now < this->targetTracker.find(id)->connectBlockedUntil)
             continue;
         this->dropConnection(other->id);
         this->openIfAllowed(id, session.team, now);
--- a/tests/unit/team_sessions.tests.cpp
+++ b/tests/unit/team_sessions.tests.cpp
@@ -369,3 +369,46 @@
     cr_assert(!fixture.faultOf(blue));
     cr_assert_eq(fixture.teamOf.at(fixture.statements().front().connection), Blue);
 }
+
+// Guards against closing connections of other teams without opening one in their place.
+Test(team_sessions, one_replaced_at_a_time,
+     .description = "Waiting statements of a team replace one idle connection of another at a time")
+{
+    TeamFixture fixture;
+    fixture.pooler.leaseReceived(fixture.now + seconds(60), 18, 0, fixture.now);
+    // Both connections of the share.
+    for (const std::string id : {"r1", "r2"})
+        fixture.submit(fixture.open("latest", RedKey), Kind::Write, id);
+    fixture.openConnections();
+    fixture.advance(milliseconds(10));
+    fixture.answerAll();
+    const std::size_t before = fixture.closedConnections.size();
+    const std::size_t opened = fixture.teamOf.size();
+    for (const std::string id : {"b1", "b2", "b3"})
+        fixture.submit(fixture.open("latest", BlueKey), Kind::Write, id);
+    cr_assert_eq(fixture.closedConnections.size() - before, fixture.teamOf.size() - opened);
+    fixture.answerAll();
+    cr_assert(fixture.wasSent("b1") && fixture.wasSent("b2") && fixture.wasSent("b3"));
+}
+
+// Guards against closing a connection although the target rejects the one that would replace it.
+Test(team_sessions, kept_while_none_may_be_opened,
+     .description = "No connection is replaced while the target rejects new ones")
+{
+    TeamFixture fixture;
+    fixture.pooler.leaseReceived(fixture.now + seconds(60), 18, 0, fixture.now);
+    fixture.submit(fixture.open("latest", RedKey), Kind::Write, "r1");
+    fixture.openConnections();
+    fixture.submit(fixture.open("latest", RedKey), Kind::Write, "r2");
+    cr_assert_eq(fixture.opening.size(), 1);
+    fixture.closeConnection(fixture.opening.front().first, TargetFailure::TooMany);
+    fixture.answerAll();
+    // One connection is left, and as more poolers share the limit, no other is allowed.
+    fixture.pooler.leaseReceived(fixture.now + seconds(60), 37, 0, fixture.now);
+    const std::size_t before = fixture.closedConnections.size();
+    fixture.submit(fixture.open("latest", BlueKey), Kind::Write, "b");
+    cr_assert_eq(fixture.closedConnections.size(), before);
+    fixture.advance(milliseconds(320));
+    fixture.answerAll();
+    cr_assert(fixture.wasSent("b"));
+}
