Let a new connection of a team serve before it is replaced

Where one connection is allowed and the newest statement goes first, a newer statement of another team replaced each connection as it was opened. Two teams could replace each other's connections without a statement being sent. A new connection now starts a waiting statement of its own team.

--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -45,7 +45,7 @@
         this->hooks.observationsChanged();
     if (TargetRecord *record = this->targetTracker.find(connection->target); record && position)
         record->position = position;
-    this->release(*connection, now);
+    this->release(*connection, now, true);
 }
 
 void SessionPooler::targetAnswered(ConnectionId id, const StatementAnswer &answer, TimePoint now)
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -405,7 +405,8 @@
 
 // Connections.
 
-void SessionPooler::release(PooledConnection &connection, TimePoint now)
+// A new connection serves its own team first.
+void SessionPooler::release(PooledConnection &connection, TimePoint now, bool isNew)
 {
     connection.owner = 0;
     if (!connection.awaited.empty())
@@ -417,9 +418,34 @@
     }
     connection.phase = ConnectionPhase::Idle;
     connection.idleSince = now;
+    if (isNew && !connection.team.empty())
+        this->dispatchToNew(connection.id, now);
     this->dispatchQueue(now);
 }
 
+// Starts the first waiting statement of the connection's team that may run on it. Otherwise
+// statements of other teams could replace each new connection before it served one.
+void SessionPooler::dispatchToNew(ConnectionId id, TimePoint now)
+{
+    std::vector<SessionNumber> waiting;
+    for (const auto &[order, number] : this->queue)
+        waiting.push_back(number);
+    for (const SessionNumber number : waiting) {
+        const PooledConnection *connection = this->targetTracker.connection(id);
+        if (connection == nullptr || connection->phase != ConnectionPhase::Idle)
+            return;
+        const auto found = this->sessions.find(number);
+        if (found == this->sessions.end() || found->second.team != connection->team
+            || !found->second.pending || found->second.pending->stage != StatementStage::Queued)
+            continue;
+        const std::vector<TargetId> targets = this->candidates(found->second, now);
+        if (std::find(targets.begin(), targets.end(), connection->target) == targets.end())
+            continue;
+        this->dequeue(number);
+        this->dispatch(found->second, now);
+    }
+}
+
 void SessionPooler::dropConnection(ConnectionId id)
 {
     this->targetTracker.removeConnection(id);
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -127,7 +127,8 @@
     std::vector<TargetCommand> stateCommands(Session &session, PooledConnection &connection,
                                              const TextStatement &statement);
     std::string preparedName(const PreparedStatement &prepared);
-    void release(PooledConnection &connection, TimePoint now);
+    void release(PooledConnection &connection, TimePoint now, bool isNew = false);
+    void dispatchToNew(ConnectionId connection, TimePoint now);
     void dropConnection(ConnectionId connection);
     void unpin(Session &session, bool reusable, TimePoint now);
     void dispatchQueue(TimePoint now);
