Open no connection in the name of a removed team

The last connection to a target is opened again when it is lost, to learn whether the target is down. That named the team of the lost connection also after the team was removed. With teams, a lost connection that belongs to none is not opened again either; statements open it when they need it.

team_sessions (removed_team) failed before and passes.

--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -290,9 +290,11 @@
                        {"failure", std::string(nameOf(failure))},
                        {"owed", absl::StrCat(lost.awaited.size())}},
                       false);
+    const RouteTable &routes = this->view.routes();
+    const bool isKnown = lost.team.empty() ? !routes.hasTeams : routes.teams.count(lost.team) != 0;
     // A new attempt shows whether the target is down or only the connection was lost.
-    if (record != nullptr && record->connections.empty() && failure == TargetFailure::Reset
-        && record->target.phase == TargetPhase::Ready)
+    if (isKnown && record != nullptr && record->connections.empty()
+        && failure == TargetFailure::Reset && record->target.phase == TargetPhase::Ready)
         this->openIfAllowed(lost.target, lost.team, now);
     const auto owner = this->sessions.find(lost.owner);
     if (owner != this->sessions.end()) {
--- a/tests/unit/team_sessions.tests.cpp
+++ b/tests/unit/team_sessions.tests.cpp
@@ -435,3 +435,24 @@
     }
     cr_assert(!fixture.statements().empty());
 }
+
+Test(team_sessions, removed_team,
+     .description = "No connection is opened in the name of a team that was removed")
+{
+    TeamFixture fixture;
+    const SessionNumber session = fixture.open("latest", RedKey);
+    fixture.submit(session, Kind::Write, "w");
+    fixture.answerAll();
+    const ConnectionId used = fixture.statements().back().connection;
+    for (const auto &[connection, target] : std::map<ConnectionId, TargetId>(fixture.targetOf)) {
+        if (connection != used && target == PoolerFixture::Primary)
+            fixture.closeConnection(connection);
+    }
+    RouteTable table = tableWith(++fixture.version, {{BlueKey, Blue}});
+    table.teams.erase(Red);
+    fixture.pooler.routesReceived(table, fixture.now);
+    fixture.opening.clear();
+    fixture.closeConnection(used);
+    for (const auto &[connection, target] : fixture.opening)
+        cr_assert_neq(fixture.teamOf.at(connection), Red);
+}
