Abort a transaction whose key moves before its first statement

Whether a transaction is open was judged by its connection, which it has only from its first statement on. A transaction that was begun as one team therefore ran as the team that got the key.

team_sessions (moved_before_the_first_statement) failed before and passes.

--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -180,7 +180,7 @@
             return StatementFault::Denied;
         team = found->second;
     }
-    if (session.pinned != 0 && session.team != team)
+    if (session.state == TransactionState::Open && session.team != team)
         return StatementFault::Aborted;
     session.team = team;
     return std::nullopt;
--- a/tests/unit/team_sessions.tests.cpp
+++ b/tests/unit/team_sessions.tests.cpp
@@ -210,6 +210,20 @@
     cr_assert(!fixture.faultOf(session));
 }
 
+// Guards against a transaction that was begun as one team and runs as another.
+Test(team_sessions, moved_before_the_first_statement,
+     .description = "A transaction is aborted also if its key moves before the first statement")
+{
+    TeamFixture fixture;
+    const SessionNumber session = fixture.open("latest", RedKey);
+    fixture.submit(session, Kind::Begin, "b");
+    fixture.configure({{RedKey, Blue}});
+    fixture.submit(session, Kind::Write, "late");
+    fixture.answerAll();
+    cr_assert_eq(fixture.faultOf(session), StatementFault::Aborted);
+    cr_assert(!fixture.wasSent("late"));
+}
+
 Test(team_sessions, lost_contact,
      .description =
          "Without control keyed statements are served for a while, then refused as busy, "
