Judge the need for a key by the route in force

A transaction or waiting statement kept the route of its start. When a document made a public route require a key, a transaction on it went on without one. A removed route still counts as it was.

team_sessions (route_needs_a_key_now) failed before and passes.

--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -165,14 +165,24 @@
     return std::nullopt;
 }
 
+// Whether the session's route is not public. A statement or transaction whose route was removed
+// goes on under the former one.
+bool SessionPooler::needsKey(const Session &session) const
+{
+    if (const Route *route = this->view.route(session.database))
+        return !route->isPublic;
+    if (session.pending)
+        return !session.pending->route.isPublic;
+    return session.state == TransactionState::Open && !session.transactionRoute.isPublic;
+}
+
 // Sets the session's team to the one that holds its key now. Returns why the session may not run
-// statements on the route.
-std::optional<StatementFault> SessionPooler::updateTeam(Session &session, const Route &route,
-                                                        TimePoint now) const
+// statements.
+std::optional<StatementFault> SessionPooler::updateTeam(Session &session, TimePoint now) const
 {
     const RouteTable &table = this->view.routes();
     TeamId team;
-    if (table.hasTeams && !route.isPublic) {
+    if (table.hasTeams && this->needsKey(session)) {
         const auto found = table.teamsByKey.find(session.key);
         if (!this->proof.isValid(now))
             return StatementFault::Busy;
@@ -190,8 +200,7 @@
 // before sending, because the key may have been taken away while the statement waited.
 bool SessionPooler::refuseWithoutAccess(Session &session, TimePoint now)
 {
-    const std::optional<StatementFault> fault =
-        this->updateTeam(session, session.pending->route, now);
+    const std::optional<StatementFault> fault = this->updateTeam(session, now);
     if (!fault)
         return false;
     this->refuse(session, *fault,
@@ -211,7 +220,7 @@
                                              : StatementFault::Malformed);
         return;
     }
-    if (const std::optional<StatementFault> fault = this->updateTeam(session, *route, now)) {
+    if (const std::optional<StatementFault> fault = this->updateTeam(session, now)) {
         this->answerLocally(session, statement, fault);
         return;
     }
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -89,8 +89,8 @@
     void process(Session &session, TextStatement statement, TimePoint now);
     std::optional<StatementFault> changeState(Session &session, const TextStatement &statement);
     void begin(Session &session, const TextStatement &statement, TimePoint now);
-    std::optional<StatementFault> updateTeam(Session &session, const Route &route,
-                                             TimePoint now) const;
+    bool needsKey(const Session &session) const;
+    std::optional<StatementFault> updateTeam(Session &session, TimePoint now) const;
     bool refuseWithoutAccess(Session &session, TimePoint now);
     void rollback(Session &session, TimePoint now);
     void runAtTarget(Session &session, TextStatement statement, TimePoint now);
--- a/tests/unit/team_sessions.tests.cpp
+++ b/tests/unit/team_sessions.tests.cpp
@@ -224,6 +224,24 @@
     cr_assert(!fixture.wasSent("late"));
 }
 
+// Guards against a transaction that goes on without a key because its route was public once.
+Test(
+    team_sessions, route_needs_a_key_now,
+    .description = "A transaction of a route that is no longer public does not go on without a key")
+{
+    TeamFixture fixture;
+    const SessionNumber session = fixture.open("open", keyOf(9));
+    fixture.submit(session, Kind::Begin, "b");
+    fixture.submit(session, Kind::Write, "w");
+    fixture.answerAll();
+    RouteTable table = tableWith(++fixture.version, {{RedKey, Red}});
+    table.routes.at("open").isPublic = false;
+    fixture.pooler.routesReceived(table, fixture.now);
+    fixture.submit(session, Kind::Commit, "late");
+    cr_assert_eq(fixture.faultOf(session), StatementFault::Denied);
+    cr_assert(!fixture.wasSent("late"));
+}
+
 Test(team_sessions, lost_contact,
      .description =
          "Without control keyed statements are served for a while, then refused as busy, "
