Refuse every kind of statement without a valid key

SET, PREPARE, DEALLOCATE and ROLLBACK are answered by the pooler and did not look at the key, so a session whose key was taken away was still answered with success. All statements are now checked on arrival, and again before they are sent. ROLLBACK is served without proof of the configuration, because it runs nothing, and is denied once the key is taken away.

team_sessions (revoked_key, revoked_in_transaction) failed before and pass.

--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -17,6 +17,19 @@
 // Memory of an entry of a session's state besides its text, approximately.
 constexpr std::size_t StateEntryBytes = 128;
 
+// Why a session may not run statements; see SessionPooler::updateTeam.
+const char *causeOf(StatementFault fault)
+{
+    switch (fault) {
+    case StatementFault::Denied:
+        return "no team holds the key";
+    case StatementFault::Aborted:
+        return "key moved to another team";
+    default:
+        return "configuration not proven";
+    }
+}
+
 } // namespace
 
 SessionPooler::SessionPooler(PoolerSettings poolerSettings, PoolerHooks poolerHooks)
@@ -92,6 +105,8 @@
 void SessionPooler::process(Session &session, TextStatement statement, TimePoint now)
 {
     session.transactionActivity = now;
+    if (this->refuseAtArrival(session, statement, now))
+        return;
     if (session.abortPending && statement.kind != TextStatementKind::Rollback) {
         session.abortPending = false;
         const bool ends = statement.kind == TextStatementKind::Commit;
@@ -203,15 +218,33 @@
     const std::optional<StatementFault> fault = this->updateTeam(session, now);
     if (!fault)
         return false;
-    this->refuse(session, *fault,
-                 *fault == StatementFault::Denied    ? "no team holds the key"
-                 : *fault == StatementFault::Aborted ? "key moved to another team"
-                                                     : "configuration not proven",
-                 now);
+    this->refuse(session, *fault, causeOf(*fault), now);
+    return true;
+}
+
+// Refuses a statement on arrival, whether it needs a target or not, if its session has lost the
+// right to run any. An open transaction fails. The caller may always end a transaction unless its
+// key was taken away, which has ended it.
+bool SessionPooler::refuseAtArrival(Session &session, const TextStatement &statement, TimePoint now)
+{
+    const std::optional<StatementFault> fault = this->updateTeam(session, now);
+    const bool isRollback = statement.kind == TextStatementKind::Rollback;
+    if (!fault || (isRollback && *fault != StatementFault::Denied))
+        return false;
+    if (session.state == TransactionState::Open)
+        this->failTransaction(session, now);
+    if (isRollback || statement.kind == TextStatementKind::Commit)
+        session.state = TransactionState::None;
+    session.abortPending = false;
+    StatementAnswer answer;
+    answer.fault = fault;
+    answer.detail = causeOf(*fault);
+    answer.state = session.state;
+    this->hooks.answer(session.number, answer);
     return true;
 }
 
-void SessionPooler::begin(Session &session, const TextStatement &statement, TimePoint now)
+void SessionPooler::begin(Session &session, const TextStatement &statement, TimePoint)
 {
     const Route *route = this->view.route(session.database);
     if (session.state != TransactionState::None || route == nullptr) {
@@ -220,10 +253,6 @@
                                              : StatementFault::Malformed);
         return;
     }
-    if (const std::optional<StatementFault> fault = this->updateTeam(session, now)) {
-        this->answerLocally(session, statement, fault);
-        return;
-    }
     session.state = TransactionState::Open;
     session.readOnlyTransaction = statement.readOnly;
     session.transactionWrote = false;
@@ -241,8 +270,7 @@
 
 void SessionPooler::runAtTarget(Session &session, TextStatement statement, TimePoint now)
 {
-    if (!this->admitStatement(session, std::move(statement), now)
-        || this->refuseWithoutAccess(session, now))
+    if (!this->admitStatement(session, std::move(statement), now))
         return;
     if (session.pinned != 0) {
         this->sendOnPinned(session, now);
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -91,6 +91,7 @@
     void begin(Session &session, const TextStatement &statement, TimePoint now);
     bool needsKey(const Session &session) const;
     std::optional<StatementFault> updateTeam(Session &session, TimePoint now) const;
+    bool refuseAtArrival(Session &session, const TextStatement &statement, TimePoint now);
     bool refuseWithoutAccess(Session &session, TimePoint now);
     void rollback(Session &session, TimePoint now);
     void runAtTarget(Session &session, TextStatement statement, TimePoint now);
--- a/tests/unit/team_sessions.tests.cpp
+++ b/tests/unit/team_sessions.tests.cpp
@@ -141,6 +141,41 @@
     }
 }
 
+Test(team_sessions, revoked_key,
+     .description = "Every kind of statement of a session whose key was taken away is denied")
+{
+    TeamFixture fixture;
+    const SessionNumber session = fixture.open("latest", RedKey);
+    const SessionNumber other = fixture.open("latest", BlueKey);
+    fixture.revokeRed();
+    for (const Kind kind : {Kind::Read, Kind::Write, Kind::Begin, Kind::SetValue, Kind::Prepare,
+                            Kind::Rollback, Kind::Commit}) {
+        fixture.submit(session, kind, "s", "name", "value");
+        cr_assert_eq(fixture.faultOf(session), StatementFault::Denied, "%s",
+                     std::string(nameOf(kind)).c_str());
+        cr_assert_eq(fixture.lastAnswer(session).state, TransactionState::None);
+    }
+    cr_assert(!fixture.wasSent("s"));
+    fixture.submit(other, Kind::Write, "w");
+    fixture.answerAll();
+    cr_assert(!fixture.faultOf(other));
+}
+
+Test(
+    team_sessions, revoked_in_transaction,
+    .description = "A transaction whose key was taken away is rolled back and its statement denied")
+{
+    for (const Kind kind : {Kind::Write, Kind::Commit, Kind::SetValue}) {
+        TeamFixture fixture;
+        const SessionNumber session = beginRed(fixture);
+        fixture.revokeRed();
+        fixture.submit(session, kind, "late", "name", "value");
+        cr_assert_eq(fixture.faultOf(session), StatementFault::Denied);
+        cr_assert(!fixture.wasSent("late"));
+        cr_assert_eq(fixture.sent.back().command.kind, TargetCommandKind::Rollback);
+    }
+}
+
 Test(team_sessions, revoked_while_waiting,
      .description = "A statement that waits for a connection is denied once its key is taken away")
 {
