Deny no key because of an old document

A pooler that was cut off denied keys that it did not know for as long as its proof lasted, 5 s, although only a newer document could hold them. A pooler now denies a key only while its latest answer of control is younger than two fifths of the time for revocations, 2 s of 5 s, and no newer version is known to it. Otherwise it answers BUSY, and the caller tries another pooler.

team_sessions (new_key_at_an_old_document) failed before and passes.

--- a/src/rhubarbweir/coordination/sessions/configuration_proof.hpp
+++ b/src/rhubarbweir/coordination/sessions/configuration_proof.hpp
@@ -26,7 +26,11 @@
     // The pooler now applies this version.
     void applied(std::uint64_t version);
 
+    // Whether the keys in the configuration may be trusted.
     bool isValid(TimePoint now) const { return now < this->validUntil; }
+    // Whether a key that is not in the configuration may be denied: no newer version is known, and
+    // an answer is so recent that a newer one would have arrived from a control in contact.
+    bool mayDeny(TimePoint now) const { return this->answers.empty() && now < this->denyUntil; }
 
 private:
     void useAnswers();
@@ -36,8 +40,9 @@
     // When the latest renewal was sent whose answer named the version; only versions that are newer
     // than `heldVersion`, at most MaxAnswers.
     std::map<std::uint64_t, TimePoint> answers;
-    // Never moves back.
+    // Neither moves back. `denyUntil` is the earlier one.
     TimePoint validUntil;
+    TimePoint denyUntil;
 };
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -51,7 +51,7 @@
         return SessionOpening::UnknownDatabase;
     const RouteTable &table = this->view.routes();
     if (table.hasTeams && !route->isPublic && table.teamsByKey.count(key) == 0)
-        return this->proof.isValid(now) ? SessionOpening::Denied : SessionOpening::Unproven;
+        return this->proof.mayDeny(now) ? SessionOpening::Denied : SessionOpening::Unproven;
     Session session;
     session.number = number;
     session.database = database;
@@ -202,7 +202,7 @@
         if (!this->proof.isValid(now))
             return StatementFault::Busy;
         if (found == table.teamsByKey.end())
-            return StatementFault::Denied;
+            return this->proof.mayDeny(now) ? StatementFault::Denied : StatementFault::Busy;
         team = found->second;
     }
     if (session.state == TransactionState::Open && session.team != team)
--- a/tests/unit/team_sessions.tests.cpp
+++ b/tests/unit/team_sessions.tests.cpp
@@ -376,6 +376,29 @@
     }
 }
 
+// Guards against denying a valid key that only a newer document holds.
+Test(team_sessions, new_key_at_an_old_document,
+     .description = "A key is not denied by a pooler that has long had no answer of control, or "
+                    "knows that it does not hold the newest document")
+{
+    TeamFixture fixture(RevokeWithin);
+    const KeyDigest added = keyOf(3);
+    fixture.open("latest", added);
+    cr_assert_eq(fixture.lastOpening, SessionOpening::Denied);
+    fixture.pooler.configurationAnswered(fixture.version + 1, fixture.now, fixture.now);
+    fixture.open("latest", added);
+    cr_assert_eq(fixture.lastOpening, SessionOpening::Unproven);
+    fixture.configure({{added, Red}, {BlueKey, Blue}});
+    cr_assert_neq(fixture.open("latest", added), 0);
+    const SessionNumber session = fixture.lastSession;
+    fixture.advance(milliseconds(3000));
+    fixture.open("latest", keyOf(9));
+    cr_assert_eq(fixture.lastOpening, SessionOpening::Unproven);
+    fixture.submit(session, Kind::Write, "w");
+    fixture.answerAll();
+    cr_assert(!fixture.faultOf(session));
+}
+
 Test(team_sessions, connections_of_teams,
      .description = "A connection serves one team only, however scarce connections are")
 {
