--- a/tests/unit/platform.tests.cpp
+++ b/tests/unit/platform.tests.cpp
@@ -121,6 +121,15 @@
     cr_assert(empty->hasTeams && empty->teamsByKey.empty());
 }
 
+// Guards against a document of the platform that is refused because of the form of a key.
+Test(platform, long_keys, .description = "Keys may be longer than names")
+{
+    const std::string key(1000, 'k');
+    const auto table = decodeRouteTable(replaced(withTeams(), "secret-b", key));
+    cr_assert(table.ok());
+    cr_assert_eq(table->teamsByKey.at(digestOfKey(key)), TeamId("blue"));
+}
+
 Test(platform, invalid_teams,
      .description = "A document with invalid teams is refused with the fault and without a key")
 {
