--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -45,7 +45,7 @@
         this->hooks.observationsChanged();
     if (TargetRecord *record = this->targetTracker.find(connection->target); record && position)
         record->position = position;
-    this->release(*connection, now);
+    this->release(*connection, now, true);
 }
 
 void SessionPooler::targetAnswered(ConnectionId id, const StatementAnswer &answer, TimePoint now)
@@ -142,9 +142,11 @@
         return;
     }
     connection.inTransaction = false;
+    // A statement of another team may replace the connection as soon as it is idle.
+    const TargetId target = connection.target;
     this->unpin(session, true, now);
     session.pending->lastFault = *answer.fault;
-    if (!this->retryElsewhere(session, *answer.fault, connection.target, now))
+    if (!this->retryElsewhere(session, *answer.fault, target, now))
         this->refuse(session, *answer.fault, "transaction not begun", now);
 }
 
@@ -288,9 +290,11 @@
                        {"failure", std::string(nameOf(failure))},
                        {"owed", absl::StrCat(lost.awaited.size())}},
                       false);
+    const RouteTable &routes = this->view.routes();
+    const bool isKnown = lost.team.empty() ? !routes.hasTeams : routes.teams.count(lost.team) != 0;
     // A new attempt shows whether the target is down or only the connection was lost.
-    if (record != nullptr && record->connections.empty() && failure == TargetFailure::Reset
-        && record->target.phase == TargetPhase::Ready)
+    if (isKnown && record != nullptr && record->connections.empty()
+        && failure == TargetFailure::Reset && record->target.phase == TargetPhase::Ready)
         this->openIfAllowed(lost.target, lost.team, now);
     const auto owner = this->sessions.find(lost.owner);
     if (owner != this->sessions.end()) {
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -89,8 +89,9 @@
     void process(Session &session, TextStatement statement, TimePoint now);
     std::optional<StatementFault> changeState(Session &session, const TextStatement &statement);
     void begin(Session &session, const TextStatement &statement, TimePoint now);
-    std::optional<StatementFault> updateTeam(Session &session, const Route &route,
-                                             TimePoint now) const;
+    bool needsKey(const Session &session) const;
+    std::optional<StatementFault> updateTeam(Session &session, TimePoint now) const;
+    bool refuseAtArrival(Session &session, const TextStatement &statement, TimePoint now);
     bool refuseWithoutAccess(Session &session, TimePoint now);
     void rollback(Session &session, TimePoint now);
     void runAtTarget(Session &session, TextStatement statement, TimePoint now);
@@ -127,7 +128,8 @@
     std::vector<TargetCommand> stateCommands(Session &session, PooledConnection &connection,
                                              const TextStatement &statement);
     std::string preparedName(const PreparedStatement &prepared);
-    void release(PooledConnection &connection, TimePoint now);
+    void release(PooledConnection &connection, TimePoint now, bool isNew = false);
+    void dispatchToNew(ConnectionId connection, TimePoint now);
     void dropConnection(ConnectionId connection);
     void unpin(Session &session, bool reusable, TimePoint now);
     void dispatchQueue(TimePoint now);
