Index the targets of a pooler by group

Candidates of a statement, the home replica and the check for overloaded groups scanned all targets of the pooler. TargetTracker now keeps the members of each group.

The tests of the pooler pass.

--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -44,9 +44,10 @@
     if (!pending.needsPrimary)
         minimum = this->requiredPosition(session, now);
     std::vector<std::pair<Duration, TargetId>> ranked;
-    for (const auto &[id, record] : this->targetTracker.records()) {
-        if (record.target.group != pending.route.group || pending.tried.count(id) != 0
-            || !this->isAvailable(record, now))
+    for (const TargetRecord *member : this->targetTracker.members(pending.route.group)) {
+        const TargetRecord &record = *member;
+        const TargetId &id = record.target.target;
+        if (pending.tried.count(id) != 0 || !this->isAvailable(record, now))
             continue;
         const bool isPrimary = primary && *primary == id;
         const bool isReplica = id != this->view.knownPrimary(pending.route.group);
@@ -173,16 +174,16 @@
     const TargetRecord *home = nullptr;
     std::pair<bool, std::size_t> best;
     std::uint32_t replicas = 0;
-    for (const auto &[id, record] : this->targetTracker.records()) {
-        if (record.target.group != group || record.target.phase != TargetPhase::Ready
-            || id == this->view.knownPrimary(group))
+    for (const TargetRecord *record : this->targetTracker.members(group)) {
+        const TargetId &id = record->target.target;
+        if (record->target.phase != TargetPhase::Ready || id == this->view.knownPrimary(group))
             continue;
         ++replicas;
         const std::pair<bool, std::size_t> rank(
-            record.target.failureDomain == this->settings.failureDomain,
+            record->target.failureDomain == this->settings.failureDomain,
             std::hash<std::string>()(this->settings.instance.value + "/" + id.value));
         if (home == nullptr || best < rank) {
-            home = &record;
+            home = record;
             best = rank;
         }
     }
--- a/src/rhubarbweir/coordination/sessions/target_tracker.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.cpp
@@ -37,6 +37,7 @@
         }
         removed.insert(removed.end(), entry->second.connections.begin(),
                        entry->second.connections.end());
+        this->removeFromGroup(entry->second);
         entry = this->targets.erase(entry);
     }
     for (const auto &[id, target] : view.targets()) {
@@ -45,11 +46,37 @@
         TargetRecord record;
         record.target = target;
         record.lastContactAt = now;
-        this->targets.emplace(id, std::move(record));
+        this->addToGroup(this->targets.emplace(id, std::move(record)).first->second);
     }
     return removed;
 }
 
+void TargetTracker::addToGroup(const TargetRecord &record)
+{
+    std::vector<const TargetRecord *> &group = this->groups[record.target.group];
+    const auto next =
+        std::find_if(group.begin(), group.end(), [&record](const TargetRecord *member) {
+            return record.target.target < member->target.target;
+        });
+    group.insert(next, &record);
+}
+
+void TargetTracker::removeFromGroup(const TargetRecord &record)
+{
+    const auto found = this->groups.find(record.target.group);
+    std::vector<const TargetRecord *> &group = found->second;
+    group.erase(std::remove(group.begin(), group.end(), &record), group.end());
+    if (group.empty())
+        this->groups.erase(found);
+}
+
+const std::vector<const TargetRecord *> &TargetTracker::members(const GroupId &group) const
+{
+    static const std::vector<const TargetRecord *> None;
+    const auto found = this->groups.find(group);
+    return found == this->groups.end() ? None : found->second;
+}
+
 TargetRecord *TargetTracker::find(const TargetId &target)
 {
     const auto found = this->targets.find(target);
@@ -284,11 +311,10 @@
             && primaryRecord->busyBackoff < this->settings.busyBackoff))
         return false;
     bool hasReplica = false;
-    for (const auto &[id, record] : this->targets) {
-        if (record.target.group != group || id == primary
-            || record.target.phase != TargetPhase::Ready)
+    for (const TargetRecord *record : this->members(group)) {
+        if (record->target.target == primary || record->target.phase != TargetPhase::Ready)
             continue;
-        if (!record.behindSince || now < *record.behindSince + this->settings.behindThreshold)
+        if (!record->behindSince || now < *record->behindSince + this->settings.behindThreshold)
             return false;
         hasReplica = true;
     }
--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -105,6 +105,8 @@
     PooledConnection *connection(ConnectionId id);
     std::map<ConnectionId, PooledConnection> &connections() { return this->open; }
     const std::map<TargetId, TargetRecord> &records() const { return this->targets; }
+    // The targets of the group, by id.
+    const std::vector<const TargetRecord *> &members(const GroupId &group) const;
 
     PooledConnection &addConnection(const TargetRecord &record, const TeamId &team, TimePoint now);
     void removeConnection(ConnectionId id);
@@ -136,11 +138,15 @@
                            const std::optional<LogPosition> &minimum) const;
 
 private:
+    void addToGroup(const TargetRecord &record);
+    void removeFromGroup(const TargetRecord &record);
     void adaptWindow(TargetRecord &record) const;
     bool changeState(TargetRecord &record, ObservedState state);
 
     const PoolerSettings &settings;
     std::map<TargetId, TargetRecord> targets;
+    // The records of `targets` by group, in the order of their ids. No group is empty.
+    std::map<GroupId, std::vector<const TargetRecord *>> groups;
     std::map<ConnectionId, PooledConnection> open;
     ConnectionId lastId = 0;
 };
