Look only at active sessions for deadlines

nextDeadline(), called after each event, and advance() scanned all sessions, of which few have a pending statement or a pinned transaction. The pooler keeps a set of these.

The tests of the pooler pass.

--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace rhubarbweir {
@@ -76,6 +77,7 @@
         const PooledConnection *connection = this->targetTracker.connection(session.pinned);
         this->unpin(session, connection != nullptr && connection->awaited.empty(), now);
     }
+    this->activeSessions.erase(number);
     this->sessions.erase(found);
     // The answer of a statement outside a transaction is still awaited; its connection is released
     // when it arrives.
@@ -285,6 +287,7 @@
     pending.queueDeadline = now + std::min(pending.route.timeout, pending.route.latencyObjective);
     pending.statement = std::move(statement);
     session.pending = std::move(pending);
+    this->activeSessions.emplace(session.number, &session);
     return true;
 }
 
@@ -490,10 +493,10 @@
 TimePoint SessionPooler::nextDeadline() const
 {
     TimePoint earliest = this->nextCheck;
-    for (const auto &[number, session] : this->sessions) {
-        if (!session.pending)
+    for (const auto &[number, session] : this->activeSessions) {
+        if (!session->pending)
             continue;
-        const PendingStatement &pending = *session.pending;
+        const PendingStatement &pending = *session->pending;
         if (pending.stage == StatementStage::Paused)
             earliest = std::min(earliest, pending.resumeAt);
         else if (pending.stage == StatementStage::Queued)
@@ -516,13 +519,16 @@
 {
     this->advancedAt = now;
     std::vector<SessionNumber> due;
-    for (const auto &[number, session] : this->sessions) {
+    for (auto entry = this->activeSessions.begin(); entry != this->activeSessions.end();) {
+        const Session &session = *entry->second;
         const bool hasPending = session.pending.has_value();
         const bool isIdle =
             !hasPending && session.pinned != 0
             && now >= session.transactionActivity + this->view.routes().transactionIdle;
         if (hasPending || isIdle)
-            due.push_back(number);
+            due.push_back(entry->first);
+        const bool isActive = hasPending || session.pinned != 0;
+        entry = isActive ? std::next(entry) : this->activeSessions.erase(entry);
     }
     for (const SessionNumber number : due) {
         const auto found = this->sessions.find(number);
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -163,6 +163,9 @@
     TargetTracker targetTracker;
     RetryBudget retries;
     std::map<SessionNumber, Session> sessions;
+    // Contains every session with a pending statement or a pinned connection. Others are removed by
+    // the next advance().
+    std::map<SessionNumber, const Session *> activeSessions;
     // Sessions whose statement is queued, by priority and arrival.
     std::multimap<std::pair<unsigned, TimePoint>, SessionNumber> queue;
     // Positions of each group's primary under the current log generation, learned here or received.
