Compute home replicas and target records only for what a view changes

The home replica of a group was chosen, with a hash of each member, in every check of an idle connection. It depends on the view alone and is now chosen when a view changes the group. A view of changes also compared all targets; it now looks at those that it names.

The tests of the pooler pass.

--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -44,7 +44,7 @@
     if (!pending.needsPrimary)
         minimum = this->requiredPosition(session, now);
     std::vector<std::pair<Duration, TargetId>> ranked;
-    for (const TargetRecord *member : this->targetTracker.members(pending.route.group)) {
+    for (const TargetRecord *member : this->targetTracker.group(pending.route.group).members) {
         const TargetRecord &record = *member;
         const TargetId &id = record.target.target;
         if (pending.tried.count(id) != 0 || !this->isAvailable(record, now))
@@ -165,32 +165,15 @@
     return std::max<std::uint32_t>(1, limit / 2 / this->view.connectionHolders());
 }
 
-// The replica that this pooler keeps a connection to where the limits allow none to each target. In
-// the own failure domain if there is one; otherwise chosen by rendezvous hashing, so that the
-// poolers of other domains spread over the replicas. Null without a replica, or if the limits do
-// not allow a share of the poolers to each.
-const TargetRecord *SessionPooler::homeReplica(const GroupId &group) const
+// The group's home replica; null also if the limits do not allow a share of the poolers to each
+// replica.
+const TargetRecord *SessionPooler::homeReplica(const GroupId &id) const
 {
-    const TargetRecord *home = nullptr;
-    std::pair<bool, std::size_t> best;
-    std::uint32_t replicas = 0;
-    for (const TargetRecord *record : this->targetTracker.members(group)) {
-        const TargetId &id = record->target.target;
-        if (record->target.phase != TargetPhase::Ready || id == this->view.knownPrimary(group))
-            continue;
-        ++replicas;
-        const std::pair<bool, std::size_t> rank(
-            record->target.failureDomain == this->settings.failureDomain,
-            std::hash<std::string>()(this->settings.instance.value + "/" + id.value));
-        if (home == nullptr || best < rank) {
-            home = record;
-            best = rank;
-        }
-    }
-    if (home == nullptr)
+    const TargetGroup &group = this->targetTracker.group(id);
+    if (group.home == nullptr)
         return nullptr;
-    const std::uint32_t share = this->view.connectionHolders() / replicas;
-    return share <= this->connectionsForPoolers(*home) ? home : nullptr;
+    const std::uint32_t share = this->view.connectionHolders() / group.replicas;
+    return share <= this->connectionsForPoolers(*group.home) ? group.home : nullptr;
 }
 
 bool SessionPooler::isHomeReplica(const TargetRecord &record) const
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -403,7 +403,7 @@
                            {"view", absl::StrCat(this->view.revision())}},
                           false);
     }
-    for (const ConnectionId id : this->targetTracker.applyView(this->view, now)) {
+    for (const ConnectionId id : this->targetTracker.applyView(this->view, next, now)) {
         this->hooks.closeTarget(id);
         this->targetClosed(id, TargetFailure::Reset, now);
     }
--- a/src/rhubarbweir/coordination/sessions/target_tracker.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.cpp
@@ -21,30 +21,55 @@
 {
 }
 
-std::vector<ConnectionId> TargetTracker::applyView(const AuthorityView &view, TimePoint now)
+std::vector<ConnectionId> TargetTracker::applyView(const AuthorityView &view,
+                                                   const FleetView &change, TimePoint now)
 {
+    std::set<TargetId> changed(change.removedTargets.begin(), change.removedTargets.end());
+    for (const RegisteredTarget &target : change.targets)
+        changed.insert(target.target);
+    const bool isWhole = change.baseRevision == 0;
+    if (isWhole) {
+        for (const auto &[id, record] : this->targets)
+            changed.insert(id);
+    }
+    std::set<GroupId> changedGroups;
+    for (const PrimaryAuthority &authority : change.authorities)
+        changedGroups.insert(authority.group);
     std::vector<ConnectionId> removed;
-    for (auto entry = this->targets.begin(); entry != this->targets.end();) {
-        const auto current = view.targets().find(entry->first);
-        const bool isSame = current != view.targets().end()
-                            && current->second.born == entry->second.target.born
-                            && current->second.address == entry->second.target.address
-                            && current->second.group == entry->second.target.group;
-        if (isSame) {
-            entry->second.target = current->second;
-            ++entry;
-            continue;
+    for (const TargetId &id : changed) {
+        if (const TargetRecord *former = this->find(id))
+            changedGroups.insert(former->target.group);
+        const std::vector<ConnectionId> closed = this->applyTarget(id, view, now);
+        removed.insert(removed.end(), closed.begin(), closed.end());
+        if (const TargetRecord *current = this->find(id))
+            changedGroups.insert(current->target.group);
+    }
+    for (const GroupId &group : changedGroups)
+        this->chooseHome(group, view.knownPrimary(group));
+    return removed;
+}
+
+std::vector<ConnectionId> TargetTracker::applyTarget(const TargetId &id, const AuthorityView &view,
+                                                     TimePoint now)
+{
+    std::vector<ConnectionId> removed;
+    const auto current = view.targets().find(id);
+    const bool isKnown = current != view.targets().end();
+    if (const auto former = this->targets.find(id); former != this->targets.end()) {
+        TargetRecord &record = former->second;
+        if (isKnown && current->second.born == record.target.born
+            && current->second.address == record.target.address
+            && current->second.group == record.target.group) {
+            record.target = current->second;
+            return removed;
         }
-        removed.insert(removed.end(), entry->second.connections.begin(),
-                       entry->second.connections.end());
-        this->removeFromGroup(entry->second);
-        entry = this->targets.erase(entry);
+        removed.assign(record.connections.begin(), record.connections.end());
+        this->removeFromGroup(record);
+        this->targets.erase(former);
     }
-    for (const auto &[id, target] : view.targets()) {
-        if (this->targets.count(id) != 0)
-            continue;
+    if (isKnown) {
         TargetRecord record;
-        record.target = target;
+        record.target = current->second;
         record.lastContactAt = now;
         this->addToGroup(this->targets.emplace(id, std::move(record)).first->second);
     }
@@ -53,26 +78,52 @@
 
 void TargetTracker::addToGroup(const TargetRecord &record)
 {
-    std::vector<const TargetRecord *> &group = this->groups[record.target.group];
+    std::vector<const TargetRecord *> &members = this->groups[record.target.group].members;
     const auto next =
-        std::find_if(group.begin(), group.end(), [&record](const TargetRecord *member) {
+        std::find_if(members.begin(), members.end(), [&record](const TargetRecord *member) {
             return record.target.target < member->target.target;
         });
-    group.insert(next, &record);
+    members.insert(next, &record);
 }
 
 void TargetTracker::removeFromGroup(const TargetRecord &record)
 {
     const auto found = this->groups.find(record.target.group);
-    std::vector<const TargetRecord *> &group = found->second;
-    group.erase(std::remove(group.begin(), group.end(), &record), group.end());
-    if (group.empty())
+    std::vector<const TargetRecord *> &members = found->second.members;
+    members.erase(std::remove(members.begin(), members.end(), &record), members.end());
+    if (members.empty())
         this->groups.erase(found);
 }
 
-const std::vector<const TargetRecord *> &TargetTracker::members(const GroupId &group) const
+// Chooses the home replica: in the own failure domain if there is one; otherwise by rendezvous
+// hashing, so that the poolers of other domains spread over the replicas.
+void TargetTracker::chooseHome(const GroupId &id, const TargetId &primary)
+{
+    const auto found = this->groups.find(id);
+    if (found == this->groups.end())
+        return;
+    TargetGroup &group = found->second;
+    group.home = nullptr;
+    group.replicas = 0;
+    std::pair<bool, std::size_t> best;
+    for (const TargetRecord *record : group.members) {
+        if (record->target.phase != TargetPhase::Ready || record->target.target == primary)
+            continue;
+        ++group.replicas;
+        const std::pair<bool, std::size_t> rank(
+            record->target.failureDomain == this->settings.failureDomain,
+            std::hash<std::string>()(this->settings.instance.value + "/"
+                                     + record->target.target.value));
+        if (group.home == nullptr || best < rank) {
+            group.home = record;
+            best = rank;
+        }
+    }
+}
+
+const TargetGroup &TargetTracker::group(const GroupId &group) const
 {
-    static const std::vector<const TargetRecord *> None;
+    static const TargetGroup None;
     const auto found = this->groups.find(group);
     return found == this->groups.end() ? None : found->second;
 }
@@ -311,7 +362,7 @@
             && primaryRecord->busyBackoff < this->settings.busyBackoff))
         return false;
     bool hasReplica = false;
-    for (const TargetRecord *record : this->members(group)) {
+    for (const TargetRecord *record : this->group(group).members) {
         if (record->target.target == primary || record->target.phase != TargetPhase::Ready)
             continue;
         if (!record->behindSince || now < *record->behindSince + this->settings.behindThreshold)
--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -92,21 +92,34 @@
     ObservedState state = ObservedState::Alive;
 };
 
+struct TargetGroup
+{
+    // By id.
+    std::vector<const TargetRecord *> members;
+    // The replica that this pooler keeps a connection to where the limits allow none to each
+    // target; null without a replica.
+    const TargetRecord *home = nullptr;
+    // Members that are ready and not the primary.
+    std::uint32_t replicas = 0;
+};
+
 class TargetTracker
 {
 public:
     explicit TargetTracker(const PoolerSettings &poolerSettings);
 
-    // Applies a new view. Returns the connections of targets that were removed or replaced.
-    std::vector<ConnectionId> applyView(const AuthorityView &view, TimePoint now);
+    // Applies `change`, which is already part of `view`. Returns the connections of targets that
+    // were removed or replaced.
+    std::vector<ConnectionId> applyView(const AuthorityView &view, const FleetView &change,
+                                        TimePoint now);
 
     TargetRecord *find(const TargetId &target);
     const TargetRecord *find(const TargetId &target) const;
     PooledConnection *connection(ConnectionId id);
     std::map<ConnectionId, PooledConnection> &connections() { return this->open; }
     const std::map<TargetId, TargetRecord> &records() const { return this->targets; }
-    // The targets of the group, by id.
-    const std::vector<const TargetRecord *> &members(const GroupId &group) const;
+    // Empty for an unknown group.
+    const TargetGroup &group(const GroupId &group) const;
 
     PooledConnection &addConnection(const TargetRecord &record, const TeamId &team, TimePoint now);
     void removeConnection(ConnectionId id);
@@ -138,15 +151,18 @@
                            const std::optional<LogPosition> &minimum) const;
 
 private:
+    std::vector<ConnectionId> applyTarget(const TargetId &id, const AuthorityView &view,
+                                          TimePoint now);
     void addToGroup(const TargetRecord &record);
     void removeFromGroup(const TargetRecord &record);
+    void chooseHome(const GroupId &group, const TargetId &primary);
     void adaptWindow(TargetRecord &record) const;
     bool changeState(TargetRecord &record, ObservedState state);
 
     const PoolerSettings &settings;
     std::map<TargetId, TargetRecord> targets;
-    // The records of `targets` by group, in the order of their ids. No group is empty.
-    std::map<GroupId, std::vector<const TargetRecord *>> groups;
+    // The records of `targets` by group. No group is empty.
+    std::map<GroupId, TargetGroup> groups;
     std::map<ConnectionId, PooledConnection> open;
     ConnectionId lastId = 0;
 };
