Keep a set of the targets whose suspension has not ended

While statements waited, nextDeadline() scanned all targets after each event for the end of a suspension or lag. TargetTracker now keeps the targets that have one.

bench/pooler_scale, microseconds for each statement before and after: 11.4 and 5.2 (3,000 targets, 35 sessions), 21.2 and 6.4 (200 sessions), 5.5 and 4.6 (300 targets, 200 sessions). Answers, refusals and connections are the same. The tests of the pooler pass.

--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -506,18 +506,13 @@
     }
     if (this->queue.empty())
         return earliest;
-    for (const auto &[id, record] : this->targetTracker.records()) {
-        for (const TimePoint until : {record.suspendedUntil, record.laggingUntil}) {
-            if (until > this->advancedAt)
-                earliest = std::min(earliest, until);
-        }
-    }
-    return earliest;
+    return std::min(earliest, this->targetTracker.suspensionEndAfter(this->advancedAt));
 }
 
 void SessionPooler::advance(TimePoint now)
 {
     this->advancedAt = now;
+    this->targetTracker.forgetSuspensionsUntil(now);
     std::vector<SessionNumber> due;
     for (auto entry = this->activeSessions.begin(); entry != this->activeSessions.end();) {
         const Session &session = *entry->second;
--- a/src/rhubarbweir/coordination/sessions/target_tracker.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.cpp
@@ -2,6 +2,7 @@
 #include "rhubarbweir/coordination/sessions/target_tracker.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace rhubarbweir {
@@ -267,7 +268,7 @@
     record->lastContactAt = now;
     record->backoff = Duration::zero();
     if (record->state != ObservedState::Alive)
-        record->suspendedUntil = now;
+        this->suspend(*record, now);
     this->changeState(*record, ObservedState::Alive);
 }
 
@@ -279,7 +280,7 @@
     record->window = std::max(1.0, record->window / 2);
     record->busyBackoff = std::clamp(record->busyBackoff * 2, this->settings.busyBackoff,
                                      this->settings.maxBusyBackoff);
-    record->suspendedUntil = now + record->busyBackoff;
+    this->suspend(*record, now + record->busyBackoff);
 }
 
 void TargetTracker::markLagging(const TargetId &target, const LogPosition &minimum, TimePoint now)
@@ -293,6 +294,7 @@
     record->laggingBackoff = std::clamp(record->laggingBackoff * 2, this->settings.laggingBackoff,
                                         this->settings.maxLaggingBackoff);
     record->laggingUntil = now + record->laggingBackoff;
+    this->suspended.insert(target);
 }
 
 void TargetTracker::markFailed(const TargetId &target, TargetFailure failure, TimePoint now)
@@ -308,7 +310,7 @@
         return;
     record->backoff = std::clamp(record->backoff * 2, this->settings.reconnectBackoff,
                                  this->settings.maxReconnectBackoff);
-    record->suspendedUntil = now + record->backoff;
+    this->suspend(*record, now + record->backoff);
     if (failure == TargetFailure::Refused)
         this->changeState(*record, ObservedState::Broken);
     else if (failure == TargetFailure::Silent)
@@ -336,7 +338,7 @@
                 std::max(record.lastContactAt, connection.awaited.front().sentAt);
             if (now >= since + this->settings.silentAfter) {
                 changed = this->changeState(record, ObservedState::Silent) || changed;
-                record.suspendedUntil = now + this->settings.maxReconnectBackoff;
+                this->suspend(record, now + this->settings.maxReconnectBackoff);
                 break;
             }
         }
@@ -344,6 +346,37 @@
     return changed;
 }
 
+void TargetTracker::suspend(TargetRecord &record, TimePoint until)
+{
+    record.suspendedUntil = until;
+    this->suspended.insert(record.target.target);
+}
+
+TimePoint TargetTracker::suspensionEndAfter(TimePoint after) const
+{
+    TimePoint earliest = TimePoint::max();
+    for (const TargetId &id : this->suspended) {
+        const TargetRecord *record = this->find(id);
+        if (record == nullptr)
+            continue;
+        for (const TimePoint until : {record->suspendedUntil, record->laggingUntil}) {
+            if (until > after)
+                earliest = std::min(earliest, until);
+        }
+    }
+    return earliest;
+}
+
+void TargetTracker::forgetSuspensionsUntil(TimePoint now)
+{
+    for (auto entry = this->suspended.begin(); entry != this->suspended.end();) {
+        const TargetRecord *record = this->find(*entry);
+        const bool hasEnded =
+            record == nullptr || (record->suspendedUntil <= now && record->laggingUntil <= now);
+        entry = hasEnded ? this->suspended.erase(entry) : std::next(entry);
+    }
+}
+
 std::vector<TargetObservation> TargetTracker::observations() const
 {
     std::vector<TargetObservation> seen;
--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -141,6 +141,10 @@
     void markFailed(const TargetId &target, TargetFailure failure, TimePoint now);
     // Marks targets whose answers are overdue. True when a state changed.
     bool markSilentTargets(TimePoint now);
+    // When the first suspension or lag that ends after `after` ends; TimePoint::max() for none.
+    // `after` must not be earlier than the last forgetSuspensionsUntil().
+    TimePoint suspensionEndAfter(TimePoint after) const;
+    void forgetSuspensionsUntil(TimePoint now);
     std::vector<TargetObservation> observations() const;
     // Whether every replica of the group has been behind for PoolerSettings::behindThreshold and
     // the primary answers slowly. False for a group without replicas.
@@ -156,6 +160,7 @@
     void addToGroup(const TargetRecord &record);
     void removeFromGroup(const TargetRecord &record);
     void chooseHome(const GroupId &group, const TargetId &primary);
+    void suspend(TargetRecord &record, TimePoint until);
     void adaptWindow(TargetRecord &record) const;
     bool changeState(TargetRecord &record, ObservedState state);
 
@@ -163,6 +168,9 @@
     std::map<TargetId, TargetRecord> targets;
     // The records of `targets` by group. No group is empty.
     std::map<GroupId, TargetGroup> groups;
+    // Contains every target with a `suspendedUntil` or `laggingUntil` that was not forgotten. May
+    // contain targets that were removed.
+    std::set<TargetId> suspended;
     std::map<ConnectionId, PooledConnection> open;
     ConnectionId lastId = 0;
 };
