Remove answered sessions from the active ones at once

They stayed in the set until the next advance(), up to 100 ms later, so nextDeadline() looked at them.

The tests of the pooler pass.

--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -335,6 +335,8 @@
     this->hooks.finished(session.pending->route.consistency, answer.fault,
                          std::chrono::duration_cast<Duration>(now - session.pending->arrivedAt));
     session.pending.reset();
+    if (session.pinned == 0)
+        this->activeSessions.erase(session.number);
     session.transactionActivity = now;
     this->hooks.answer(session.number, answer);
     if (!this->closingWhenAnswered)
