Keep connections only to groups in use where targets are many

Every pooler kept a connection to each target, or to one replica of each group where connections are scarce. With 300 poolers and 240 targets, each target would hold 300 idle connections. Beyond 60 targets, or with fewer connections than poolers, a pooler now keeps connections only to groups that had a statement within the last minute, and to targets that failed until they are back. A smaller deployment with enough connections is served as before.

--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace rhubarbweir {
@@ -379,6 +380,14 @@
     return didNotRun(fault) && fault != StatementFault::NoSuchName ? fault : StatementFault::Busy;
 }
 
+void SessionPooler::expireGroupsInUse(TimePoint now)
+{
+    for (auto entry = this->groupsInUse.begin(); entry != this->groupsInUse.end();) {
+        const bool hasEnded = now >= entry->second + this->settings.groupUseTimeout;
+        entry = hasEnded ? this->groupsInUse.erase(entry) : std::next(entry);
+    }
+}
+
 void SessionPooler::expireConnections(TimePoint now)
 {
     std::vector<std::pair<ConnectionId, TargetFailure>> ended;
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -153,12 +153,24 @@
     return this->connectionsForPoolers(record) >= this->view.connectionHolders();
 }
 
+// Whether connections to the target may be kept idle at all. With many targets, or fewer
+// connections than poolers, only those to groups in use; and one to a target that failed, because
+// only a connection shows that it is back.
+bool SessionPooler::isWanted(const TargetRecord &record) const
+{
+    return this->groupsInUse.count(record.target.group) != 0 || record.state != ObservedState::Alive
+           || (this->targetTracker.records().size() <= this->settings.manyTargets
+               && this->mayKeepIdle(record));
+}
+
 // Number of connections that this pooler may keep idle. Half of the target's limit stays free: the
 // target holds the connections of a machine that lost power for seconds, and its replacement needs
 // connections meanwhile. With fewer connections than poolers one is kept to the home replica of
 // each group; any other is closed soon after its use.
 std::uint32_t SessionPooler::idleShare(const TargetRecord &record) const
 {
+    if (!this->isWanted(record))
+        return 0;
     if (!this->mayKeepIdle(record))
         return this->isHomeReplica(record) ? 1 : 0;
     const std::uint32_t limit = this->view.limits(record.target.group).maxConnections;
@@ -198,8 +210,8 @@
     this->hooks.openTarget(connection.id, record->target, team);
 }
 
-// Keeps one connection open to each target, so that the first statement does not wait for one. With
-// teams it is not known whose statement that will be.
+// Keeps one connection open to each target that may have an idle one, so that the first statement
+// does not wait for one. With teams it is not known whose statement that will be.
 void SessionPooler::keepWarm(TimePoint now)
 {
     if (this->view.routes().hasTeams)
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -55,6 +55,12 @@
     Duration positionReportStep = std::chrono::milliseconds(150);
     // Connections above the idle share that may be opened while statements wait.
     std::uint32_t surplusConnections = 2;
+    // With more targets than this, connections are kept only to groups in use. More than twice the
+    // 24 targets of a deployment with 30 instances.
+    std::size_t manyTargets = 60;
+    // A group counts as in use for this long after its last statement. With 300 instances a pooler
+    // sends a group a statement every 8 s, so about one in a thousand finds its connection closed.
+    Duration groupUseTimeout = std::chrono::seconds(60);
     // Connections of each target that are reserved for control instances, one for each.
     std::uint32_t controlConnections = 4;
     // Added to the expected delay of a target in another failure domain: one round trip between
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -286,6 +286,7 @@
     pending.deadline = now + pending.route.timeout;
     pending.queueDeadline = now + std::min(pending.route.timeout, pending.route.latencyObjective);
     pending.statement = std::move(statement);
+    this->groupsInUse[pending.route.group] = now;
     session.pending = std::move(pending);
     this->activeSessions.emplace(session.number, &session);
     return true;
@@ -542,6 +543,7 @@
     }
     if (now >= this->nextCheck) {
         this->nextCheck = now + CheckInterval;
+        this->expireGroupsInUse(now);
         this->expireConnections(now);
         if (this->targetTracker.markSilentTargets(now))
             this->hooks.observationsChanged();
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -119,6 +119,7 @@
     std::uint32_t connectionsForPoolers(const TargetRecord &record) const;
     std::uint32_t idleShare(const TargetRecord &record) const;
     bool mayKeepIdle(const TargetRecord &record) const;
+    bool isWanted(const TargetRecord &record) const;
     std::uint32_t connectionShare(const TargetRecord &record) const;
     void startOn(Session &session, PooledConnection &connection, TimePoint now);
     void sendBegin(Session &session, PooledConnection &connection, TimePoint now);
@@ -155,6 +156,7 @@
     void expireSent(Session &session, TimePoint now);
     static StatementFault notRunFault(StatementFault fault);
     void expireConnections(TimePoint now);
+    void expireGroupsInUse(TimePoint now);
 
     PoolerSettings settings;
     PoolerHooks hooks;
@@ -174,6 +176,8 @@
     // The newest position learned here, and when the newest one that the leader has was asked for.
     std::map<GroupId, OwnPosition> ownPositions;
     std::map<GroupId, TimePoint> sharedAsOf;
+    // When the last statement arrived for each group in use.
+    std::map<GroupId, TimePoint> groupsInUse;
     // Names of prepared statements on targets' connections, by access mode (read-only or not) and
     // shape.
     std::map<std::pair<bool, std::string>, std::string> preparedNames;
