Learn which failure domains are in another region

Any other failure domain counted as 3 ms away. With regions 30 ms apart, reads crossed them as soon as the replica in the region had a statement in flight. The pooler now learns the smallest time of each domain from accepted connections and answers. A domain whose times all exceed those of another one by 20 ms is distant: its learned distance replaces the 3 ms, and reads stay away from it while a replica in the region can serve them in time, for up to a quarter of their objective. Home replicas are chosen in the region. Within one region the choice of targets does not change.

--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -41,7 +41,7 @@
         return;
     const bool wasAlive =
         this->targetTracker.find(connection->target)->state == ObservedState::Alive;
-    this->targetTracker.markAlive(connection->target, now);
+    this->targetTracker.connectionOpened(*connection, now);
     if (!wasAlive)
         this->hooks.observationsChanged();
     if (TargetRecord *record = this->targetTracker.find(connection->target); record && position)
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -60,6 +60,7 @@
             id);
     }
     std::sort(ranked.begin(), ranked.end());
+    this->keepInRegion(pending, ranked, now);
     std::vector<TargetId> ids;
     ids.reserve(ranked.size());
     for (const auto &[delay, id] : ranked)
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -63,9 +63,12 @@
     Duration groupUseTimeout = std::chrono::seconds(60);
     // Connections of each target that are reserved for control instances, one for each.
     std::uint32_t controlConnections = 4;
-    // Added to the expected delay of a target in another failure domain: one round trip between
-    // domains.
+    // Added to the expected delay of a target in another failure domain of the region: one round
+    // trip between domains. For another region the learned distance is added instead.
     Duration otherDomainPenalty = std::chrono::milliseconds(3);
+    // A read that a replica in the region can serve in time leaves the region only after it has
+    // waited for its latency objective divided by this.
+    unsigned regionStayDivisor = 4;
     // An average delay above this means that statements queue at the target. About three times the
     // time of a typical statement.
     Duration slowAnswerThreshold = std::chrono::milliseconds(90);
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -543,6 +543,7 @@
     }
     if (now >= this->nextCheck) {
         this->nextCheck = now + CheckInterval;
+        this->logDistances();
         this->expireGroupsInUse(now);
         this->expireConnections(now);
         if (this->targetTracker.markSilentTargets(now))
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -138,6 +139,15 @@
     bool holdsAuthority(const PooledConnection &connection, std::uint64_t generation,
                         TimePoint now) const;
 
+    // internal/session_regions.cpp: targets in other regions.
+    // A target that may run a statement, with the expected delay.
+    using RankedTarget = std::pair<Duration, TargetId>;
+    void keepInRegion(const PendingStatement &pending, std::vector<RankedTarget> &ranked,
+                      TimePoint now) const;
+    bool mayServeInRegion(const PendingStatement &pending, const RankedTarget &ranked,
+                          TimePoint now) const;
+    void logDistances();
+
     // internal/session_answers.cpp: answers of targets, lost connections and timeouts.
     void recordPosition(const PooledConnection &connection, const AwaitedAnswer &awaited,
                         const StatementAnswer &answer, TimePoint now);
@@ -178,6 +188,8 @@
     std::map<GroupId, TimePoint> sharedAsOf;
     // When the last statement arrived for each group in use.
     std::map<GroupId, TimePoint> groupsInUse;
+    // Failure domains of other regions, as logged last.
+    std::set<FailureDomainId> loggedDistant;
     // Names of prepared statements on targets' connections, by access mode (read-only or not) and
     // shape.
     std::map<std::pair<bool, std::string>, std::string> preparedNames;
--- a/src/rhubarbweir/coordination/sessions/target_tracker.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace rhubarbweir {
@@ -19,6 +20,7 @@
 
 TargetTracker::TargetTracker(const PoolerSettings &poolerSettings)
     : settings(poolerSettings)
+    , domainDistances(poolerSettings.failureDomain)
 {
 }
 
@@ -45,8 +47,13 @@
         if (const TargetRecord *current = this->find(id))
             changedGroups.insert(current->target.group);
     }
-    for (const GroupId &group : changedGroups)
-        this->chooseHome(group, view.knownPrimary(group));
+    for (const GroupId &id : changedGroups) {
+        const auto group = this->groups.find(id);
+        if (group == this->groups.end())
+            continue;
+        group->second.primary = view.knownPrimary(id);
+        this->chooseHome(group->second);
+    }
     return removed;
 }
 
@@ -96,25 +103,23 @@
         this->groups.erase(found);
 }
 
-// Chooses the home replica: in the own failure domain if there is one; otherwise by rendezvous
-// hashing, so that the poolers of other domains spread over the replicas.
-void TargetTracker::chooseHome(const GroupId &id, const TargetId &primary)
+// Chooses the home replica: in the own failure domain if there is one; otherwise in the region;
+// otherwise any. Among equals by rendezvous hashing, so that the poolers of other domains spread
+// over the replicas.
+void TargetTracker::chooseHome(TargetGroup &group) const
 {
-    const auto found = this->groups.find(id);
-    if (found == this->groups.end())
-        return;
-    TargetGroup &group = found->second;
     group.home = nullptr;
     group.replicas = 0;
-    std::pair<bool, std::size_t> best;
+    std::tuple<bool, bool, std::size_t> best;
     for (const TargetRecord *record : group.members) {
-        if (record->target.phase != TargetPhase::Ready || record->target.target == primary)
+        const RegisteredTarget &target = record->target;
+        if (target.phase != TargetPhase::Ready || target.target == group.primary)
             continue;
         ++group.replicas;
-        const std::pair<bool, std::size_t> rank(
-            record->target.failureDomain == this->settings.failureDomain,
-            std::hash<std::string>()(this->settings.instance.value + "/"
-                                     + record->target.target.value));
+        const std::tuple<bool, bool, std::size_t> rank(
+            target.failureDomain == this->settings.failureDomain,
+            !this->domainDistances.isDistant(target.failureDomain),
+            std::hash<std::string>()(this->settings.instance.value + "/" + target.target.value));
         if (group.home == nullptr || best < rank) {
             group.home = record;
             best = rank;
@@ -122,11 +127,19 @@
     }
 }
 
+void TargetTracker::recordDistance(const TargetRecord &record, Duration took, TimePoint now)
+{
+    if (!this->domainDistances.record(record.target.failureDomain, took, now))
+        return;
+    for (auto &[id, group] : this->groups)
+        this->chooseHome(group);
+}
+
 const TargetGroup &TargetTracker::group(const GroupId &group) const
 {
-    static const TargetGroup None;
+    static const TargetGroup none;
     const auto found = this->groups.find(group);
-    return found == this->groups.end() ? None : found->second;
+    return found == this->groups.end() ? none : found->second;
 }
 
 TargetRecord *TargetTracker::find(const TargetId &target)
@@ -155,6 +168,7 @@
     connection.target = record.target.target;
     connection.group = record.target.group;
     connection.team = team;
+    connection.connectStartedAt = now;
     connection.connectDeadline = now + this->settings.connectTimeout;
     this->targets.at(record.target.target).connections.insert(connection.id);
     return this->open.emplace(connection.id, std::move(connection)).first->second;
@@ -220,6 +234,14 @@
         }));
 }
 
+void TargetTracker::connectionOpened(const PooledConnection &connection, TimePoint now)
+{
+    this->markAlive(connection.target, now);
+    if (const TargetRecord *record = this->find(connection.target))
+        this->recordDistance(
+            *record, std::chrono::duration_cast<Duration>(now - connection.connectStartedAt), now);
+}
+
 void TargetTracker::commandSent(PooledConnection &connection, AwaitedAnswer answer)
 {
     connection.awaited.push_back(answer);
@@ -238,11 +260,12 @@
     if (TargetRecord *record = this->find(connection.target)) {
         if (record->inFlight > 0)
             --record->inFlight;
+        const auto took = std::chrono::duration_cast<Duration>(now - answer.sentAt);
+        this->recordDistance(*record, took, now);
         const bool isStatement =
             answer.kind == TargetCommandKind::Forward || answer.kind == TargetCommandKind::Execute;
         if (isStatement) {
             record->busyBackoff = record->busyBackoff / 2;
-            const auto took = std::chrono::duration_cast<Duration>(now - answer.sentAt);
             record->delay += (took - record->delay) / DelaySmoothing;
             this->adaptWindow(*record);
         }
@@ -410,7 +433,8 @@
 {
     Duration expected = record.delay * (1 + record.inFlight);
     if (record.target.failureDomain != this->settings.failureDomain)
-        expected += this->settings.otherDomainPenalty;
+        expected += std::max(this->settings.otherDomainPenalty,
+                             this->domainDistances.extraRoundTrip(record.target.failureDomain));
     if (isPrimary)
         expected += this->settings.primaryReadPenalty;
     else if (minimum && (!record.position || *record.position < *minimum))
--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -3,6 +3,7 @@
 
 #include "rhubarbweir/coordination/proxy/freshness_tracker.hpp"
 #include "rhubarbweir/coordination/sessions/authority_view.hpp"
+#include "rhubarbweir/coordination/sessions/domain_distances.hpp"
 #include "rhubarbweir/coordination/sessions/pooler_settings.hpp"
 
 #include <deque>
@@ -42,6 +43,7 @@
     // The target knows the connection as this team's, so it serves no other one.
     TeamId team;
     ConnectionPhase phase = ConnectionPhase::Connecting;
+    TimePoint connectStartedAt;
     TimePoint connectDeadline;
     TimePoint idleSince;
     // Session values and prepared statements at the target, as sent.
@@ -99,6 +101,7 @@
     // The replica that this pooler keeps a connection to where the limits allow none to each
     // target; null without a replica.
     const TargetRecord *home = nullptr;
+    TargetId primary;
     // Members that are ready and not the primary.
     std::uint32_t replicas = 0;
 };
@@ -130,6 +133,8 @@
     const PooledConnection *idleOfOtherTeam(const TargetId &target, const TeamId &team) const;
     std::size_t connectingCount(const TargetId &target, const TeamId &team) const;
 
+    // The target accepted the connection.
+    void connectionOpened(const PooledConnection &connection, TimePoint now);
     void commandSent(PooledConnection &connection, AwaitedAnswer answer);
     // Removes and returns the entry of the answer; empty when no answer was awaited.
     std::optional<AwaitedAnswer> answerReceived(PooledConnection &connection, TimePoint now);
@@ -150,6 +155,7 @@
     // the primary answers slowly. False for a group without replicas.
     bool isOverloaded(const GroupId &group, const TargetId &primary, TimePoint now) const;
 
+    const DomainDistances &distances() const { return this->domainDistances; }
     // Expected time until an answer plus penalties, for ranking targets.
     Duration expectedDelay(const TargetRecord &record, bool isPrimary,
                            const std::optional<LogPosition> &minimum) const;
@@ -159,7 +165,8 @@
                                           TimePoint now);
     void addToGroup(const TargetRecord &record);
     void removeFromGroup(const TargetRecord &record);
-    void chooseHome(const GroupId &group, const TargetId &primary);
+    void chooseHome(TargetGroup &group) const;
+    void recordDistance(const TargetRecord &record, Duration took, TimePoint now);
     void suspend(TargetRecord &record, TimePoint until);
     void adaptWindow(TargetRecord &record) const;
     bool changeState(TargetRecord &record, ObservedState state);
@@ -171,6 +178,7 @@
     // Contains every target with a `suspendedUntil` or `laggingUntil` that was not forgotten. May
     // contain targets that were removed.
     std::set<TargetId> suspended;
+    DomainDistances domainDistances;
     std::map<ConnectionId, PooledConnection> open;
     ConnectionId lastId = 0;
 };
