--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -383,8 +383,20 @@
 void SessionPooler::expireGroupsInUse(TimePoint now)
 {
     for (auto entry = this->groupsInUse.begin(); entry != this->groupsInUse.end();) {
-        const bool hasEnded = now >= entry->second + this->settings.groupUseTimeout;
-        entry = hasEnded ? this->groupsInUse.erase(entry) : std::next(entry);
+        if (now < entry->second + this->settings.groupUseTimeout) {
+            ++entry;
+            continue;
+        }
+        const GroupId group = entry->first;
+        entry = this->groupsInUse.erase(entry);
+        const auto &members = this->targetTracker.group(group).members;
+        const auto connected =
+            std::count_if(members.begin(), members.end(), [this](const TargetRecord *record) {
+                return !record->connections.empty() && !this->isWanted(*record);
+            });
+        if (connected > 0)
+            this->hooks.event("group_unused",
+                              {{"group", group.value}, {"targets", absl::StrCat(connected)}}, true);
     }
 }
 
