--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace rhubarbweir {
@@ -40,7 +41,7 @@
         return;
     const bool wasAlive =
         this->targetTracker.find(connection->target)->state == ObservedState::Alive;
-    this->targetTracker.markAlive(connection->target, now);
+    this->targetTracker.connectionOpened(*connection, now);
     if (!wasAlive)
         this->hooks.observationsChanged();
     if (TargetRecord *record = this->targetTracker.find(connection->target); record && position)
@@ -383,6 +384,26 @@
     return didNotRun(fault) && fault != StatementFault::NoSuchName ? fault : StatementFault::Busy;
 }
 
+void SessionPooler::expireGroupsInUse(TimePoint now)
+{
+    for (auto entry = this->groupsInUse.begin(); entry != this->groupsInUse.end();) {
+        if (now < entry->second + this->settings.groupUseTimeout) {
+            ++entry;
+            continue;
+        }
+        const GroupId group = entry->first;
+        entry = this->groupsInUse.erase(entry);
+        const auto &members = this->targetTracker.group(group).members;
+        const auto connected =
+            std::count_if(members.begin(), members.end(), [this](const TargetRecord *record) {
+                return !record->connections.empty() && !this->isWanted(*record);
+            });
+        if (connected > 0)
+            this->hooks.event("group_unused",
+                              {{"group", group.value}, {"targets", absl::StrCat(connected)}}, true);
+    }
+}
+
 void SessionPooler::expireConnections(TimePoint now)
 {
     std::vector<std::pair<ConnectionId, TargetFailure>> ended;
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -44,9 +44,10 @@
     if (!pending.needsPrimary)
         minimum = this->requiredPosition(session, now);
     std::vector<std::pair<Duration, TargetId>> ranked;
-    for (const auto &[id, record] : this->targetTracker.records()) {
-        if (record.target.group != pending.route.group || pending.tried.count(id) != 0
-            || !this->isAvailable(record, now))
+    for (const TargetRecord *member : this->targetTracker.group(pending.route.group).members) {
+        const TargetRecord &record = *member;
+        const TargetId &id = record.target.target;
+        if (pending.tried.count(id) != 0 || !this->isAvailable(record, now))
             continue;
         const bool isPrimary = primary && *primary == id;
         const bool isReplica = id != this->view.knownPrimary(pending.route.group);
@@ -59,6 +60,7 @@
             id);
     }
     std::sort(ranked.begin(), ranked.end());
+    this->keepInRegion(pending, ranked, now);
     std::vector<TargetId> ids;
     ids.reserve(ranked.size());
     for (const auto &[delay, id] : ranked)
@@ -157,44 +159,39 @@
     return this->connectionsForPoolers(record) >= this->view.connectionHolders();
 }
 
+// Whether connections to the target may be kept idle at all. With many targets, or fewer
+// connections than poolers, only those to groups in use; and one to a target that failed, because
+// only a connection shows that it is back.
+bool SessionPooler::isWanted(const TargetRecord &record) const
+{
+    return this->groupsInUse.count(record.target.group) != 0 || record.state != ObservedState::Alive
+           || (this->targetTracker.records().size() <= this->settings.manyTargets
+               && this->mayKeepIdle(record));
+}
+
 // Number of connections that this pooler may keep idle. Half of the target's limit stays free: the
 // target holds the connections of a machine that lost power for seconds, and its replacement needs
 // connections meanwhile. With fewer connections than poolers one is kept to the home replica of
 // each group; any other is closed soon after its use.
 std::uint32_t SessionPooler::idleShare(const TargetRecord &record) const
 {
+    if (!this->isWanted(record))
+        return 0;
     if (!this->mayKeepIdle(record))
         return this->isHomeReplica(record) ? 1 : 0;
     const std::uint32_t limit = this->view.limits(record.target.group).maxConnections;
     return std::max<std::uint32_t>(1, limit / 2 / this->view.connectionHolders());
 }
 
-// The replica that this pooler keeps a connection to where the limits allow none to each target. In
-// the own failure domain if there is one; otherwise chosen by rendezvous hashing, so that the
-// poolers of other domains spread over the replicas. Null without a replica, or if the limits do
-// not allow a share of the poolers to each.
-const TargetRecord *SessionPooler::homeReplica(const GroupId &group) const
+// The group's home replica; null also if the limits do not allow a share of the poolers to each
+// replica.
+const TargetRecord *SessionPooler::homeReplica(const GroupId &id) const
 {
-    const TargetRecord *home = nullptr;
-    std::pair<bool, std::size_t> best;
-    std::uint32_t replicas = 0;
-    for (const auto &[id, record] : this->targetTracker.records()) {
-        if (record.target.group != group || record.target.phase != TargetPhase::Ready
-            || id == this->view.knownPrimary(group))
-            continue;
-        ++replicas;
-        const std::pair<bool, std::size_t> rank(
-            record.target.failureDomain == this->settings.failureDomain,
-            std::hash<std::string>()(this->settings.instance.value + "/" + id.value));
-        if (home == nullptr || best < rank) {
-            home = &record;
-            best = rank;
-        }
-    }
-    if (home == nullptr)
+    const TargetGroup &group = this->targetTracker.group(id);
+    if (group.home == nullptr)
         return nullptr;
-    const std::uint32_t share = this->view.connectionHolders() / replicas;
-    return share <= this->connectionsForPoolers(*home) ? home : nullptr;
+    const std::uint32_t share = this->view.connectionHolders() / group.replicas;
+    return share <= this->connectionsForPoolers(*group.home) ? group.home : nullptr;
 }
 
 bool SessionPooler::isHomeReplica(const TargetRecord &record) const
@@ -219,8 +216,8 @@
     this->hooks.openTarget(connection.id, record->target, team);
 }
 
-// Keeps one connection open to each target, so that the first statement does not wait for one. With
-// teams it is not known whose statement that will be.
+// Keeps one connection open to each target that may have an idle one, so that the first statement
+// does not wait for one. With teams it is not known whose statement that will be.
 void SessionPooler::keepWarm(TimePoint now)
 {
     if (this->view.routes().hasTeams)
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace rhubarbweir {
@@ -89,6 +90,7 @@
         const PooledConnection *connection = this->targetTracker.connection(session.pinned);
         this->unpin(session, connection != nullptr && connection->awaited.empty(), now);
     }
+    this->activeSessions.erase(number);
     this->sessions.erase(found);
     // The answer of a statement outside a transaction is still awaited; its connection is released
     // when it arrives.
@@ -321,7 +323,9 @@
     pending.deadline = now + pending.route.timeout;
     pending.queueDeadline = now + std::min(pending.route.timeout, pending.route.latencyObjective);
     pending.statement = std::move(statement);
+    this->groupsInUse[pending.route.group] = now;
     session.pending = std::move(pending);
+    this->activeSessions.emplace(session.number, &session);
     return true;
 }
 
@@ -369,6 +373,8 @@
     this->hooks.finished(session.pending->route.consistency, answer.fault,
                          std::chrono::duration_cast<Duration>(now - session.pending->arrivedAt));
     session.pending.reset();
+    if (session.pinned == 0)
+        this->activeSessions.erase(session.number);
     session.transactionActivity = now;
     this->hooks.answer(session.number, answer);
     if (!this->closingWhenAnswered)
@@ -437,7 +443,7 @@
                            {"view", absl::StrCat(this->view.revision())}},
                           false);
     }
-    for (const ConnectionId id : this->targetTracker.applyView(this->view, now)) {
+    for (const ConnectionId id : this->targetTracker.applyView(this->view, next, now)) {
         this->hooks.closeTarget(id);
         this->targetClosed(id, TargetFailure::Reset, now);
     }
@@ -527,10 +533,10 @@
 TimePoint SessionPooler::nextDeadline() const
 {
     TimePoint earliest = this->nextCheck;
-    for (const auto &[number, session] : this->sessions) {
-        if (!session.pending)
+    for (const auto &[number, session] : this->activeSessions) {
+        if (!session->pending)
             continue;
-        const PendingStatement &pending = *session.pending;
+        const PendingStatement &pending = *session->pending;
         if (pending.stage == StatementStage::Paused)
             earliest = std::min(earliest, pending.resumeAt);
         else if (pending.stage == StatementStage::Queued)
@@ -540,26 +546,24 @@
     }
     if (this->queue.empty())
         return earliest;
-    for (const auto &[id, record] : this->targetTracker.records()) {
-        for (const TimePoint until : {record.suspendedUntil, record.laggingUntil}) {
-            if (until > this->advancedAt)
-                earliest = std::min(earliest, until);
-        }
-    }
-    return earliest;
+    return std::min(earliest, this->targetTracker.suspensionEndAfter(this->advancedAt));
 }
 
 void SessionPooler::advance(TimePoint now)
 {
     this->advancedAt = now;
+    this->targetTracker.forgetSuspensionsUntil(now);
     std::vector<SessionNumber> due;
-    for (const auto &[number, session] : this->sessions) {
+    for (auto entry = this->activeSessions.begin(); entry != this->activeSessions.end();) {
+        const Session &session = *entry->second;
         const bool hasPending = session.pending.has_value();
         const bool isIdle =
             !hasPending && session.pinned != 0
             && now >= session.transactionActivity + this->view.routes().transactionIdle;
         if (hasPending || isIdle)
-            due.push_back(number);
+            due.push_back(entry->first);
+        const bool isActive = hasPending || session.pinned != 0;
+        entry = isActive ? std::next(entry) : this->activeSessions.erase(entry);
     }
     for (const SessionNumber number : due) {
         const auto found = this->sessions.find(number);
@@ -576,6 +580,8 @@
     }
     if (now >= this->nextCheck) {
         this->nextCheck = now + CheckInterval;
+        this->logDistances();
+        this->expireGroupsInUse(now);
         this->expireConnections(now);
         if (this->targetTracker.markSilentTargets(now))
             this->hooks.observationsChanged();
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -120,6 +121,7 @@
     std::uint32_t connectionsForPoolers(const TargetRecord &record) const;
     std::uint32_t idleShare(const TargetRecord &record) const;
     bool mayKeepIdle(const TargetRecord &record) const;
+    bool isWanted(const TargetRecord &record) const;
     std::uint32_t connectionShare(const TargetRecord &record) const;
     void startOn(Session &session, PooledConnection &connection, TimePoint now);
     void sendBegin(Session &session, PooledConnection &connection, TimePoint now);
@@ -139,6 +141,15 @@
     bool holdsAuthority(const PooledConnection &connection, std::uint64_t generation,
                         TimePoint now) const;
 
+    // internal/session_regions.cpp: targets in other regions.
+    // A target that may run a statement, with the expected delay.
+    using RankedTarget = std::pair<Duration, TargetId>;
+    void keepInRegion(const PendingStatement &pending, std::vector<RankedTarget> &ranked,
+                      TimePoint now) const;
+    bool mayServeInRegion(const PendingStatement &pending, const RankedTarget &ranked,
+                          TimePoint now) const;
+    void logDistances();
+
     // internal/session_answers.cpp: answers of targets, lost connections and timeouts.
     void recordPosition(const PooledConnection &connection, const AwaitedAnswer &awaited,
                         const StatementAnswer &answer, TimePoint now);
@@ -157,6 +168,7 @@
     void expireSent(Session &session, TimePoint now);
     static StatementFault notRunFault(StatementFault fault);
     void expireConnections(TimePoint now);
+    void expireGroupsInUse(TimePoint now);
 
     PoolerSettings settings;
     PoolerHooks hooks;
@@ -165,6 +177,9 @@
     TargetTracker targetTracker;
     RetryBudget retries;
     std::map<SessionNumber, Session> sessions;
+    // Contains every session with a pending statement or a pinned connection. Others are removed by
+    // the next advance().
+    std::map<SessionNumber, const Session *> activeSessions;
     // Sessions whose statement is queued, by priority and arrival.
     std::multimap<std::pair<unsigned, TimePoint>, SessionNumber> queue;
     // Positions of each group's primary under the current log generation, learned here or received.
@@ -173,6 +188,10 @@
     // The newest position learned here, and when the newest one that the leader has was asked for.
     std::map<GroupId, OwnPosition> ownPositions;
     std::map<GroupId, TimePoint> sharedAsOf;
+    // When the last statement arrived for each group in use.
+    std::map<GroupId, TimePoint> groupsInUse;
+    // Failure domains of other regions, as logged last.
+    std::set<FailureDomainId> loggedDistant;
     // Names of prepared statements on targets' connections, by access mode (read-only or not) and
     // shape.
     std::map<std::pair<bool, std::string>, std::string> preparedNames;
--- a/src/rhubarbweir/coordination/sessions/target_tracker.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.cpp
@@ -2,6 +2,8 @@
 #include "rhubarbweir/coordination/sessions/target_tracker.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace rhubarbweir {
@@ -18,38 +20,128 @@
 
 TargetTracker::TargetTracker(const PoolerSettings &poolerSettings)
     : settings(poolerSettings)
+    , domainDistances(poolerSettings.failureDomain)
 {
 }
 
-std::vector<ConnectionId> TargetTracker::applyView(const AuthorityView &view, TimePoint now)
+std::vector<ConnectionId> TargetTracker::applyView(const AuthorityView &view,
+                                                   const FleetView &change, TimePoint now)
 {
+    std::set<TargetId> changed(change.removedTargets.begin(), change.removedTargets.end());
+    for (const RegisteredTarget &target : change.targets)
+        changed.insert(target.target);
+    const bool isWhole = change.baseRevision == 0;
+    if (isWhole) {
+        for (const auto &[id, record] : this->targets)
+            changed.insert(id);
+    }
+    std::set<GroupId> changedGroups;
+    for (const PrimaryAuthority &authority : change.authorities)
+        changedGroups.insert(authority.group);
     std::vector<ConnectionId> removed;
-    for (auto entry = this->targets.begin(); entry != this->targets.end();) {
-        const auto current = view.targets().find(entry->first);
-        const bool isSame = current != view.targets().end()
-                            && current->second.born == entry->second.target.born
-                            && current->second.address == entry->second.target.address
-                            && current->second.group == entry->second.target.group;
-        if (isSame) {
-            entry->second.target = current->second;
-            ++entry;
+    for (const TargetId &id : changed) {
+        if (const TargetRecord *former = this->find(id))
+            changedGroups.insert(former->target.group);
+        const std::vector<ConnectionId> closed = this->applyTarget(id, view, now);
+        removed.insert(removed.end(), closed.begin(), closed.end());
+        if (const TargetRecord *current = this->find(id))
+            changedGroups.insert(current->target.group);
+    }
+    for (const GroupId &id : changedGroups) {
+        const auto group = this->groups.find(id);
+        if (group == this->groups.end())
             continue;
+        group->second.primary = view.knownPrimary(id);
+        this->chooseHome(group->second);
+    }
+    return removed;
+}
+
+std::vector<ConnectionId> TargetTracker::applyTarget(const TargetId &id, const AuthorityView &view,
+                                                     TimePoint now)
+{
+    std::vector<ConnectionId> removed;
+    const auto current = view.targets().find(id);
+    const bool isKnown = current != view.targets().end();
+    if (const auto former = this->targets.find(id); former != this->targets.end()) {
+        TargetRecord &record = former->second;
+        if (isKnown && current->second.born == record.target.born
+            && current->second.address == record.target.address
+            && current->second.group == record.target.group) {
+            record.target = current->second;
+            return removed;
         }
-        removed.insert(removed.end(), entry->second.connections.begin(),
-                       entry->second.connections.end());
-        entry = this->targets.erase(entry);
+        removed.assign(record.connections.begin(), record.connections.end());
+        this->removeFromGroup(record);
+        this->targets.erase(former);
     }
-    for (const auto &[id, target] : view.targets()) {
-        if (this->targets.count(id) != 0)
-            continue;
+    if (isKnown) {
         TargetRecord record;
-        record.target = target;
+        record.target = current->second;
         record.lastContactAt = now;
-        this->targets.emplace(id, std::move(record));
+        this->addToGroup(this->targets.emplace(id, std::move(record)).first->second);
     }
     return removed;
 }
 
+void TargetTracker::addToGroup(const TargetRecord &record)
+{
+    std::vector<const TargetRecord *> &members = this->groups[record.target.group].members;
+    const auto next =
+        std::find_if(members.begin(), members.end(), [&record](const TargetRecord *member) {
+            return record.target.target < member->target.target;
+        });
+    members.insert(next, &record);
+}
+
+void TargetTracker::removeFromGroup(const TargetRecord &record)
+{
+    const auto found = this->groups.find(record.target.group);
+    std::vector<const TargetRecord *> &members = found->second.members;
+    members.erase(std::remove(members.begin(), members.end(), &record), members.end());
+    if (members.empty())
+        this->groups.erase(found);
+}
+
+// Chooses the home replica: in the own failure domain if there is one; otherwise in the region;
+// otherwise any. Among equals by rendezvous hashing, so that the poolers of other domains spread
+// over the replicas.
+void TargetTracker::chooseHome(TargetGroup &group) const
+{
+    group.home = nullptr;
+    group.replicas = 0;
+    std::tuple<bool, bool, std::size_t> best;
+    for (const TargetRecord *record : group.members) {
+        const RegisteredTarget &target = record->target;
+        if (target.phase != TargetPhase::Ready || target.target == group.primary)
+            continue;
+        ++group.replicas;
+        const std::tuple<bool, bool, std::size_t> rank(
+            target.failureDomain == this->settings.failureDomain,
+            !this->domainDistances.isDistant(target.failureDomain),
+            std::hash<std::string>()(this->settings.instance.value + "/" + target.target.value));
+        if (group.home == nullptr || best < rank) {
+            group.home = record;
+            best = rank;
+        }
+    }
+}
+
+void TargetTracker::recordDistance(const TargetRecord &record, Duration took, TimePoint now)
+{
+    if (!this->domainDistances.record(record.target.failureDomain, took, now))
+        return;
+    for (auto &[id, group] : this->groups)
+        this->chooseHome(group);
+}
+
+const TargetGroup &TargetTracker::group(const GroupId &group) const
+{
+    static const TargetGroup none;
+    const auto found = this->groups.find(group);
+    return found == this->groups.end() ? none : found->second;
+}
+
 TargetRecord *TargetTracker::find(const TargetId &target)
 {
     const auto found = this->targets.find(target);
@@ -76,6 +168,7 @@
     connection.target = record.target.target;
     connection.group = record.target.group;
     connection.team = team;
+    connection.connectStartedAt = now;
     connection.connectDeadline = now + this->settings.connectTimeout;
     this->targets.at(record.target.target).connections.insert(connection.id);
     return this->open.emplace(connection.id, std::move(connection)).first->second;
@@ -141,6 +234,14 @@
         }));
 }
 
+void TargetTracker::connectionOpened(const PooledConnection &connection, TimePoint now)
+{
+    this->markAlive(connection.target, now);
+    if (const TargetRecord *record = this->find(connection.target))
+        this->recordDistance(
+            *record, std::chrono::duration_cast<Duration>(now - connection.connectStartedAt), now);
+}
+
 void TargetTracker::commandSent(PooledConnection &connection, AwaitedAnswer answer)
 {
     connection.awaited.push_back(answer);
@@ -159,11 +260,12 @@
     if (TargetRecord *record = this->find(connection.target)) {
         if (record->inFlight > 0)
             --record->inFlight;
+        const auto took = std::chrono::duration_cast<Duration>(now - answer.sentAt);
+        this->recordDistance(*record, took, now);
         const bool isStatement =
             answer.kind == TargetCommandKind::Forward || answer.kind == TargetCommandKind::Execute;
         if (isStatement) {
             record->busyBackoff = record->busyBackoff / 2;
-            const auto took = std::chrono::duration_cast<Duration>(now - answer.sentAt);
             record->delay += (took - record->delay) / DelaySmoothing;
             this->adaptWindow(*record);
         }
@@ -189,7 +291,7 @@
     record->lastContactAt = now;
     record->backoff = Duration::zero();
     if (record->state != ObservedState::Alive)
-        record->suspendedUntil = now;
+        this->suspend(*record, now);
     this->changeState(*record, ObservedState::Alive);
 }
 
@@ -201,7 +303,7 @@
     record->window = std::max(1.0, record->window / 2);
     record->busyBackoff = std::clamp(record->busyBackoff * 2, this->settings.busyBackoff,
                                      this->settings.maxBusyBackoff);
-    record->suspendedUntil = now + record->busyBackoff;
+    this->suspend(*record, now + record->busyBackoff);
 }
 
 void TargetTracker::markLagging(const TargetId &target, const LogPosition &minimum, TimePoint now)
@@ -215,6 +317,7 @@
     record->laggingBackoff = std::clamp(record->laggingBackoff * 2, this->settings.laggingBackoff,
                                         this->settings.maxLaggingBackoff);
     record->laggingUntil = now + record->laggingBackoff;
+    this->suspended.insert(target);
 }
 
 void TargetTracker::markFailed(const TargetId &target, TargetFailure failure, TimePoint now)
@@ -230,7 +333,7 @@
         return;
     record->backoff = std::clamp(record->backoff * 2, this->settings.reconnectBackoff,
                                  this->settings.maxReconnectBackoff);
-    record->suspendedUntil = now + record->backoff;
+    this->suspend(*record, now + record->backoff);
     if (failure == TargetFailure::Refused)
         this->changeState(*record, ObservedState::Broken);
     else if (failure == TargetFailure::Silent)
@@ -258,7 +361,7 @@
                 std::max(record.lastContactAt, connection.awaited.front().sentAt);
             if (now >= since + this->settings.silentAfter) {
                 changed = this->changeState(record, ObservedState::Silent) || changed;
-                record.suspendedUntil = now + this->settings.maxReconnectBackoff;
+                this->suspend(record, now + this->settings.maxReconnectBackoff);
                 break;
             }
         }
@@ -266,6 +369,37 @@
     return changed;
 }
 
+void TargetTracker::suspend(TargetRecord &record, TimePoint until)
+{
+    record.suspendedUntil = until;
+    this->suspended.insert(record.target.target);
+}
+
+TimePoint TargetTracker::suspensionEndAfter(TimePoint after) const
+{
+    TimePoint earliest = TimePoint::max();
+    for (const TargetId &id : this->suspended) {
+        const TargetRecord *record = this->find(id);
+        if (record == nullptr)
+            continue;
+        for (const TimePoint until : {record->suspendedUntil, record->laggingUntil}) {
+            if (until > after)
+                earliest = std::min(earliest, until);
+        }
+    }
+    return earliest;
+}
+
+void TargetTracker::forgetSuspensionsUntil(TimePoint now)
+{
+    for (auto entry = this->suspended.begin(); entry != this->suspended.end();) {
+        const TargetRecord *record = this->find(*entry);
+        const bool hasEnded =
+            record == nullptr || (record->suspendedUntil <= now && record->laggingUntil <= now);
+        entry = hasEnded ? this->suspended.erase(entry) : std::next(entry);
+    }
+}
+
 std::vector<TargetObservation> TargetTracker::observations() const
 {
     std::vector<TargetObservation> seen;
@@ -284,11 +418,10 @@
             && primaryRecord->busyBackoff < this->settings.busyBackoff))
         return false;
     bool hasReplica = false;
-    for (const auto &[id, record] : this->targets) {
-        if (record.target.group != group || id == primary
-            || record.target.phase != TargetPhase::Ready)
+    for (const TargetRecord *record : this->group(group).members) {
+        if (record->target.target == primary || record->target.phase != TargetPhase::Ready)
             continue;
-        if (!record.behindSince || now < *record.behindSince + this->settings.behindThreshold)
+        if (!record->behindSince || now < *record->behindSince + this->settings.behindThreshold)
             return false;
         hasReplica = true;
     }
@@ -300,7 +433,8 @@
 {
     Duration expected = record.delay * (1 + record.inFlight);
     if (record.target.failureDomain != this->settings.failureDomain)
-        expected += this->settings.otherDomainPenalty;
+        expected += std::max(this->settings.otherDomainPenalty,
+                             this->domainDistances.extraRoundTrip(record.target.failureDomain));
     if (isPrimary)
         expected += this->settings.primaryReadPenalty;
     else if (minimum && (!record.position || *record.position < *minimum))
--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -3,6 +3,7 @@
 
 #include "rhubarbweir/coordination/proxy/freshness_tracker.hpp"
 #include "rhubarbweir/coordination/sessions/authority_view.hpp"
+#include "rhubarbweir/coordination/sessions/domain_distances.hpp"
 #include "rhubarbweir/coordination/sessions/pooler_settings.hpp"
 
 #include <deque>
@@ -42,6 +43,7 @@
     // The target knows the connection as this team's, so it serves no other one.
     TeamId team;
     ConnectionPhase phase = ConnectionPhase::Connecting;
+    TimePoint connectStartedAt;
     TimePoint connectDeadline;
     TimePoint idleSince;
     // Session values and prepared statements at the target, as sent.
@@ -92,19 +94,35 @@
     ObservedState state = ObservedState::Alive;
 };
 
+struct TargetGroup
+{
+    // By id.
+    std::vector<const TargetRecord *> members;
+    // The replica that this pooler keeps a connection to where the limits allow none to each
+    // target; null without a replica.
+    const TargetRecord *home = nullptr;
+    TargetId primary;
+    // Members that are ready and not the primary.
+    std::uint32_t replicas = 0;
+};
+
 class TargetTracker
 {
 public:
     explicit TargetTracker(const PoolerSettings &poolerSettings);
 
-    // Applies a new view. Returns the connections of targets that were removed or replaced.
-    std::vector<ConnectionId> applyView(const AuthorityView &view, TimePoint now);
+    // Applies `change`, which is already part of `view`. Returns the connections of targets that
+    // were removed or replaced.
+    std::vector<ConnectionId> applyView(const AuthorityView &view, const FleetView &change,
+                                        TimePoint now);
 
     TargetRecord *find(const TargetId &target);
     const TargetRecord *find(const TargetId &target) const;
     PooledConnection *connection(ConnectionId id);
     std::map<ConnectionId, PooledConnection> &connections() { return this->open; }
     const std::map<TargetId, TargetRecord> &records() const { return this->targets; }
+    // Empty for an unknown group.
+    const TargetGroup &group(const GroupId &group) const;
 
     PooledConnection &addConnection(const TargetRecord &record, const TeamId &team, TimePoint now);
     void removeConnection(ConnectionId id);
@@ -115,6 +133,8 @@
     const PooledConnection *idleOfOtherTeam(const TargetId &target, const TeamId &team) const;
     std::size_t connectingCount(const TargetId &target, const TeamId &team) const;
 
+    // The target accepted the connection.
+    void connectionOpened(const PooledConnection &connection, TimePoint now);
     void commandSent(PooledConnection &connection, AwaitedAnswer answer);
     // Removes and returns the entry of the answer; empty when no answer was awaited.
     std::optional<AwaitedAnswer> answerReceived(PooledConnection &connection, TimePoint now);
@@ -126,21 +146,39 @@
     void markFailed(const TargetId &target, TargetFailure failure, TimePoint now);
     // Marks targets whose answers are overdue. True when a state changed.
     bool markSilentTargets(TimePoint now);
+    // When the first suspension or lag that ends after `after` ends; TimePoint::max() for none.
+    // `after` must not be earlier than the last forgetSuspensionsUntil().
+    TimePoint suspensionEndAfter(TimePoint after) const;
+    void forgetSuspensionsUntil(TimePoint now);
     std::vector<TargetObservation> observations() const;
     // Whether every replica of the group has been behind for PoolerSettings::behindThreshold and
     // the primary answers slowly. False for a group without replicas.
     bool isOverloaded(const GroupId &group, const TargetId &primary, TimePoint now) const;
 
+    const DomainDistances &distances() const { return this->domainDistances; }
     // Expected time until an answer plus penalties, for ranking targets.
     Duration expectedDelay(const TargetRecord &record, bool isPrimary,
                            const std::optional<LogPosition> &minimum) const;
 
 private:
+    std::vector<ConnectionId> applyTarget(const TargetId &id, const AuthorityView &view,
+                                          TimePoint now);
+    void addToGroup(const TargetRecord &record);
+    void removeFromGroup(const TargetRecord &record);
+    void chooseHome(TargetGroup &group) const;
+    void recordDistance(const TargetRecord &record, Duration took, TimePoint now);
+    void suspend(TargetRecord &record, TimePoint until);
     void adaptWindow(TargetRecord &record) const;
     bool changeState(TargetRecord &record, ObservedState state);
 
     const PoolerSettings &settings;
     std::map<TargetId, TargetRecord> targets;
+    // The records of `targets` by group. No group is empty.
+    std::map<GroupId, TargetGroup> groups;
+    // Contains every target with a `suspendedUntil` or `laggingUntil` that was not forgotten. May
+    // contain targets that were removed.
+    std::set<TargetId> suspended;
+    DomainDistances domainDistances;
     std::map<ConnectionId, PooledConnection> open;
     ConnectionId lastId = 0;
 };
