Evaluate the reports of all poolers once for each supervision

Cause: for each group the failure detector went over the reports of all poolers, twice, and looked up the lease of each. Groups in a primary change went over all leases as well. Every commit and every renewal with a complaint started such a pass at once.

Change: the detector counts the valid reports once for each time of evaluation, and the pooler registry summarizes the leases once for each pass. Above 64 poolers, passes that events cause are 0.1 ms apart for each pooler (30 ms at 300).

Unit tests of the controller, its properties and partitions pass unchanged.

--- a/src/rhubarbweir/coordination/control/lease_tracker.cpp
+++ b/src/rhubarbweir/coordination/control/lease_tracker.cpp
@@ -2,6 +2,7 @@
 #include "rhubarbweir/coordination/control/lease_tracker.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace rhubarbweir {
 
@@ -102,17 +103,24 @@
 }
 
 bool LeaseTracker::mayUseOlderView(const ProxyRun &run, std::uint64_t revision, TimePoint now) const
+{
+    const std::optional<std::uint64_t> oldest = this->oldestRevision(run, now);
+    return !oldest || revision > *oldest;
+}
+
+std::optional<std::uint64_t> LeaseTracker::oldestRevision(const ProxyRun &run, TimePoint now) const
 {
     const ProxyLease *lease = this->find(run);
-    if (lease != nullptr && lease->revision >= revision)
-        return false;
     if (now < this->graceEndsAt)
-        return true;
+        return lease == nullptr ? std::nullopt : std::make_optional(lease->revision);
+    std::uint64_t oldest = std::numeric_limits<std::uint64_t>::max();
     if (lease == nullptr)
-        return false;
-    return std::any_of(lease->granted.begin(), lease->granted.end(), [&](const GrantedLease &each) {
-        return each.revision < revision && now < each.endsAt;
-    });
+        return oldest;
+    for (const GrantedLease &granted : lease->granted) {
+        if (now < granted.endsAt)
+            oldest = std::min(oldest, granted.revision);
+    }
+    return std::max(oldest, lease->revision);
 }
 
 const ProxyLease *LeaseTracker::find(const ProxyRun &run) const
--- a/src/rhubarbweir/coordination/control/lease_tracker.hpp
+++ b/src/rhubarbweir/coordination/control/lease_tracker.hpp
@@ -4,6 +4,7 @@
 #include "rhubarbweir/coordination/control/control_settings.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <tuple>
 #include <vector>
@@ -84,6 +85,9 @@
     bool hasLease(const ProxyRun &run, TimePoint now) const;
     // Whether the run may still use a view older than `revision`.
     bool mayUseOlderView(const ProxyRun &run, std::uint64_t revision, TimePoint now) const;
+    // The newest revision of which the run is known to use no older view; max() if it can use none
+    // at all, empty if it may use any.
+    std::optional<std::uint64_t> oldestRevision(const ProxyRun &run, TimePoint now) const;
     // Returns null for a run that has not renewed with this leader.
     const ProxyLease *find(const ProxyRun &run) const;
     // Returns the run that renewed last; null for an unknown proxy.
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -24,6 +24,14 @@
     return target;
 }
 
+FleetEventFields fieldsOf(const PrimaryEvidence &evidence)
+{
+    return {{"poolers", absl::StrCat(evidence.poolers)},
+            {"complaints", absl::StrCat(evidence.complaints)},
+            {"failed_probes", absl::StrCat(evidence.failedProbes)},
+            {"overdue", evidence.heartbeatOverdue ? "yes" : "no"}};
+}
+
 // Whether poolers are told about the command's effect.
 bool isForPoolers(const FleetCommand &command)
 {
@@ -84,6 +92,7 @@
         this->observers.beginLeadership(now);
         this->delayPromotions(now);
         this->detector.reset(now);
+        this->evictAt = now;
         this->wakeAt = now;
     } else {
         this->failAllCalls();
@@ -138,7 +147,7 @@
     if (this->leads) {
         if (changed && isForPoolers(command))
             this->views.viewChanged(isUrgent(command), now);
-        this->wakeAt = now;
+        this->requestSupervision(now);
     }
     this->finishCalls(index, FleetCallOutcome::Accepted);
 }
@@ -322,7 +331,7 @@
     const bool affectsDecisions =
         !message.observations.empty() || lease->revision < message.revision;
     if (affectsDecisions || !this->changes.empty())
-        this->wakeAt = std::min(this->wakeAt, now);
+        this->requestSupervision(now);
     if (registered == nullptr) {
         this->registry.add(run, message.sequence, now);
         return;
@@ -394,15 +403,24 @@
     this->expireCalls(now);
     if (!this->canDecide(now))
         return;
-    this->leases.evictExpired(now);
-    this->registry.evictExpired(now);
-    this->observers.advance(now);
+    if (now >= this->evictAt) {
+        this->evictAt = now + SupervisionInterval;
+        this->leases.evictExpired(now);
+        this->registry.evictExpired(now);
+        this->observers.advance(now);
+    }
     this->grantFirstAuthorities(now);
     this->superviseGroups(now);
     if (!this->changes.empty())
         this->wakeAt = now + ChangeInterval;
 }
 
+void FleetController::requestSupervision(TimePoint now)
+{
+    const TimePoint earliest = this->advanceTime + crowdInterval(this->fleet.livePoolers());
+    this->wakeAt = std::min(this->wakeAt, std::max(now, earliest));
+}
+
 void FleetController::grantFirstAuthorities(TimePoint now)
 {
     for (const auto &[id, target] : this->fleet.targets()) {
@@ -419,6 +437,7 @@
 
 void FleetController::superviseGroups(TimePoint now)
 {
+    this->registry.beginSupervision();
     // Copied, because supervising a group may change the state synchronously.
     const std::map<GroupId, PrimaryAuthority> authorities = this->fleet.authorities();
     for (const auto &[group, authority] : authorities)
@@ -463,16 +482,13 @@
         return;
     }
     const PrimaryEvidence evidence = this->detector.evaluate(authority.primary, this->leases, now);
-    const FleetEventFields fields = {{"poolers", absl::StrCat(evidence.poolers)},
-                                     {"complaints", absl::StrCat(evidence.complaints)},
-                                     {"failed_probes", absl::StrCat(evidence.failedProbes)},
-                                     {"overdue", evidence.heartbeatOverdue ? "yes" : "no"}};
     if (evidence.health == PrimaryHealth::Lost)
-        this->revoke(authority, "primary_lost", ChangeCause::PrimaryLost, fields, now);
+        this->revoke(authority, "primary_lost", ChangeCause::PrimaryLost, fieldsOf(evidence), now);
     else if (evidence.health == PrimaryHealth::Suspected)
         this->probeSuspected(*primary, now);
     else if (this->needsRelief(authority.group, now))
-        this->revoke(authority, "primary_overloaded", ChangeCause::PrimaryOverloaded, fields, now);
+        this->revoke(authority, "primary_overloaded", ChangeCause::PrimaryOverloaded,
+                     fieldsOf(evidence), now);
 }
 
 bool FleetController::needsRelief(const GroupId &group, TimePoint now)
@@ -605,7 +621,7 @@
     const auto change = this->changes.find(target.group);
     if (change != this->changes.end())
         change->second.probed(target.target, result);
-    this->wakeAt = std::min(this->wakeAt, now);
+    this->requestSupervision(now);
 }
 
 void FleetController::promotionAnswered(const PromotionRequest &request, PromotionOutcome outcome,
@@ -614,7 +630,7 @@
     const auto change = this->changes.find(request.group);
     if (change != this->changes.end())
         change->second.promotionAnswered(outcome, now);
-    this->wakeAt = std::min(this->wakeAt, now);
+    this->requestSupervision(now);
 }
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -78,6 +78,8 @@
     void failAllCalls();
     void expireCalls(TimePoint now);
     void poolerRegistered(const ProxyRun &run, TimePoint now);
+    // Makes the next supervision due, at once unless the last one was just before in a large fleet.
+    void requestSupervision(TimePoint now);
     void superviseGroups(TimePoint now);
     void superviseGroup(const PrimaryAuthority &authority, TimePoint now);
     void grantFirstAuthorities(TimePoint now);
@@ -108,8 +110,10 @@
     PrimaryFailureDetector detector;
     bool leads = false;
     TimePoint wakeAt;
-    // Time of the running advance().
+    // Time of the running advance(), or of the last one that supervised the groups.
     TimePoint advanceTime;
+    // When expired leases and poolers are looked for.
+    TimePoint evictAt;
     // Latest announcement of each target, also if it changed nothing.
     std::map<TargetId, RegisteredTarget> lastAnnouncements;
     std::map<std::uint64_t, std::vector<PendingCall>> calls;
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -79,6 +79,17 @@
     Duration roleMismatchThreshold = std::chrono::milliseconds(1500);
 };
 
+// Minimum time between two passes over all poolers that events cause. Events of a crowd are then
+// handled together. Zero for a small fleet, in which each event is handled at once.
+inline Duration crowdInterval(std::size_t poolers)
+{
+    constexpr std::size_t smallFleet = 64;
+    // At 300 poolers 30 ms. A pass over them takes one to three milliseconds of a processor.
+    constexpr std::chrono::microseconds perPooler{100};
+    return poolers <= smallFleet ? Duration::zero()
+                                 : Duration(perPooler * static_cast<Duration::rep>(poolers));
+}
+
 // A target's answer to a probe.
 struct TargetProbe
 {
--- a/src/rhubarbweir/coordination/fleet/pooler_registry.cpp
+++ b/src/rhubarbweir/coordination/fleet/pooler_registry.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -127,33 +128,52 @@
     return this->registeredAt.size() + notRenewed;
 }
 
+void PoolerRegistry::beginSupervision()
+{
+    this->lastSummary.reset();
+}
+
 bool PoolerRegistry::hasSilentPooler(TimePoint now) const
 {
-    const PoolerRuns &runs = this->state.poolers();
-    return std::any_of(runs.begin(), runs.end(), [this, now](const auto &entry) {
-        const PoolerRun &registered = entry.second;
-        if (registered.hasEnded)
-            return false;
-        const ProxyLease *lease = this->leases.find(runOf(registered));
-        if (lease == nullptr)
-            return now < this->leases.graceEnd();
-        const bool isRecent =
-            now < lease->endsAt - this->settings.lease.leaseFor + this->settings.reportLifetime;
-        return !lease->isRetired && now < lease->endsAt && !isRecent;
-    });
+    return this->summary(now).hasSilentPooler;
 }
 
 bool PoolerRegistry::mayUseOlderView(std::uint64_t revision, TimePoint now) const
 {
-    const PoolerRuns &runs = this->state.poolers();
-    return std::any_of(runs.begin(), runs.end(), [&](const auto &entry) {
-        const PoolerRun &registered = entry.second;
+    const std::optional<std::uint64_t> &oldest = this->summary(now).oldestRevision;
+    return !oldest || revision > *oldest;
+}
+
+bool PoolerRegistry::isSilent(const ProxyLease *lease, TimePoint now) const
+{
+    if (lease == nullptr)
+        return now < this->leases.graceEnd();
+    const bool isRecent =
+        now < lease->endsAt - this->settings.lease.leaseFor + this->settings.reportLifetime;
+    return !lease->isRetired && now < lease->endsAt && !isRecent;
+}
+
+const PoolerRegistry::Summary &PoolerRegistry::summary(TimePoint now) const
+{
+    if (this->lastSummary && this->lastSummary->madeAt == now)
+        return *this->lastSummary;
+    Summary &summary = this->lastSummary.emplace();
+    summary.madeAt = now;
+    summary.oldestRevision = std::numeric_limits<std::uint64_t>::max();
+    for (const auto &[key, registered] : this->state.poolers()) {
+        if (registered.hasEnded)
+            continue;
         const ProxyRun run = runOf(registered);
         const ProxyLease *lease = this->leases.find(run);
+        summary.hasSilentPooler = summary.hasSilentPooler || this->isSilent(lease, now);
         // A later run of the same pooler proves that this one ended.
-        const bool hasEnded = registered.hasEnded || (lease != nullptr && lease->isRetired);
-        return !hasEnded && this->leases.mayUseOlderView(run, revision, now);
-    });
+        if (!summary.oldestRevision || (lease != nullptr && lease->isRetired))
+            continue;
+        const std::optional<std::uint64_t> oldest = this->leases.oldestRevision(run, now);
+        summary.oldestRevision =
+            oldest ? std::make_optional(std::min(*oldest, *summary.oldestRevision)) : std::nullopt;
+    }
+    return summary;
 }
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/fleet/pooler_registry.hpp
+++ b/src/rhubarbweir/coordination/fleet/pooler_registry.hpp
@@ -43,6 +43,9 @@
     // Number of ended runs whose connections targets may still hold: one for each recent
     // registration and, while this leader is new, one for each pooler that has not renewed yet.
     std::size_t formerRunCount(TimePoint now);
+    // The two queries below are answered for all groups from one pass over the poolers, which
+    // counts until the next call of this.
+    void beginSupervision();
     // Whether some pooler that may hold a lease has not renewed for the report lifetime, so that a
     // revocation would have to wait for the end of its lease.
     bool hasSilentPooler(TimePoint now) const;
@@ -50,6 +53,18 @@
     bool mayUseOlderView(std::uint64_t revision, TimePoint now) const;
 
 private:
+    // What the leases of all live runs say together at one time.
+    struct Summary
+    {
+        TimePoint madeAt;
+        bool hasSilentPooler = false;
+        // Newest revision of which no run may use an older view; empty if one may use any.
+        std::optional<std::uint64_t> oldestRevision;
+    };
+
+    bool isSilent(const ProxyLease *lease, TimePoint now) const;
+    const Summary &summary(TimePoint now) const;
+
     const FleetSettings &settings;
     const FleetState &state;
     const LeaseTracker &leases;
@@ -64,6 +79,7 @@
     std::map<ProxyRun, TimePoint> registeredAt;
     // Deadlines of proposed registrations and removals; proposed again after them.
     std::map<ProxyRun, TimePoint> proposedUntil;
+    mutable std::optional<Summary> lastSummary;
 };
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/fleet/primary_failure_detector.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_failure_detector.cpp
@@ -28,6 +28,7 @@
 {
     this->startedAt = now;
     this->reports.clear();
+    this->counted.reset();
     this->lastHeartbeatAt.clear();
     this->failedProbes.clear();
 }
@@ -40,6 +41,7 @@
 void PrimaryFailureDetector::recordReport(const ProxyRun &run, const RenewLease &renewal,
                                           TimePoint now)
 {
+    this->counted.reset();
     Report &report = this->reports[run];
     if (now >= report.expiresAt)
         report.since = now;
@@ -65,6 +67,7 @@
 {
     this->failedProbes.erase(target);
     this->lastHeartbeatAt[target] = now;
+    this->counted.reset();
     for (auto &[run, report] : this->reports)
         report.complaints.erase(target);
 }
@@ -78,18 +81,32 @@
     return isEstablished && now < report.expiresAt && leases.hasLease(run, now);
 }
 
-bool PrimaryFailureDetector::isOverloaded(const GroupId &group, const LeaseTracker &leases,
-                                          TimePoint now) const
+const PrimaryFailureDetector::Tally &PrimaryFailureDetector::tally(const LeaseTracker &leases,
+                                                                   TimePoint now) const
 {
-    std::size_t poolers = 0;
-    std::size_t complaints = 0;
+    if (this->counted && this->counted->countedAt == now)
+        return *this->counted;
+    Tally &tally = this->counted.emplace();
+    tally.countedAt = now;
     for (const auto &[run, report] : this->reports) {
         if (!this->isReportValid(run, report, leases, now))
             continue;
-        ++poolers;
-        complaints += report.overloaded.count(group);
+        ++tally.poolers;
+        for (const auto &[target, state] : report.complaints)
+            ++tally.complaints[target];
+        for (const GroupId &group : report.overloaded)
+            ++tally.overloaded[group];
     }
-    return complaints * OverloadReportDivisor > poolers;
+    return tally;
+}
+
+bool PrimaryFailureDetector::isOverloaded(const GroupId &group, const LeaseTracker &leases,
+                                          TimePoint now) const
+{
+    const Tally &tally = this->tally(leases, now);
+    const auto found = tally.overloaded.find(group);
+    const std::size_t complaints = found == tally.overloaded.end() ? 0 : found->second;
+    return complaints * OverloadReportDivisor > tally.poolers;
 }
 
 TimePoint PrimaryFailureDetector::lastHeartbeat(const TargetId &target) const
@@ -102,12 +119,10 @@
                                                  TimePoint now) const
 {
     PrimaryEvidence evidence;
-    for (const auto &[run, report] : this->reports) {
-        if (!this->isReportValid(run, report, leases, now))
-            continue;
-        ++evidence.poolers;
-        evidence.complaints += report.complaints.count(target);
-    }
+    const Tally &tally = this->tally(leases, now);
+    evidence.poolers = tally.poolers;
+    const auto complaints = tally.complaints.find(target);
+    evidence.complaints = complaints == tally.complaints.end() ? 0 : complaints->second;
     const auto probes = this->failedProbes.find(target);
     evidence.failedProbes = probes == this->failedProbes.end() ? 0 : probes->second;
     const auto overdueAfter =
--- a/src/rhubarbweir/coordination/fleet/primary_failure_detector.hpp
+++ b/src/rhubarbweir/coordination/fleet/primary_failure_detector.hpp
@@ -9,6 +9,7 @@
 #include "rhubarbweir/coordination/fleet/fleet_settings.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 
 namespace rhubarbweir {
@@ -60,6 +61,8 @@
 
 private:
     struct Report;
+    struct Tally;
+    const Tally &tally(const LeaseTracker &leases, TimePoint now) const;
     bool isReportValid(const ProxyRun &run, const Report &report, const LeaseTracker &leases,
                        TimePoint now) const;
 
@@ -72,12 +75,24 @@
         std::set<GroupId> overloaded;
     };
 
+    // What all valid reports say together at one time.
+    struct Tally
+    {
+        TimePoint countedAt;
+        std::size_t poolers = 0;
+        std::map<TargetId, std::size_t> complaints;
+        std::map<GroupId, std::size_t> overloaded;
+    };
+
     const FleetSettings &settings;
     TimePoint startedAt;
     std::map<ProxyRun, Report> reports;
     std::map<TargetId, TimePoint> lastHeartbeatAt;
     // Consecutive probes without an answer.
     std::map<TargetId, unsigned> failedProbes;
+    // Counted once for all groups that are evaluated at the same time. Empty after a change of the
+    // reports.
+    mutable std::optional<Tally> counted;
 };
 
 } // namespace rhubarbweir
