Send changes of a large fleet's view together

Cause: every granted or revoked authority was sent to all poolers at once, and each pooler answered every change of a view with a renewal, whose answer carried all positions. When 300 poolers and 240 targets started, that made 12,988 messages of changes and 13,859 renewals.

Change: above 64 poolers, messages to all poolers are 0.1 ms apart for each pooler (30 ms at 300). A pooler acknowledges at once only changes of an authority or of the configuration, for which the control plane waits; changes of targets are acknowledged by the next renewal. The benchmark emulates this.

The new test fails without the interval.

--- a/bench/fleet_control.cpp
+++ b/bench/fleet_control.cpp
@@ -391,7 +391,8 @@
             for (const GroupPosition &each : lease->positions)
                 pooler.sharedAsOf[each.group] = this->now - LinkDelay - each.age;
             this->report(pooler);
-        } else if (pooler.revision != before || pooler.version != versionBefore) {
+        } else if ((pooler.revision != before && !lease->view.authorities.empty())
+                   || pooler.version != versionBefore) {
             this->renew(pooler);
         }
     }
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -242,8 +242,10 @@
     if (this->pooler.isReady())
         this->callers.openWaiting();
     const AuthorityView &view = this->pooler.authorityView();
-    // Control waits for this acknowledgement before it lets another target become primary.
-    if (!sentAt && (view.revision() != before || view.routes().version != versionBefore))
+    // Control waits for this acknowledgement before it lets another target become primary. Other
+    // changes are acknowledged by the next renewal.
+    const bool changedAuthority = view.revision() != before && !lease.view.authorities.empty();
+    if (!sentAt && (changedAuthority || view.routes().version != versionBefore))
         this->link.renewNow();
     this->scheduleAdvance();
 }
--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -62,8 +62,9 @@
 
 void ViewSender::viewChanged(bool isUrgent, TimePoint now)
 {
+    const TimePoint earliest = this->pushedAt + crowdInterval(this->state.livePoolers());
     const TimePoint due = isUrgent ? now : now + this->settings.viewCollectionTime;
-    this->pushAt = std::min(this->pushAt, due);
+    this->pushAt = std::min(this->pushAt, std::max(due, earliest));
     this->advance(now);
 }
 
@@ -76,6 +77,7 @@
 void ViewSender::push(TimePoint now)
 {
     this->pushAt = TimePoint::max();
+    this->pushedAt = now;
     this->forgetEvicted();
     for (auto &[run, lease] : this->leases.all()) {
         if (lease.connection == 0 || lease.isRetired)
--- a/src/rhubarbweir/coordination/fleet/view_sender.hpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.hpp
@@ -36,7 +36,8 @@
     void recordReport(const ProxyRun &run, std::uint64_t configurationVersion);
     // Answers the renewal with `sequence`. The caller has granted the lease.
     void answer(ProxyLease &lease, std::uint64_t sequence, TimePoint now);
-    // Schedules a message to all poolers. An urgent one is sent at once; others are collected.
+    // Schedules a message to all poolers. An urgent one is sent at once, or in a large fleet
+    // crowdInterval() after the last one; others are collected.
     void viewChanged(bool isUrgent, TimePoint now);
     // Sends a scheduled message that is due.
     void advance(TimePoint now);
@@ -92,6 +93,8 @@
     PositionTable &positions;
     ViewSenderPorts ports;
     TimePoint pushAt = TimePoint::max();
+    // When the last message to all poolers was sent.
+    TimePoint pushedAt;
     // Only runs that the lease tracker knows, after each push.
     std::map<ProxyRun, PoolerRecord> records;
     // Addresses of the control instances; the version counts their changes.
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -1057,3 +1057,25 @@
     cr_assert(fleet.lastLease("p1")->view.controls == fleet.controls,
               "the message on the former connection may be lost");
 }
+
+Test(fleet_controller, crowd_of_authorities,
+     .description = "A large fleet gets authorities that are granted one after the other in a few "
+                    "messages, not in one message each, and none is left out")
+{
+    FleetFixture fleet;
+    for (int number = 0; number < 100; ++number)
+        fleet.renew("p" + std::to_string(number), 0);
+    const std::size_t before = fleet.sent.size();
+    for (int number = 0; number < 20; ++number) {
+        RegisteredTarget primary = FleetFixture::target("t" + std::to_string(number), true, 1);
+        primary.group = GroupId("g" + std::to_string(number));
+        fleet.announce(primary);
+        fleet.now += milliseconds(2);
+        fleet.controller.advance(fleet.now);
+        fleet.commit();
+    }
+    fleet.advance(milliseconds(50));
+    cr_assert_leq(fleet.sent.size() - before, 100 * 10);
+    cr_assert_eq(fleet.lastLease("p99")->view.revision, fleet.revision());
+    cr_assert_eq(fleet.controller.state().authorities().size(), 20);
+}
