Send a pooler only the positions that changed since its last answer

Cause: every answer to a renewal carried the positions of all groups, also those that the pooler had been sent before or had reported itself.

Change: the position table numbers its changes and remembers for each connection up to which one it was sent. A new connection gets all positions. A report that is ignored because it crossed an answer makes the next answer complete, as the pooler takes its position for known.

Tested: new tests of the position table; those of the controller pass unchanged.

--- a/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
@@ -59,7 +59,8 @@
     std::uint32_t poolers = 1;
     // Number of ended pooler processes whose connections targets may still hold.
     std::uint32_t formerPoolers = 0;
-    // Positions known to the leader, with ages counted from the sending; only in answers.
+    // Positions known to the leader, with ages counted from the sending; only in answers. Only
+    // those that changed since the last answer on the connection.
     std::vector<GroupPosition> positions;
     std::uint64_t configurationVersion = 0;
     // Compressed. Empty if the pooler already has this version or was sent it before.
--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -108,7 +108,7 @@
         static_cast<std::uint32_t>(std::max<std::size_t>(1, this->state.livePoolers()));
     message.formerPoolers = static_cast<std::uint32_t>(this->registry.formerRunCount(now));
     if (sequence != 0) {
-        message.positions = this->positions.positions(now);
+        message.positions = this->positions.takeChanges(lease.connection, now);
         this->positions.answerSent(lease.connection, sequence, now);
     }
     message.view = this->viewAfter(baseRevision);
--- a/tests/unit/position_table.tests.cpp
+++ b/tests/unit/position_table.tests.cpp
@@ -86,3 +86,37 @@
     cr_assert_eq(positions.front().position.position, 12);
     cr_assert(fixture.table.positions(fixture.now + std::chrono::seconds(6)).empty());
 }
+
+Test(position_table, changes_for_a_connection,
+     .description = "A pooler is not sent again what it was sent or has reported, a new connection "
+                    "is sent everything")
+{
+    TableFixture fixture;
+    fixture.table.answerSent(1, 5, fixture.now);
+    cr_assert(fixture.table.takeChanges(2, fixture.now).empty());
+    fixture.report(5, 1, 10, milliseconds(40));
+    cr_assert_eq(fixture.table.takeChanges(2, fixture.now).size(), 1);
+    cr_assert(fixture.table.takeChanges(2, fixture.now).empty());
+    fixture.table.connectionClosed(2);
+    cr_assert_eq(fixture.table.takeChanges(3, fixture.now).size(), 1);
+
+    cr_assert_eq(fixture.table.takeChanges(1, fixture.now).size(), 1);
+    fixture.now += milliseconds(500);
+    fixture.table.answerSent(1, 6, fixture.now);
+    fixture.report(6, 1, 11, milliseconds(40));
+    cr_assert(fixture.table.takeChanges(1, fixture.now).empty());
+    cr_assert_eq(fixture.table.takeChanges(3, fixture.now).size(), 1);
+}
+
+Test(position_table, ignored_report_restores_positions,
+     .description = "A pooler whose report crossed an answer takes its position for known; it has "
+                    "to learn what the leader really knows")
+{
+    TableFixture fixture;
+    fixture.table.answerSent(1, 5, fixture.now);
+    fixture.report(5, 1, 10, milliseconds(40));
+    fixture.table.takeChanges(1, fixture.now);
+    fixture.table.answerSent(1, 6, fixture.now);
+    fixture.report(5, 1, 12, milliseconds(0));
+    cr_assert_eq(fixture.table.takeChanges(1, fixture.now).size(), 1);
+}
