Shorten renewals and their answers on the wire

Cause: two thirds of an answer to a renewal were the names of the members of each position, and most other members of both messages are empty or 0.

Change: a position is encoded as a list. Members of RenewLease and FleetLease that equal their defaults are left out and come back as defaults; the codec does so for the whole structure, so that new members need nothing. Poolers and control instances of before do not read these messages.

--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -6,6 +6,8 @@
 #include <absl/status/status.h>
 #include <absl/strings/str_cat.h>
 
+#include <iterator>
+#include <type_traits>
 #include <utility>
 
 namespace rhubarbweir {
@@ -76,12 +78,57 @@
 };
 static_assert(std::size(TypeNames) == std::variant_size_v<Message>);
 
+// Whether members with their default values are left out. Each pooler exchanges both messages with
+// the leader twice a second, and most of their members are empty.
+template<typename Body>
+constexpr bool OmitsDefaults = std::is_same_v<Body, RenewLease> || std::is_same_v<Body, FleetLease>;
+
+template<typename Body>
+const json &defaultsOf()
+{
+    static const json defaults = Body{};
+    return defaults;
+}
+
+// Removes the members of `body` that equal those of `defaults`, also within objects.
+void omitDefaults(json &body, const json &defaults)
+{
+    for (auto member = body.begin(); member != body.end();) {
+        const json &usual = defaults.at(member.key());
+        if (member->is_object() && usual.is_object())
+            omitDefaults(*member, usual);
+        const bool isUsual = *member == usual || (member->is_object() && member->empty());
+        member = isUsual ? body.erase(member) : std::next(member);
+    }
+}
+
+template<typename Body>
+json toJson(const Body &body)
+{
+    json converted = body;
+    if constexpr (OmitsDefaults<Body>)
+        omitDefaults(converted, defaultsOf<Body>());
+    return converted;
+}
+
+template<typename Body>
+Body fromJson(const json &body)
+{
+    if constexpr (OmitsDefaults<Body>) {
+        json complete = defaultsOf<Body>();
+        complete.update(body, true);
+        return complete.template get<Body>();
+    } else {
+        return body.get<Body>();
+    }
+}
+
 template<std::size_t Index = 0>
 Message decodeBody(std::size_t index, const json &body)
 {
     if constexpr (Index < std::variant_size_v<Message>) {
         if (index == Index)
-            return body.get<std::variant_alternative_t<Index, Message>>();
+            return fromJson<std::variant_alternative_t<Index, Message>>(body);
         return decodeBody<Index + 1>(index, body);
     } else {
         throw std::out_of_range("message type index out of range");
@@ -155,7 +202,7 @@
     json envelope;
     envelope["v"] = WireVersion;
     envelope["t"] = std::string(typeName(message));
-    std::visit([&envelope](const auto &body) { envelope["b"] = body; }, message);
+    std::visit([&envelope](const auto &body) { envelope["b"] = toJson(body); }, message);
     if (encoding == Encoding::Json)
         return envelope.dump(-1, ' ', false, json::error_handler_t::replace);
     std::string bytes;
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -162,7 +162,20 @@
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetView, revision, baseRevision, targets, removedTargets,
                                    authorities, controls)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GroupPosition, group, generation, position, age)
+// A list, because the names of the members would be most of the bytes of an answer to a renewal.
+inline void to_json(nlohmann::json &to, const GroupPosition &known)
+{
+    to = nlohmann::json::array(
+        {known.group, known.generation, known.position.term, known.position.position, known.age});
+}
+inline void from_json(const nlohmann::json &from, GroupPosition &known)
+{
+    from.at(0).get_to(known.group);
+    from.at(1).get_to(known.generation);
+    from.at(2).get_to(known.position.term);
+    from.at(3).get_to(known.position.position);
+    from.at(4).get_to(known.age);
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PositionReport, answered, positions)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetLease, sequence, leaseFor, view, poolers, formerPoolers,
                                    positions, configurationVersion, configuration)
--- a/tests/unit/codec.tests.cpp
+++ b/tests/unit/codec.tests.cpp
@@ -60,3 +60,28 @@
         cr_assert(copy.entries.at(0).payload == append.entries.at(0).payload);
     }
 }
+
+Test(codec, omitted_defaults,
+     .description = "members that are left out as defaults come back as defaults, others as sent")
+{
+    FleetLease lease;
+    lease.sequence = 9;
+    lease.poolers = 0;
+    lease.view.revision = 7;
+    lease.positions = {{GroupId("g"), 2, {3, 41}, std::chrono::milliseconds(250)}};
+    for (const Encoding encoding : {Encoding::Cbor, Encoding::Json}) {
+        const std::string bytes = encode(lease, encoding);
+        cr_assert_eq(bytes.find("formerPoolers"), std::string::npos);
+        const auto decoded = decode(bytes, encoding);
+        cr_assert(decoded.ok());
+        const auto &copy = std::get<FleetLease>(*decoded);
+        cr_assert_eq(copy.sequence, 9);
+        cr_assert_eq(copy.poolers, 0, "its default is 1");
+        cr_assert_eq(copy.view.revision, 7);
+        cr_assert(copy.view.targets.empty());
+        cr_assert_eq(copy.positions.front().generation, 2);
+        cr_assert(copy.positions.front().position == (LogPosition{3, 41}));
+        cr_assert(copy.positions.front().age == std::chrono::milliseconds(250));
+    }
+    cr_assert_eq(std::get<FleetLease>(*decode(encode(FleetLease{}))).poolers, 1);
+}
