--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -62,8 +62,9 @@
 
 void ViewSender::viewChanged(bool isUrgent, TimePoint now)
 {
+    const TimePoint earliest = this->pushedAt + crowdInterval(this->state.livePoolers());
     const TimePoint due = isUrgent ? now : now + this->settings.viewCollectionTime;
-    this->pushAt = std::min(this->pushAt, due);
+    this->pushAt = std::min(this->pushAt, std::max(due, earliest));
     this->advance(now);
 }
 
@@ -76,6 +77,7 @@
 void ViewSender::push(TimePoint now)
 {
     this->pushAt = TimePoint::max();
+    this->pushedAt = now;
     this->forgetEvicted();
     for (auto &[run, lease] : this->leases.all()) {
         if (lease.connection == 0 || lease.isRetired)
@@ -106,7 +108,7 @@
         static_cast<std::uint32_t>(std::max<std::size_t>(1, this->state.livePoolers()));
     message.formerPoolers = static_cast<std::uint32_t>(this->registry.formerRunCount(now));
     if (sequence != 0) {
-        message.positions = this->positions.positions(now);
+        message.positions = this->positions.takeChanges(lease.connection, now);
         this->positions.answerSent(lease.connection, sequence, now);
     }
     message.view = this->viewAfter(baseRevision);
