Order waiting statements by team, urgency and feasibility

The pooler kept waiting statements in a multimap by route priority and arrival, and tried each of them at every event. One team that sent too much took the connections of all others, and a statement that could no longer be in time was found out only after its whole objective.

StatementQueue now holds them. With teams in the document it orders by route priority, team priority, the work given to each team recently, and urgency; statements that cannot be in time come last, or are refused at once where a late answer is not awaited. It learns how fast a group's queue moves, is limited for each team, and gives one in eight turns to the oldest statement. Without teams, the order by arrival and the newest-first rule under load remain. A group is no longer tried once none of its targets has capacity and a connection.

--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -158,6 +158,8 @@
     }
     this->retries.succeeded();
     const PendingStatement &pending = *session.pending;
+    this->queue.answered(connection.group, pending.needsPrimary,
+                         std::chrono::duration_cast<Duration>(now - awaited.sentAt));
     const bool isCommit = pending.statement.kind == TextStatementKind::Commit;
     const bool endsTransaction = isCommit || session.state == TransactionState::None;
     const bool wrote = pending.writes || (isCommit && session.transactionWrote);
@@ -344,7 +346,6 @@
     case StatementStage::Queued:
         if (now < pending.queueDeadline)
             return;
-        this->dequeue(session.number);
         this->refuse(session, notRunFault(pending.lastFault), "no connection in time", now);
         return;
     case StatementStage::Beginning:
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -4,7 +4,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace rhubarbweir {
@@ -66,27 +65,35 @@
     return ids;
 }
 
-// Sends the session's statement on an idle connection, or queues it and opens one if allowed.
+// Sends the session's statement on an idle connection, or queues it and opens one if allowed. With
+// teams, a statement does not pass those that wait.
 void SessionPooler::dispatch(Session &session, TimePoint now)
 {
     if (this->refuseWithoutAccess(session, now))
         return;
+    const GroupId group = session.pending->route.group;
+    if (this->queue.isByTeam() && this->queue.isWaited(group, session.pending->needsPrimary)) {
+        this->enqueue(session, now);
+        this->dispatchGroup(group, now);
+    } else if (!this->trySend(session, now)) {
+        this->enqueue(session, now);
+    }
+}
+
+// False if no idle connection can run the session's statement; one is then opened if allowed.
+bool SessionPooler::trySend(Session &session, TimePoint now)
+{
     const std::vector<TargetId> ids = this->candidates(session, now);
     for (const TargetId &id : ids) {
         if (PooledConnection *connection =
                 this->targetTracker.idleConnection(id, session.team, session.values)) {
+            this->queue.taken(session.number, now);
             this->startOn(session, *connection, now);
-            return;
+            return true;
         }
     }
     this->openFor(session, ids, now);
-    session.pending->stage = StatementStage::Queued;
-    if (this->needsAbsentPrimary(session, now))
-        session.pending->queueDeadline = std::min(session.pending->queueDeadline,
-                                                  session.pending->arrivedAt
-                                                      + session.pending->route.latencyObjective
-                                                            / this->settings.absentPrimaryDivisor);
-    this->enqueue(session);
+    return false;
 }
 
 // Opens a connection for the session to the first target whose share allows one more, or else in
@@ -121,20 +128,64 @@
            && (pending.needsPrimary || !this->requiredPosition(session, now));
 }
 
-void SessionPooler::enqueue(const Session &session)
+void SessionPooler::limitWaitForPrimary(Session &session, TimePoint now) const
 {
-    const PendingStatement &pending = *session.pending;
-    this->queue.emplace(std::make_pair(pending.route.priority, pending.arrivedAt), session.number);
+    if (!this->needsAbsentPrimary(session, now))
+        return;
+    PendingStatement &pending = *session.pending;
+    pending.queueDeadline = std::min(
+        pending.queueDeadline,
+        pending.arrivedAt + pending.route.latencyObjective / this->settings.absentPrimaryDivisor);
 }
 
-void SessionPooler::dequeue(SessionNumber number)
+void SessionPooler::enqueue(Session &session, TimePoint now)
 {
-    for (auto entry = this->queue.begin(); entry != this->queue.end(); ++entry) {
-        if (entry->second == number) {
-            this->queue.erase(entry);
-            return;
-        }
+    PendingStatement &pending = *session.pending;
+    pending.stage = StatementStage::Queued;
+    this->limitWaitForPrimary(session, now);
+    WaitingStatement waiting;
+    waiting.session = session.number;
+    waiting.group = pending.route.group;
+    waiting.needsPrimary = pending.needsPrimary;
+    waiting.priority = pending.route.priority;
+    waiting.team = session.team;
+    const auto &teams = this->view.routes().teams;
+    if (const auto team = teams.find(session.team); team != teams.end())
+        waiting.teamPriority = team->second.priority;
+    waiting.arrivedAt = pending.arrivedAt;
+    waiting.objective =
+        pending.arrivedAt + std::min(pending.route.timeout, pending.route.latencyObjective);
+    waiting.deadline = pending.deadline;
+    this->refuseQueued(this->queue.add(waiting, now), now);
+}
+
+// Refuses statements that the queue has given up. An answer can lead to another statement and to
+// further refusals; those are appended, so that the calls do not nest.
+void SessionPooler::refuseQueued(const std::vector<QueueRefusal> &refusals, TimePoint now)
+{
+    this->queueRefusals.insert(this->queueRefusals.end(), refusals.begin(), refusals.end());
+    if (std::exchange(this->refusingQueued, true))
+        return;
+    while (!this->queueRefusals.empty()) {
+        const QueueRefusal refusal = this->queueRefusals.front();
+        this->queueRefusals.pop_front();
+        const auto found = this->sessions.find(refusal.session);
+        if (found == this->sessions.end() || !found->second.pending
+            || found->second.pending->stage != StatementStage::Queued
+            || this->queue.contains(refusal.session))
+            continue;
+        Session &session = found->second;
+        const std::string reason(nameOf(refusal.reason));
+        this->hooks.event(absl::StrCat("queue_", reason),
+                          {{"request", session.pending->statement.id},
+                           {"group", session.pending->route.group.value},
+                           {"team", session.team.value},
+                           {"priority", absl::StrCat(session.pending->route.priority)},
+                           {"waiting", absl::StrCat(this->queue.size())}},
+                          true);
+        this->refuse(session, notRunFault(session.pending->lastFault), reason, now);
     }
+    this->refusingQueued = false;
 }
 
 // Connections of the target that all poolers together may open. The rest is reserved for control
@@ -227,38 +278,97 @@
     }
 }
 
-// Dispatches queued statements by priority. Within a priority the oldest goes first, unless it has
-// waited so long that it would be late anyway: then the newest goes first (adaptive LIFO).
+// Sends the queued statements that can be sent, in the order of the queue.
 void SessionPooler::dispatchQueue(TimePoint now)
 {
-    if (this->dispatchingQueue || this->queue.empty())
+    if (this->queue.empty() || std::exchange(this->dispatchingQueue, true))
         return;
-    this->dispatchingQueue = true;
-    const auto waiting = std::exchange(this->queue, {});
-    for (auto first = waiting.begin(); first != waiting.end();) {
-        const unsigned priority = first->first.first;
-        const auto last = std::find_if(first, waiting.end(), [priority](const auto &entry) {
-            return entry.first.first != priority;
-        });
-        if (now >= first->first.second + this->settings.lifoThreshold)
-            std::for_each(
-                std::make_reverse_iterator(last), std::make_reverse_iterator(first),
-                [this, now](const auto &entry) { this->dispatchQueued(entry.second, now); });
-        else
-            std::for_each(first, last, [this, now](const auto &entry) {
-                this->dispatchQueued(entry.second, now);
-            });
-        first = last;
-    }
+    this->queue.offerAll(now, this->queueOffer(now, false));
+    this->dispatchingQueue = false;
+}
+
+void SessionPooler::dispatchGroup(const GroupId &group, TimePoint now)
+{
+    if (std::exchange(this->dispatchingQueue, true))
+        return;
+    this->queue.offerGroup(group, now, this->queueOffer(now, false));
     this->dispatchingQueue = false;
 }
 
-void SessionPooler::dispatchQueued(SessionNumber number, TimePoint now)
+// As dispatchQueue(), but examines the access of every queued statement.
+void SessionPooler::recheckQueue(TimePoint now)
+{
+    if (this->queue.empty() || std::exchange(this->dispatchingQueue, true))
+        return;
+    this->queue.offerAll(now, this->queueOffer(now, true));
+    this->dispatchingQueue = false;
+}
+
+QueueOffer SessionPooler::queueOffer(TimePoint now, bool offersAll)
+{
+    QueueOffer offer;
+    offer.hasCapacity = [this, now, offersAll](const GroupId &group, bool needsPrimary) {
+        // Without a configuration proof, every statement that needs a key is refused.
+        if (offersAll || !this->servesTeams(now))
+            return true;
+        const TeamId none;
+        return this->canServe(group, needsPrimary, this->queue.isByTeam() ? nullptr : &none, now);
+    };
+    offer.offer = [this, now, offersAll](const WaitingStatement &waiting) {
+        return this->offerQueued(waiting, now) || offersAll;
+    };
+    return offer;
+}
+
+// Sends a queued statement if possible. False if no other statement of the same group, need for the
+// primary and team can be sent either.
+bool SessionPooler::offerQueued(const WaitingStatement &waiting, TimePoint now)
+{
+    Session &session = this->sessions.at(waiting.session);
+    if (this->refuseWithoutAccess(session, now))
+        return true;
+    if (session.team != waiting.team) {
+        this->queue.remove(session.number);
+        this->enqueue(session, now);
+        return true;
+    }
+    if (this->trySend(session, now))
+        return true;
+    this->limitWaitForPrimary(session, now);
+    return this->canServe(waiting.group, waiting.needsPrimary, &session.team, now);
+}
+
+// Whether a target of the group has capacity and a connection for a statement, or may be connected
+// to. Without a team, whether it has them for any team.
+bool SessionPooler::canServe(const GroupId &group, bool needsPrimary, const TeamId *team,
+                             TimePoint now) const
+{
+    // The wait for a primary that is absent for long is shortened; see limitWaitForPrimary().
+    const auto since = this->view.withoutPrimarySince(group, now);
+    if (since && now >= *since + this->settings.primaryAbsenceThreshold)
+        return true;
+    const std::optional<TargetId> primary = this->view.primary(group, now);
+    for (const auto &[id, record] : this->targetTracker.records()) {
+        if (record.target.group != group || !this->isAvailable(record, now))
+            continue;
+        const bool isPrimary = primary && *primary == id;
+        if (!isPrimary && (needsPrimary || id == this->view.knownPrimary(group)))
+            continue;
+        if (this->targetTracker.hasIdleConnection(id, team)
+            || (team != nullptr ? this->mayOpen(record, *team, now)
+                                : record.connections.size() < this->connectionShare(record)))
+            return true;
+    }
+    return false;
+}
+
+// Whether a connection of the team may be opened now, if need be in place of another team's.
+bool SessionPooler::mayOpen(const TargetRecord &record, const TeamId &team, TimePoint now) const
 {
-    const auto found = this->sessions.find(number);
-    if (found != this->sessions.end() && found->second.pending
-        && found->second.pending->stage == StatementStage::Queued)
-        this->dispatch(found->second, now);
+    const TargetId &id = record.target.target;
+    return now >= record.connectBlockedUntil && this->targetTracker.connectingCount(id, team) == 0
+           && (record.connections.size() < this->connectionShare(record)
+               || this->targetTracker.idleOfOtherTeam(id, team) != nullptr);
 }
 
 void SessionPooler::startOn(Session &session, PooledConnection &connection, TimePoint now)
@@ -364,6 +474,7 @@
     }
     if (session.state == TransactionState::None && !pending.needsPrimary && !atPrimary)
         command.minimum = this->requiredPosition(session, now);
+    this->queue.sent(connection.group, pending.needsPrimary, session.team, now);
     pending.stage = StatementStage::Sent;
     const std::uint64_t generation = atPrimary ? this->view.generation(connection.group) : 0;
     this->targetTracker.commandSent(
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -83,6 +83,9 @@
     std::optional<Duration> revokeWithin;
     // Limit on queued statements over all groups; further ones are refused.
     std::size_t queueLimit = 512;
+    // Limit on the queued statements of one team over all groups. A quarter of the limit on all, so
+    // that one team cannot displace the others.
+    std::size_t teamQueueLimit = 128;
     // Limit on the values and prepared statements of a session, in bytes. They are sent to a target
     // together with a statement.
     std::size_t sessionStateLimit = std::size_t{2} << 20U;
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -25,6 +25,7 @@
     , proof(this->settings.revokeWithin)
     , targetTracker(this->settings)
     , retries(RetryShare)
+    , queue(this->settings)
 {
 }
 
@@ -70,8 +71,7 @@
     if (found == this->sessions.end())
         return;
     Session &session = found->second;
-    if (session.pending && session.pending->stage == StatementStage::Queued)
-        this->dequeue(number);
+    this->queue.remove(number);
     if (session.pinned != 0) {
         const PooledConnection *connection = this->targetTracker.connection(session.pinned);
         this->unpin(session, connection != nullptr && connection->awaited.empty(), now);
@@ -239,7 +239,8 @@
         this->sendOnPinned(session, now);
         return;
     }
-    if (this->queue.size() >= this->settings.queueLimit) {
+    // With teams, the queue chooses which statement is refused.
+    if (!this->queue.isByTeam() && this->queue.size() >= this->settings.queueLimit) {
         this->refuse(session, StatementFault::Busy, "queue is full", now);
         return;
     }
@@ -283,6 +284,9 @@
     pending.isFirst = session.pinned == 0;
     pending.deadline = now + pending.route.timeout;
     pending.queueDeadline = now + std::min(pending.route.timeout, pending.route.latencyObjective);
+    // With teams, the queue refuses earlier what cannot be answered in time.
+    if (this->queue.isByTeam())
+        pending.queueDeadline = pending.deadline;
     pending.statement = std::move(statement);
     session.pending = std::move(pending);
     return true;
@@ -331,6 +335,7 @@
     this->logStatement(session, answer.fault ? nameOf(*answer.fault) : "ok", now, !answer.fault);
     this->hooks.finished(session.pending->route.consistency, answer.fault,
                          std::chrono::duration_cast<Duration>(now - session.pending->arrivedAt));
+    this->queue.remove(session.number);
     session.pending.reset();
     session.transactionActivity = now;
     this->hooks.answer(session.number, answer);
@@ -414,7 +419,8 @@
     this->proof.applied(this->view.routes().version);
     this->hooks.event("configuration_in_force",
                       {{"version", absl::StrCat(this->view.routes().version)}}, false);
-    this->dispatchQueue(now);
+    this->queue.setByTeam(this->view.routes().hasTeams, now);
+    this->recheckQueue(now);
 }
 
 void SessionPooler::leaseReceived(TimePoint end, std::uint32_t poolers, std::uint32_t formerPoolers,
@@ -503,6 +509,7 @@
     }
     if (this->queue.empty())
         return earliest;
+    earliest = std::min(earliest, this->queue.nextDeadline());
     for (const auto &[id, record] : this->targetTracker.records()) {
         for (const TimePoint until : {record.suspendedUntil, record.laggingUntil}) {
             if (until > this->advancedAt)
@@ -545,6 +552,7 @@
         if (this->view.leaseValid(now))
             this->keepWarm(now);
     }
+    this->refuseQueued(this->queue.expire(now), now);
     this->dispatchQueue(now);
 }
 
@@ -592,7 +600,6 @@
         Session &session = found->second;
         if (session.pending) {
             const bool wasSent = session.pending->stage == StatementStage::Sent;
-            this->dequeue(number);
             this->refuse(session, wasSent ? StatementFault::Timeout : StatementFault::Busy,
                          "stopping", now);
         }
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -9,8 +9,10 @@
 #include "rhubarbweir/coordination/proxy/retry_budget.hpp"
 #include "rhubarbweir/coordination/sessions/configuration_proof.hpp"
 #include "rhubarbweir/coordination/sessions/session.hpp"
+#include "rhubarbweir/coordination/sessions/statement_queue.hpp"
 #include "rhubarbweir/coordination/sessions/target_tracker.hpp"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -76,6 +78,8 @@
     // Groups whose replicas are all behind while the primary answers slowly.
     std::vector<GroupId> overloadedGroups(TimePoint now) const;
     std::size_t sessionCount() const { return this->sessions.size(); }
+    // Statements that wait for a connection.
+    std::size_t waitingCount() const { return this->queue.size(); }
 
 private:
     struct OwnPosition
@@ -107,12 +111,16 @@
 
     // internal/session_dispatch.cpp: selection of a connection, and sending.
     void dispatch(Session &session, TimePoint now);
+    bool trySend(Session &session, TimePoint now);
     std::vector<TargetId> candidates(const Session &session, TimePoint now) const;
     std::optional<LogPosition> requiredPosition(const Session &session, TimePoint now) const;
     bool isAvailable(const TargetRecord &record, TimePoint now) const;
     bool needsAbsentPrimary(const Session &session, TimePoint now) const;
-    void enqueue(const Session &session);
-    void dequeue(SessionNumber number);
+    bool canServe(const GroupId &group, bool needsPrimary, const TeamId *team, TimePoint now) const;
+    bool mayOpen(const TargetRecord &record, const TeamId &team, TimePoint now) const;
+    void enqueue(Session &session, TimePoint now);
+    void limitWaitForPrimary(Session &session, TimePoint now) const;
+    void refuseQueued(const std::vector<QueueRefusal> &refusals, TimePoint now);
     void openIfAllowed(const TargetId &target, const TeamId &team, TimePoint now);
     void openFor(const Session &session, const std::vector<TargetId> &targets, TimePoint now);
     void keepWarm(TimePoint now);
@@ -131,7 +139,10 @@
     void dropConnection(ConnectionId connection);
     void unpin(Session &session, bool reusable, TimePoint now);
     void dispatchQueue(TimePoint now);
-    void dispatchQueued(SessionNumber number, TimePoint now);
+    void dispatchGroup(const GroupId &group, TimePoint now);
+    void recheckQueue(TimePoint now);
+    QueueOffer queueOffer(TimePoint now, bool offersAll);
+    bool offerQueued(const WaitingStatement &waiting, TimePoint now);
     const TargetRecord *homeReplica(const GroupId &group) const;
     bool isHomeReplica(const TargetRecord &record) const;
     bool holdsAuthority(const PooledConnection &connection, std::uint64_t generation,
@@ -163,8 +174,10 @@
     TargetTracker targetTracker;
     RetryBudget retries;
     std::map<SessionNumber, Session> sessions;
-    // Sessions whose statement is queued, by priority and arrival.
-    std::multimap<std::pair<unsigned, TimePoint>, SessionNumber> queue;
+    // Holds the statements in StatementStage::Queued, except those that are being refused.
+    StatementQueue queue;
+    std::deque<QueueRefusal> queueRefusals;
+    bool refusingQueued = false;
     // Positions of each group's primary under the current log generation, learned here or received.
     std::map<GroupId, FreshnessTracker> freshness;
     std::map<GroupId, TimePoint> lastSample;
--- a/src/rhubarbweir/coordination/sessions/target_tracker.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.cpp
@@ -113,6 +113,19 @@
     return best;
 }
 
+bool TargetTracker::hasIdleConnection(const TargetId &target, const TeamId *team) const
+{
+    const TargetRecord *record = this->find(target);
+    if (record == nullptr)
+        return false;
+    return std::any_of(record->connections.begin(), record->connections.end(),
+                       [this, team](ConnectionId id) {
+                           const PooledConnection &connection = this->open.at(id);
+                           return connection.phase == ConnectionPhase::Idle
+                                  && (team == nullptr || connection.team == *team);
+                       });
+}
+
 const PooledConnection *TargetTracker::idleOfOtherTeam(const TargetId &target,
                                                        const TeamId &team) const
 {
--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -111,6 +111,8 @@
     // An idle connection of the team to the target; one with the same session values is preferred.
     PooledConnection *idleConnection(const TargetId &target, const TeamId &team,
                                      const std::map<std::string, std::string> &values);
+    // Whether the target has an idle connection of the team, or of any team if it is null.
+    bool hasIdleConnection(const TargetId &target, const TeamId *team) const;
     // The idle connection of another team that has been unused for longest; null if there is none.
     const PooledConnection *idleOfOtherTeam(const TargetId &target, const TeamId &team) const;
     std::size_t connectingCount(const TargetId &target, const TeamId &team) const;
