Replace one idle connection for statements that wait for the same new one

Where a pooler's share of a target's connections was used up, each waiting statement of a team closed an idle connection of another team, although only one new connection is opened at a time. The remaining ones are now kept until that connection is open.

The new test closed two connections for two statements before, and closes one now.

--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -112,8 +112,11 @@
         const PooledConnection *other = this->targetTracker.idleOfOtherTeam(id, session.team);
         if (other == nullptr)
             continue;
-        this->dropConnection(other->id);
-        this->openIfAllowed(id, session.team, now);
+        // Several statements may wait for the connection that one of them has opened.
+        if (this->mayOpen(*this->targetTracker.find(id), session.team, now)) {
+            this->dropConnection(other->id);
+            this->openIfAllowed(id, session.team, now);
+        }
         return;
     }
 }
--- a/tests/unit/statement_order.tests.cpp
+++ b/tests/unit/statement_order.tests.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+using Kind = TextStatementKind;
+
 constexpr unsigned Seeds = 5;
 constexpr std::size_t Teams = 8;
 
@@ -97,3 +99,28 @@
         cr_assert_gt(shareFrom(load, 0), 0.97);
     }
 }
+
+Test(statement_order, one_connection_is_replaced,
+     .description = "Statements of a team that wait for the same new connection close one idle "
+                    "connection of another team, not one each")
+{
+    PoolerFixture fixture;
+    RouteTable table = PoolerFixture::routes(2);
+    table.hasTeams = true;
+    for (const std::uint8_t team : {1, 2}) {
+        KeyDigest key;
+        key.bytes[0] = team;
+        table.teamsByKey[key] = TeamId(std::string(1, char('a' + team)));
+    }
+    fixture.pooler.routesReceived(table, fixture.now);
+    // A share of two connections to each target.
+    fixture.pooler.leaseReceived(fixture.now + milliseconds(4000), 18, 0, fixture.now);
+    fixture.openConnections();
+    for (const auto &[key, team] : table.teamsByKey) {
+        fixture.closedConnections.clear();
+        for (const char *id : {"1", "2"})
+            fixture.submit(fixture.open("latest", key), Kind::Write, id);
+        cr_assert_leq(fixture.closedConnections.size(), 1);
+        fixture.answerAll();
+    }
+}
