--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -39,6 +39,7 @@
     , proof(this->settings.revokeWithin)
     , targetTracker(this->settings)
     , retries(RetryShare)
+    , queue(this->settings)
 {
 }
 
@@ -84,8 +85,7 @@
     if (found == this->sessions.end())
         return;
     Session &session = found->second;
-    if (session.pending && session.pending->stage == StatementStage::Queued)
-        this->dequeue(number);
+    this->queue.remove(number);
     if (session.pinned != 0) {
         const PooledConnection *connection = this->targetTracker.connection(session.pinned);
         this->unpin(session, connection != nullptr && connection->awaited.empty(), now);
@@ -278,7 +278,8 @@
         this->sendOnPinned(session, now);
         return;
     }
-    if (this->queue.size() >= this->settings.queueLimit) {
+    // With teams, the queue chooses which statement is refused.
+    if (!this->queue.isByTeam() && this->queue.size() >= this->settings.queueLimit) {
         this->refuse(session, StatementFault::Busy, "queue is full", now);
         return;
     }
@@ -322,6 +323,9 @@
     pending.isFirst = session.pinned == 0;
     pending.deadline = now + pending.route.timeout;
     pending.queueDeadline = now + std::min(pending.route.timeout, pending.route.latencyObjective);
+    // With teams, the queue refuses earlier what cannot be answered in time.
+    if (this->queue.isByTeam())
+        pending.queueDeadline = pending.deadline;
     pending.statement = std::move(statement);
     this->groupsInUse[pending.route.group] = now;
     session.pending = std::move(pending);
@@ -372,6 +376,7 @@
     this->logStatement(session, answer.fault ? nameOf(*answer.fault) : "ok", now, !answer.fault);
     this->hooks.finished(session.pending->route.consistency, answer.fault,
                          std::chrono::duration_cast<Duration>(now - session.pending->arrivedAt));
+    this->queue.remove(session.number);
     session.pending.reset();
     if (session.pinned == 0)
         this->activeSessions.erase(session.number);
@@ -457,7 +462,8 @@
     this->proof.applied(this->view.routes().version);
     this->hooks.event("configuration_in_force",
                       {{"version", absl::StrCat(this->view.routes().version)}}, false);
-    this->dispatchQueue(now);
+    this->queue.setByTeam(this->view.routes().hasTeams, now);
+    this->recheckQueue(now);
 }
 
 void SessionPooler::leaseReceived(TimePoint end, std::uint32_t poolers, std::uint32_t formerPoolers,
@@ -546,6 +552,7 @@
     }
     if (this->queue.empty())
         return earliest;
+    earliest = std::min(earliest, this->queue.nextDeadline());
     return std::min(earliest, this->targetTracker.suspensionEndAfter(this->advancedAt));
 }
 
@@ -588,6 +595,7 @@
         if (this->view.leaseValid(now))
             this->keepWarm(now);
     }
+    this->refuseQueued(this->queue.expire(now), now);
     this->dispatchQueue(now);
 }
 
@@ -635,7 +643,6 @@
         Session &session = found->second;
         if (session.pending) {
             const bool wasSent = session.pending->stage == StatementStage::Sent;
-            this->dequeue(number);
             this->refuse(session, wasSent ? StatementFault::Timeout : StatementFault::Busy,
                          "stopping", now);
         }
