Serve sessions at holders where connections are scarce

Where a target accepts fewer connections than there are poolers (or poolers times teams), a session is bound with its first statement to a holder: a pooler of the same failure domain, chosen by rendezvous hashing for the group and the team. The entry pooler passes statements and answers on; at the holder the session is an ordinary one. The leader tells poolers their live peers where they ask for them. PeerLinks moves to programs/support and serves both products. Compiled only; not tested yet.

--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -7,6 +7,7 @@
 #include "programs/support/internal_addresses.hpp"
 #include "programs/support/start_sequence.hpp"
 #include "rhubarbweir/protocol/compression.hpp"
+#include "rhubarbweir/protocol/message_conversion.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -33,6 +34,9 @@
 // Part of the grace period that is reserved for the exit of the process.
 constexpr std::chrono::milliseconds ExitReserve{500};
 
+// Other poolers of the failure domain, and operators who look at metrics.
+constexpr std::size_t MaxPeerConnections = 512;
+
 // Limit on a decompressed configuration document; operators cannot store a larger one.
 constexpr std::size_t MaxDocumentBytes = 1 << 20;
 
@@ -42,6 +46,12 @@
     return (std::uint64_t{device()} << 31U) ^ device();
 }
 
+std::string peerAddress(const platform::ProcessSettings &settings)
+{
+    // Control instances use the first internal port.
+    return absl::StrCat(settings.ip, ":", settings.firstInternalPort + 1);
+}
+
 PoolerSettings poolerSettings(const platform::ProcessSettings &settings)
 {
     PoolerSettings pooler;
@@ -69,6 +79,7 @@
     , timer(this->loop,
             [this] {
                 this->pooler.advance(EventLoop::now());
+                this->relayEntry.advance(EventLoop::now());
                 this->scheduleAdvance();
             })
     , pooler(poolerSettings(this->settings), this->poolerHooks())
@@ -83,6 +94,15 @@
                 })
     , link(this->loop, internalAddresses(this->settings), this->linkHooks())
     , seeds(this->loop, this->settings, std::move(path), this->link.seedHooks())
+    , holders(this->settings.instance, PoolerSettings().controlConnections)
+    , peers(this->loop, this->settings.instance, this->peerHooks())
+    , relayEntry(randomIncarnation(), this->entryHooks())
+    , relayHolder(this->holderHooks())
+    , peerServer(this->loop, peerAddress(this->settings), {Subprotocol::Peer}, MaxPeerConnections,
+                 ServerHooks{[this](const ConnectionPtr &connection, Subprotocol) {
+                                 this->peers.accept(connection);
+                             },
+                             [](const std::string &) { return HttpReply(); }, logConnectionFault})
 {
 }
 
@@ -91,6 +111,7 @@
     limitBuffers(this->loop, this->settings.memoryLimit, this->metrics, this->sampler);
     StartSequence start(this->loop);
     start.add("readiness_port", [this] { return this->readiness.listen(); });
+    start.add("peer_port", [this] { return this->peerServer.listen(); });
     start.add("caller_port", [this] { return this->callers.listen(); });
     if (absl::Status started = start.run(); !started.ok())
         return started;
@@ -112,13 +133,25 @@
 {
     PoolerHooks hooks;
     hooks.answer = [this](SessionNumber session, const StatementAnswer &answer) {
-        this->callers.answer(session, answer);
+        if (RelayHolder::isRelayed(session))
+            this->relayHolder.answer(session, answer);
+        else
+            this->callers.answer(session, answer);
     };
     hooks.closeSession = [this](SessionNumber session) {
-        this->callers.close(session);
+        this->unbound.erase(session);
+        if (RelayHolder::isRelayed(session))
+            this->relayHolder.sessionClosed(session);
+        else
+            this->callers.close(session);
     };
     hooks.stateChanged = [this](SessionNumber session, std::size_t bytes) {
-        this->callers.setStateSize(session, bytes);
+        if (!RelayHolder::isRelayed(session))
+            this->callers.setStateSize(session, bytes);
+    };
+    hooks.heldConnections = [this](const GroupId &group, const TeamId &team) {
+        const AuthorityView &view = this->pooler.authorityView();
+        return this->holders.connections(view.routes(), group, team, view.connectionHolders());
     };
     hooks.openTarget = [this](ConnectionId connection, const RegisteredTarget &target,
                               const TeamId &team) {
@@ -173,14 +206,22 @@
     };
     hooks.opened = [this](SessionNumber session, const std::string &database,
                           const KeyDigest &key) {
-        return this->pooler.sessionOpened(session, database, key, EventLoop::now());
+        const SessionOpening outcome =
+            this->pooler.sessionOpened(session, database, key, EventLoop::now());
+        if (outcome == SessionOpening::Opened)
+            this->unbound[session] = {session, database, key};
+        return outcome;
     };
     hooks.statement = [this](SessionNumber session, TextStatement statement) {
-        this->pooler.statement(session, std::move(statement), EventLoop::now());
+        this->statementReceived(session, std::move(statement));
         this->scheduleAdvance();
     };
     hooks.closed = [this](SessionNumber session) {
-        this->pooler.sessionClosed(session, EventLoop::now());
+        this->unbound.erase(session);
+        if (this->relayEntry.holds(session))
+            this->relayEntry.callerClosed(session);
+        else
+            this->pooler.sessionClosed(session, EventLoop::now());
         this->scheduleAdvance();
     };
     return hooks;
@@ -201,6 +242,182 @@
     return hooks;
 }
 
+// Relayed sessions.
+
+void PoolerProgram::statementReceived(SessionNumber session, TextStatement statement)
+{
+    const auto found = this->unbound.find(session);
+    if (found != this->unbound.end()) {
+        const RelayedSession opened = found->second;
+        this->unbound.erase(found);
+        if (this->bindToHolder(session, opened.database, opened.key))
+            this->pooler.sessionClosed(session, EventLoop::now());
+    }
+    if (this->relayEntry.holds(session))
+        this->relayStatement(session, std::move(statement));
+    else
+        this->pooler.statement(session, std::move(statement), EventLoop::now());
+}
+
+// Opens the session at the holder of its group and team. False if this pooler is to serve it.
+bool PoolerProgram::bindToHolder(SessionNumber session, const std::string &database,
+                                 const KeyDigest &key)
+{
+    const AuthorityView &view = this->pooler.authorityView();
+    const Route *route = view.route(database);
+    if (route == nullptr)
+        return false;
+    TeamId team;
+    if (const auto found = view.routes().teamsByKey.find(key);
+        !route->isPublic && found != view.routes().teamsByKey.end())
+        team = found->second;
+    const TimePoint now = EventLoop::now();
+    const PoolerPeer *holder =
+        this->holders.holder(view.routes(), route->group, team, view.connectionHolders(), now);
+    if (holder == nullptr)
+        return false;
+    this->metrics.count("relay_opened");
+    this->relayEntry.open({session, database, key}, *holder, now);
+    return true;
+}
+
+void PoolerProgram::relayStatement(SessionNumber session, TextStatement statement)
+{
+    const std::string *database = this->relayEntry.databaseOf(session);
+    const Route *route =
+        database == nullptr ? nullptr : this->pooler.authorityView().route(*database);
+    this->relayEntry.statement(session, std::move(statement),
+                               route == nullptr ? Duration::zero() : route->timeout,
+                               EventLoop::now());
+}
+
+void PoolerProgram::bindElsewhere(const RelayedSession &session,
+                                  std::vector<TextStatement> statements, bool mayRelay)
+{
+    const bool isRelayed =
+        mayRelay && this->bindToHolder(session.number, session.database, session.key);
+    if (!isRelayed
+        && this->pooler.sessionOpened(session.number, session.database, session.key,
+                                      EventLoop::now())
+               != SessionOpening::Opened) {
+        StatementAnswer refusal;
+        refusal.fault = StatementFault::Busy;
+        refusal.detail = "session not opened";
+        for (std::size_t count = 0; count < statements.size(); ++count)
+            this->callers.answer(session.number, refusal);
+        this->callers.close(session.number);
+        return;
+    }
+    for (TextStatement &statement : statements) {
+        if (isRelayed)
+            this->relayStatement(session.number, std::move(statement));
+        else
+            this->pooler.statement(session.number, std::move(statement), EventLoop::now());
+    }
+    this->scheduleAdvance();
+}
+
+PeerLinksHooks PoolerProgram::peerHooks()
+{
+    PeerLinksHooks hooks;
+    hooks.message = [this](const InstanceId &peer, const Message &message) {
+        const bool isKnown = this->peerMessage(peer, message);
+        this->scheduleAdvance();
+        return isKnown;
+    };
+    hooks.connected = [](const InstanceId &) {
+    };
+    hooks.lost = [this](const InstanceId &peer, bool wasConnected) {
+        this->relayEntry.peerLost(peer, wasConnected, EventLoop::now());
+        this->scheduleAdvance();
+    };
+    hooks.left = [this](const InstanceId &peer) {
+        this->relayHolder.entryLost(peer);
+        this->scheduleAdvance();
+    };
+    return hooks;
+}
+
+bool PoolerProgram::peerMessage(const InstanceId &peer, const Message &message)
+{
+    const TimePoint now = EventLoop::now();
+    if (const auto *statement = std::get_if<RelayStatement>(&message))
+        this->relayHolder.statement(peer, *statement);
+    else if (const auto *answer = std::get_if<RelayAnswer>(&message))
+        this->relayEntry.answered(peer, *answer, now);
+    else if (const auto *open = std::get_if<RelayOpen>(&message))
+        this->relayHolder.open(peer, *open);
+    else if (const auto *close = std::get_if<RelayClose>(&message))
+        this->relayHolder.close(peer, *close);
+    else if (const auto *ended = std::get_if<RelayEnded>(&message))
+        this->relayEntry.ended(peer, *ended, now);
+    else if (const auto *ping = std::get_if<RelayPing>(&message)) {
+        if (ping->isAnswer)
+            this->relayEntry.ponged(peer, now);
+        else
+            this->peers.send(peer, "", RelayPing{true});
+    } else {
+        return false;
+    }
+    return true;
+}
+
+RelayEntryHooks PoolerProgram::entryHooks()
+{
+    RelayEntryHooks hooks;
+    hooks.send = [this](const PoolerPeer &holder, const RelayMessage &message) {
+        this->peers.send(holder.instance, holder.address, toMessage(message));
+    };
+    hooks.drop = [this](const InstanceId &holder) {
+        this->peers.drop(holder);
+    };
+    hooks.answer = [this](SessionNumber session, const StatementAnswer &answer) {
+        if (answer.fault)
+            this->metrics.count(absl::StrCat("relay_fault_", std::string(nameOf(*answer.fault))));
+        this->callers.answer(session, answer);
+    };
+    hooks.closeSession = [this](SessionNumber session) {
+        this->callers.close(session);
+    };
+    hooks.bindElsewhere = [this](const RelayedSession &session,
+                                 std::vector<TextStatement> statements, bool mayRelay) {
+        this->bindElsewhere(session, std::move(statements), mayRelay);
+    };
+    hooks.unreachable = [this](const InstanceId &holder, TimePoint until) {
+        this->holders.markUnreachable(holder, until);
+    };
+    hooks.event = [this](std::string_view event, const PoolerEventFields &fields) {
+        this->metrics.count(event);
+        this->sampler.log(event, fields, false, EventLoop::now());
+    };
+    return hooks;
+}
+
+RelayHolderHooks PoolerProgram::holderHooks()
+{
+    RelayHolderHooks hooks;
+    hooks.send = [this](const InstanceId &entry, const RelayMessage &message) {
+        this->peers.send(entry, "", toMessage(message));
+    };
+    hooks.accepts = [this] {
+        return this->stopBy == TimePoint::max()
+               && this->pooler.authorityView().leaseValid(EventLoop::now());
+    };
+    hooks.opened = [this](SessionNumber session, const std::string &database,
+                          const KeyDigest &key) {
+        return this->pooler.sessionOpened(session, database, key, EventLoop::now());
+    };
+    hooks.statement = [this](SessionNumber session, TextStatement statement) {
+        this->pooler.statement(session, std::move(statement), EventLoop::now());
+    };
+    hooks.closed = [this](SessionNumber session) {
+        this->pooler.sessionClosed(session, EventLoop::now());
+    };
+    return hooks;
+}
+
+// Control.
+
 RenewLease PoolerProgram::renewal() const
 {
     RenewLease message;
@@ -212,6 +429,10 @@
     message.draining = this->stopBy != TimePoint::max();
     message.observations = this->pooler.observations();
     message.overloadedGroups = this->pooler.overloadedGroups(EventLoop::now());
+    message.address = peerAddress(this->settings);
+    const AuthorityView &view = this->pooler.authorityView();
+    if (this->holders.isScarce(view.routes(), view.connectionHolders()))
+        message.peersVersion = this->holders.peersVersion();
     return message;
 }
 
@@ -221,6 +442,8 @@
     const std::uint64_t before = this->pooler.authorityView().revision();
     const std::uint64_t versionBefore = this->pooler.authorityView().routes().version;
     this->pooler.viewReceived(lease.view, now);
+    if (lease.peers)
+        this->holders.setPeers(*lease.peers);
     if (!lease.view.controls.empty())
         this->link.setControls(lease.view.controls);
     if (!lease.configuration.bytes.empty()) {
@@ -266,7 +489,7 @@
 
 void PoolerProgram::scheduleAdvance()
 {
-    this->timer.wakeAt(this->pooler.nextDeadline());
+    this->timer.wakeAt(std::min(this->pooler.nextDeadline(), this->relayEntry.nextDeadline()));
 }
 
 void PoolerProgram::stopRequested()
@@ -286,16 +509,20 @@
 {
     const TimePoint now = EventLoop::now();
     if (now >= this->stopBy) {
+        this->relayEntry.closeAll();
         this->pooler.closeAll(now);
     } else if (now >= this->refuseFrom) {
         // A session that starts now might not end before the process does.
         this->callers.stopListening();
+        this->relayEntry.closeWhenAnswered();
         this->pooler.closeWhenAnswered(now);
     } else if (now >= this->closeFrom) {
         const std::size_t batchSize = this->pooler.sessionCount() / DrainBatches + 1;
         this->pooler.closeIdleSessions(batchSize, now);
+        this->relayEntry.closeIdleSessions(this->relayEntry.sessionCount() / DrainBatches + 1);
     }
-    const bool isEmpty = now >= this->closeFrom && this->pooler.sessionCount() == 0;
+    const bool isEmpty = now >= this->closeFrom && this->pooler.sessionCount() == 0
+                         && this->relayEntry.sessionCount() == 0;
     if (now >= this->stopBy || (isEmpty && now >= this->refuseFrom)) {
         // Leaves time to send queued answers.
         this->loop.schedule(now + FlushTime, [this] { this->loop.stop(); });
--- a/src/programs/pooler/pooler_program.hpp
+++ b/src/programs/pooler/pooler_program.hpp
@@ -8,7 +8,11 @@
 #include "programs/pooler/target_streams.hpp"
 #include "programs/support/event_sampler.hpp"
 #include "programs/support/metrics_registry.hpp"
+#include "programs/support/peer_links.hpp"
 #include "programs/support/seed_reader.hpp"
+#include "rhubarbweir/coordination/sessions/holder_table.hpp"
+#include "rhubarbweir/coordination/sessions/relay_entry.hpp"
+#include "rhubarbweir/coordination/sessions/relay_holder.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 #include "rhubarbweir/transport/http.hpp"
 #include "rhubarbweir/transport/wake_timer.hpp"
@@ -29,6 +33,15 @@
     TargetStreamHooks targetHooks();
     CallerStreamHooks callerHooks();
     FleetLinkHooks linkHooks();
+    PeerLinksHooks peerHooks();
+    RelayEntryHooks entryHooks();
+    RelayHolderHooks holderHooks();
+    bool peerMessage(const InstanceId &peer, const Message &message);
+    void statementReceived(SessionNumber session, TextStatement statement);
+    bool bindToHolder(SessionNumber session, const std::string &database, const KeyDigest &key);
+    void bindElsewhere(const RelayedSession &session, std::vector<TextStatement> statements,
+                       bool mayRelay);
+    void relayStatement(SessionNumber session, TextStatement statement);
     void handleRequest(const HttpRequest &request, const HttpResponder &respond);
     void leaseReceived(const FleetLease &lease, std::optional<TimePoint> sentAt);
     RenewLease renewal() const;
@@ -48,6 +61,14 @@
     HttpListener readiness;
     FleetLink link;
     SeedReader seeds;
+    HolderTable holders;
+    PeerLinks peers;
+    RelayEntry relayEntry;
+    RelayHolder relayHolder;
+    WebSocketServer peerServer;
+    // Callers' sessions that have sent no statement yet. With the first one they are bound to a
+    // holder or to this pooler.
+    std::map<SessionNumber, RelayedSession> unbound;
     // Times of a stop: when all sessions are closed, from when idle ones are closed, and from when
     // new ones are refused. max() until a stop is requested.
     TimePoint stopBy = TimePoint::max();
--- a/src/programs/proxy/proxy_program.cpp
+++ b/src/programs/proxy/proxy_program.cpp
@@ -3,6 +3,7 @@
 
 #include "programs/support/event_log.hpp"
 #include "programs/support/start_sequence.hpp"
+#include "rhubarbweir/protocol/message_conversion.hpp"
 
 #include <absl/strings/str_cat.h>
 
@@ -106,7 +107,7 @@
     };
     hooks.sendPeer = [this](const InstanceId &peer, const std::string &address,
                             const PeerMessage &message) {
-        this->peers.send(peer, address, message);
+        this->peers.send(peer, address, toMessage(message));
     };
     hooks.openTarget = [this](Generation generation, const std::string &address,
                               const OpenConnection &message) {
@@ -151,18 +152,24 @@
 PeerLinksHooks ProxyProgram::peerHooks()
 {
     PeerLinksHooks hooks;
-    hooks.message = [this](const InstanceId &peer, const PeerMessage &message) {
-        this->node.peerMessage(peer, message, EventLoop::now());
+    hooks.message = [this](const InstanceId &peer, const Message &message) {
+        const auto known = messageAs<PeerMessage>(message);
+        if (!known)
+            return false;
+        this->node.peerMessage(peer, *known, EventLoop::now());
         this->scheduleAdvance();
+        return true;
     };
     hooks.connected = [this](const InstanceId &peer) {
         this->node.peerConnected(peer, EventLoop::now());
         this->scheduleAdvance();
     };
-    hooks.lost = [this](const InstanceId &peer) {
+    hooks.lost = [this](const InstanceId &peer, bool) {
         this->node.peerLost(peer, EventLoop::now());
         this->scheduleAdvance();
     };
+    hooks.left = [](const InstanceId &) {
+    };
     return hooks;
 }
 
--- a/src/programs/proxy/proxy_program.hpp
+++ b/src/programs/proxy/proxy_program.hpp
@@ -3,9 +3,9 @@
 #pragma once
 
 #include "programs/proxy/control_link.hpp"
-#include "programs/proxy/peer_links.hpp"
 #include "programs/proxy/proxy_server.hpp"
 #include "programs/proxy/target_links.hpp"
+#include "programs/support/peer_links.hpp"
 #include "rhubarbweir/coordination/proxy/proxy_node.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 #include "rhubarbweir/transport/wake_timer.hpp"
--- a/src/programs/proxy/peer_links.cpp
+++ b/src/programs/support/peer_links.cpp
@@ -1,5 +1,5 @@
 // See peer_links.hpp.
-#include "programs/proxy/peer_links.hpp"
+#include "programs/support/peer_links.hpp"
 
 #include "programs/support/event_log.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
@@ -10,16 +10,11 @@
 
 namespace {
 
-// Timeout for connecting to another proxy.
+// Timeout for connecting to a peer.
 constexpr std::chrono::milliseconds ConnectTimeout{500};
 // Maximum number of messages queued until a connection is established.
 constexpr std::size_t MaxPending = 4096;
 
-void sendOn(const ConnectionPtr &connection, const PeerMessage &message)
-{
-    std::visit([&connection](const auto &body) { connection->send(body); }, message);
-}
-
 } // namespace
 
 PeerLinks::PeerLinks(EventLoop &eventLoop, InstanceId selfId, PeerLinksHooks linkHooks)
@@ -45,28 +40,33 @@
             return;
         }
         *peer = hello->instance;
+        const bool isReplaced = this->incoming.count(*peer) != 0;
         this->incoming[*peer] = raw->shared_from_this();
+        if (isReplaced)
+            this->hooks.left(*peer);
     };
     connection->onClosed = [this, peer, raw = connection.get()] {
         const auto found = this->incoming.find(*peer);
-        if (found != this->incoming.end() && found->second.get() == raw)
-            this->incoming.erase(found);
+        if (found == this->incoming.end() || found->second.get() != raw)
+            return;
+        this->incoming.erase(found);
+        this->hooks.left(*peer);
     };
 }
 
-void PeerLinks::send(const InstanceId &peer, const std::string &address, const PeerMessage &message)
+void PeerLinks::send(const InstanceId &peer, const std::string &address, const Message &message)
 {
     if (address.empty()) {
         const auto found = this->incoming.find(peer);
         if (found != this->incoming.end())
-            sendOn(found->second, message);
+            found->second->send(message);
         return;
     }
     Outgoing &link = this->outgoing[peer];
     const bool isNew = link.address.empty();
     link.address = address;
     if (link.connection) {
-        sendOn(link.connection, message);
+        link.connection->send(message);
         return;
     }
     if (link.pending.size() < MaxPending)
@@ -89,7 +89,12 @@
 
 void PeerLinks::connected(const InstanceId &peer, const ConnectionPtr &connection)
 {
-    Outgoing &link = this->outgoing[peer];
+    const auto found = this->outgoing.find(peer);
+    if (found == this->outgoing.end()) {
+        connection->close(CloseReason::Normal);
+        return;
+    }
+    Outgoing &link = found->second;
     link.connection = connection;
     connection->onMessage = [this, peer, raw = connection.get()](const Message &message) {
         this->handleMessage(peer, raw->shared_from_this(), message);
@@ -98,8 +103,8 @@
         this->connectionLost(peer, raw);
     };
     connection->send(PeerHello{this->self});
-    for (const PeerMessage &message : std::exchange(link.pending, {}))
-        sendOn(connection, message);
+    for (const Message &message : std::exchange(link.pending, {}))
+        connection->send(message);
     this->hooks.connected(peer);
 }
 
@@ -112,19 +117,25 @@
     logEvent(LogLevel::Warning, "peer_lost",
              {{"peer", peer.value}, {"cause", connection == nullptr ? "unreachable" : "closed"}});
     // Posted because the failure may be reported from inside a call of the node.
-    this->loop.post([this, peer] { this->hooks.lost(peer); });
+    const bool wasConnected = connection != nullptr;
+    this->loop.post([this, peer, wasConnected] { this->hooks.lost(peer, wasConnected); });
+}
+
+void PeerLinks::drop(const InstanceId &peer)
+{
+    const auto found = this->outgoing.find(peer);
+    if (found == this->outgoing.end())
+        return;
+    const ConnectionPtr connection = found->second.connection;
+    this->outgoing.erase(found);
+    if (connection)
+        connection->close(CloseReason::Normal);
 }
 
 void PeerLinks::handleMessage(const InstanceId &peer, const ConnectionPtr &connection,
                               const Message &message)
 {
-    if (const auto *request = std::get_if<ForwardRequest>(&message))
-        this->hooks.message(peer, *request);
-    else if (const auto *answer = std::get_if<ForwardAnswer>(&message))
-        this->hooks.message(peer, *answer);
-    else if (const auto *end = std::get_if<EndTransaction>(&message))
-        this->hooks.message(peer, *end);
-    else
+    if (!this->hooks.message(peer, message))
         connection->close(CloseReason::UnexpectedMessage);
 }
 
--- a/src/programs/proxy/peer_links.hpp
+++ b/src/programs/support/peer_links.hpp
@@ -1,7 +1,7 @@
-// Connections to and from other proxies.
+// Connections to and from other instances of the same role: proxies or poolers.
 #pragma once
 
-#include "rhubarbweir/coordination/proxy/proxy_settings.hpp"
+#include "rhubarbweir/state/ids.hpp"
 #include "rhubarbweir/transport/web_socket.hpp"
 
 #include <deque>
@@ -14,9 +14,14 @@
 
 struct PeerLinksHooks
 {
-    std::function<void(const InstanceId &, const PeerMessage &)> message;
+    // False for a message that no peer sends; the connection is closed then.
+    std::function<bool(const InstanceId &, const Message &)> message;
     std::function<void(const InstanceId &)> connected;
-    std::function<void(const InstanceId &)> lost;
+    // A connection to the peer closed, or could not be opened if not `wasConnected`. Nothing was
+    // sent in the latter case.
+    std::function<void(const InstanceId &, bool wasConnected)> lost;
+    // The connection that the peer opened has closed, or was replaced by a later one.
+    std::function<void(const InstanceId &)> left;
 };
 
 class PeerLinks
@@ -24,11 +29,13 @@
 public:
     PeerLinks(EventLoop &loop, InstanceId self, PeerLinksHooks hooks);
 
-    // Handles a connection that another proxy opened to this one.
+    // Handles a connection that a peer opened to this instance.
     void accept(const ConnectionPtr &connection);
     // Sends to `peer`, after connecting to `address` if necessary. With an empty address, sends on
     // the connection that `peer` opened, and drops the message if that connection is closed.
-    void send(const InstanceId &peer, const std::string &address, const PeerMessage &message);
+    void send(const InstanceId &peer, const std::string &address, const Message &message);
+    // Closes the connection to `peer`. No hook is called for it.
+    void drop(const InstanceId &peer);
 
 private:
     struct Outgoing
@@ -37,7 +44,7 @@
         // Null while connecting.
         ConnectionPtr connection;
         // Messages to be sent once connected; limited in number.
-        std::deque<PeerMessage> pending;
+        std::deque<Message> pending;
     };
 
     void connect(const InstanceId &peer);
@@ -51,7 +58,7 @@
     PeerLinksHooks hooks;
     WebSocketClient client;
     std::map<InstanceId, Outgoing> outgoing;
-    // The latest connection that each peer opened to this proxy.
+    // The latest connection that each peer opened to this instance.
     std::map<InstanceId, ConnectionPtr> incoming;
 };
 
--- a/src/rhubarbweir/coordination/control/control_messages.hpp
+++ b/src/rhubarbweir/coordination/control/control_messages.hpp
@@ -7,6 +7,7 @@
 #include "rhubarbweir/state/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -123,6 +124,8 @@
     // Groups in which the primary alone serves all reads of a session pooler, and responds too
     // slowly.
     std::vector<GroupId> overloadedGroups;
+    // Version of the peers that a session pooler uses, 0 for none; absent if it needs none.
+    std::optional<std::uint64_t> peersVersion;
 };
 
 struct LeaseGranted
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -75,7 +75,7 @@
     this->relievedAt.clear();
     this->replicaRoleSince.clear();
     this->lastAnnouncements.clear();
-    this->views.beginLeadership();
+    this->views.beginLeadership(now);
     this->positions.clear();
     this->questions.clear();
     if (isLeader) {
@@ -318,7 +318,7 @@
         return;
     this->registry.recordRenewal(run);
     this->detector.recordReport(lease->run, message, now);
-    this->views.recordReport(lease->run, message.configurationVersion);
+    this->views.recordReport(lease->run, message);
     const bool affectsDecisions =
         !message.observations.empty() || lease->revision < message.revision;
     if (affectsDecisions || !this->changes.empty())
--- a/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
@@ -7,6 +7,7 @@
 #include "rhubarbweir/state/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,24 @@
     std::vector<GroupPosition> positions;
 };
 
+// A live pooler that others may relay sessions to.
+struct PoolerPeer
+{
+    InstanceId instance;
+    // Internal address, as host:port.
+    std::string address;
+};
+
+// The live poolers of one failure domain.
+struct PoolerPeers
+{
+    // Differs between different lists; 0 for none.
+    std::uint64_t version = 0;
+    // Number of failure domains with poolers.
+    std::uint32_t failureDomains = 0;
+    std::vector<PoolerPeer> peers;
+};
+
 // Answer to a renewal, or unsolicited when the view or the configuration changed.
 struct FleetLease
 {
@@ -61,6 +80,8 @@
     std::uint32_t formerPoolers = 0;
     // Positions known to the leader, with ages counted from the sending; only in answers.
     std::vector<GroupPosition> positions;
+    // Only in an answer to a renewal with another version of them.
+    std::optional<PoolerPeers> peers;
     std::uint64_t configurationVersion = 0;
     // Compressed. Empty if the pooler already has this version or was sent it before.
     OpaqueBytes configuration;
--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -27,18 +27,22 @@
     , registry(poolerRegistry)
     , positions(positionTable)
     , ports(std::move(senderPorts))
+    , peers(leaseTracker)
 {
 }
 
-void ViewSender::beginLeadership()
+void ViewSender::beginLeadership(TimePoint now)
 {
+    this->peers.beginLeadership(now);
     this->pushAt = TimePoint::max();
     this->records.clear();
 }
 
-void ViewSender::recordReport(const ProxyRun &run, std::uint64_t configurationVersion)
+void ViewSender::recordReport(const ProxyRun &run, const RenewLease &message)
 {
-    this->records[run].reportedVersion = configurationVersion;
+    PoolerRecord &record = this->records[run];
+    record.reportedVersion = message.configurationVersion;
+    record.peersVersion = message.peersVersion;
 }
 
 void ViewSender::answer(ProxyLease &lease, std::uint64_t sequence, TimePoint now)
@@ -108,6 +112,8 @@
     if (sequence != 0) {
         message.positions = this->positions.positions(now);
         this->positions.answerSent(lease.connection, sequence, now);
+        if (const auto held = this->records[lease.run].peersVersion)
+            message.peers = this->peers.changesFor(lease.failureDomain, *held, now);
     }
     message.view = this->viewAfter(baseRevision);
     this->addControls(message.view, lease);
--- a/src/rhubarbweir/coordination/fleet/view_sender.hpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.hpp
@@ -6,11 +6,13 @@
 // until it can apply a view, it uses no grant that came with it.
 #pragma once
 
+#include "rhubarbweir/coordination/fleet/peer_directory.hpp"
 #include "rhubarbweir/coordination/fleet/pooler_registry.hpp"
 #include "rhubarbweir/coordination/fleet/position_table.hpp"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,9 +33,9 @@
                PoolerRegistry &registry, PositionTable &positions, ViewSenderPorts ports);
 
     // Forgets what was sent when this instance becomes the leader.
-    void beginLeadership();
-    // Records the configuration version that a renewal reports.
-    void recordReport(const ProxyRun &run, std::uint64_t configurationVersion);
+    void beginLeadership(TimePoint now);
+    // Records the versions of the configuration and the peers that a renewal reports.
+    void recordReport(const ProxyRun &run, const RenewLease &message);
     // Answers the renewal with `sequence`. The caller has granted the lease.
     void answer(ProxyLease &lease, std::uint64_t sequence, TimePoint now);
     // Schedules a message to all poolers. An urgent one is sent at once; others are collected.
@@ -70,6 +72,7 @@
     struct PoolerRecord
     {
         std::uint64_t reportedVersion = 0;
+        std::optional<std::uint64_t> peersVersion;
         SentDocument document;
         SentControls controls;
         UnreportedView view;
@@ -91,6 +94,7 @@
     PoolerRegistry &registry;
     PositionTable &positions;
     ViewSenderPorts ports;
+    PeerDirectory peers;
     TimePoint pushAt = TimePoint::max();
     // Only runs that the lease tracker knows, after each push.
     std::map<ProxyRun, PoolerRecord> records;
--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -393,10 +393,7 @@
         } else if (connection.phase == ConnectionPhase::Idle) {
             const TargetRecord *record = this->targetTracker.find(connection.target);
             const bool leaves = record == nullptr || record->target.phase != TargetPhase::Ready;
-            const bool isSurplus =
-                record != nullptr && now >= connection.idleSince + this->settings.surplusIdleTimeout
-                && record->connections.size() > this->idleShare(*record);
-            if (leaves || isSurplus)
+            if (leaves || this->isSurplus(connection, *record, now))
                 surplus.push_back(id);
         }
     }
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -96,7 +96,7 @@
 {
     for (const TargetId &id : targets) {
         const TargetRecord *record = this->targetTracker.find(id);
-        if (record->connections.size() < this->connectionShare(*record)) {
+        if (this->mayOpen(*record, session.team)) {
             this->openIfAllowed(id, session.team, now);
             return;
         }
@@ -197,6 +197,26 @@
     return this->homeReplica(record.target.group) == &record;
 }
 
+bool SessionPooler::mayOpen(const TargetRecord &record, const TeamId &team) const
+{
+    if (const auto held = this->hooks.heldConnections(record.target.group, team))
+        return this->targetTracker.connectionCount(record, team) < *held;
+    return record.connections.size() < this->connectionShare(record);
+}
+
+// Whether an idle connection is to be closed. A holder of a group serves the callers of many
+// poolers, so it keeps connections longer than a pooler that shares a target with all others.
+bool SessionPooler::isSurplus(const PooledConnection &connection, const TargetRecord &record,
+                              TimePoint now) const
+{
+    if (const auto held = this->hooks.heldConnections(record.target.group, connection.team))
+        return this->targetTracker.connectionCount(record, connection.team) > *held
+               || (this->view.routes().hasTeams
+                   && now >= connection.idleSince + this->settings.heldIdleTimeout);
+    return now >= connection.idleSince + this->settings.surplusIdleTimeout
+           && record.connections.size() > this->idleShare(record);
+}
+
 std::uint32_t SessionPooler::connectionShare(const TargetRecord &record) const
 {
     const std::uint32_t most = std::max<std::uint32_t>(1, this->connectionsForPoolers(record)
@@ -222,7 +242,8 @@
         return;
     for (const auto &[id, record] : this->targetTracker.records()) {
         if (record.connections.empty() && record.target.phase == TargetPhase::Ready
-            && now >= record.suspendedUntil && this->idleShare(record) > 0)
+            && now >= record.suspendedUntil && !this->hooks.heldConnections(record.target.group, {})
+            && this->idleShare(record) > 0)
             this->openIfAllowed(id, {}, now);
     }
 }
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -81,6 +81,8 @@
     Duration behindThreshold = std::chrono::milliseconds(300);
     // A key that was taken away stops within this time; empty if keys may stop later.
     std::optional<Duration> revokeWithin;
+    // The same where few poolers hold the connections of a group and serve the sessions of others.
+    Duration heldIdleTimeout = std::chrono::milliseconds(3000);
     // Limit on queued statements over all groups; further ones are refused.
     std::size_t queueLimit = 512;
     // Limit on the values and prepared statements of a session, in bytes. They are sent to a target
@@ -100,6 +102,9 @@
     // SessionPooler::targetOpened() or targetClosed().
     std::function<void(ConnectionId, const RegisteredTarget &, const TeamId &)> openTarget;
     std::function<void(ConnectionId, const std::vector<TargetCommand> &)> sendToTarget;
+    // Connections to each target of the group that this pooler may open for the team; empty if
+    // all poolers share a target's connections evenly.
+    std::function<std::optional<std::uint32_t>(const GroupId &, const TeamId &)> heldConnections;
     // After this, SessionPooler::targetClosed() is not called for the connection.
     std::function<void(ConnectionId)> closeTarget;
     // SessionPooler::observations() changed and should be reported to control at once.
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -119,6 +119,9 @@
     std::uint32_t connectionsForPoolers(const TargetRecord &record) const;
     std::uint32_t idleShare(const TargetRecord &record) const;
     bool mayKeepIdle(const TargetRecord &record) const;
+    bool mayOpen(const TargetRecord &record, const TeamId &team) const;
+    bool isSurplus(const PooledConnection &connection, const TargetRecord &record,
+                   TimePoint now) const;
     std::uint32_t connectionShare(const TargetRecord &record) const;
     void startOn(Session &session, PooledConnection &connection, TimePoint now);
     void sendBegin(Session &session, PooledConnection &connection, TimePoint now);
--- a/src/rhubarbweir/coordination/sessions/statement.hpp
+++ b/src/rhubarbweir/coordination/sessions/statement.hpp
@@ -78,6 +78,12 @@
     Failed,
 };
 
+template<>
+struct EnumNames<TransactionState>
+{
+    static constexpr std::string_view Names[] = {"none", "open", "failed"};
+};
+
 // An answer from a target or to a caller.
 struct StatementAnswer
 {
--- a/src/rhubarbweir/coordination/sessions/target_tracker.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.cpp
@@ -141,6 +141,13 @@
         }));
 }
 
+std::size_t TargetTracker::connectionCount(const TargetRecord &record, const TeamId &team) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(record.connections.begin(), record.connections.end(),
+                      [this, &team](ConnectionId id) { return this->open.at(id).team == team; }));
+}
+
 void TargetTracker::commandSent(PooledConnection &connection, AwaitedAnswer answer)
 {
     connection.awaited.push_back(answer);
--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -114,6 +114,7 @@
     // The idle connection of another team that has been unused for longest; null if there is none.
     const PooledConnection *idleOfOtherTeam(const TargetId &target, const TeamId &team) const;
     std::size_t connectingCount(const TargetId &target, const TeamId &team) const;
+    std::size_t connectionCount(const TargetRecord &record, const TeamId &team) const;
 
     void commandSent(PooledConnection &connection, AwaitedAnswer answer);
     // Removes and returns the entry of the answer; empty when no answer was awaited.
--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -73,6 +73,12 @@
     "quorum_join_redirect",
     "quorum_leave",
     "quorum_leave_answer",
+    "relay_open",
+    "relay_statement",
+    "relay_answer",
+    "relay_close",
+    "relay_ended",
+    "relay_ping",
 };
 static_assert(std::size(TypeNames) == std::variant_size_v<Message>);
 
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -74,9 +74,44 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewDelta, fromRevision, toRevision, groups, removed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetObservation, target, group, state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ObserverReport, instance, failureDomain, observations)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RenewLease, proxy, address, failureDomain, incarnation, sequence,
-                                   revision, draining, answered, isObserver, groups, observations,
-                                   configurationVersion, overloadedGroups)
+inline void to_json(nlohmann::json &to, const RenewLease &renewal)
+{
+    to = {{"proxy", renewal.proxy},
+          {"address", renewal.address},
+          {"failureDomain", renewal.failureDomain},
+          {"incarnation", renewal.incarnation},
+          {"sequence", renewal.sequence},
+          {"revision", renewal.revision},
+          {"draining", renewal.draining},
+          {"answered", renewal.answered},
+          {"isObserver", renewal.isObserver},
+          {"groups", renewal.groups},
+          {"observations", renewal.observations},
+          {"configurationVersion", renewal.configurationVersion},
+          {"overloadedGroups", renewal.overloadedGroups}};
+    if (renewal.peersVersion)
+        to["peersVersion"] = *renewal.peersVersion;
+}
+inline void from_json(const nlohmann::json &from, RenewLease &renewal)
+{
+    from.at("proxy").get_to(renewal.proxy);
+    from.at("address").get_to(renewal.address);
+    from.at("failureDomain").get_to(renewal.failureDomain);
+    from.at("incarnation").get_to(renewal.incarnation);
+    from.at("sequence").get_to(renewal.sequence);
+    from.at("revision").get_to(renewal.revision);
+    from.at("draining").get_to(renewal.draining);
+    from.at("answered").get_to(renewal.answered);
+    from.at("isObserver").get_to(renewal.isObserver);
+    from.at("groups").get_to(renewal.groups);
+    from.at("observations").get_to(renewal.observations);
+    from.at("configurationVersion").get_to(renewal.configurationVersion);
+    from.at("overloadedGroups").get_to(renewal.overloadedGroups);
+    // Absent from versions without relayed sessions.
+    renewal.peersVersion.reset();
+    if (const auto found = from.find("peersVersion"); found != from.end())
+        renewal.peersVersion = found->get<std::uint64_t>();
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseGranted, sequence, leaseFor, delta)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseRefused, sequence, leaderAddress)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewChanged, delta)
@@ -164,8 +199,93 @@
                                    authorities, controls)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GroupPosition, group, generation, position, age)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PositionReport, answered, positions)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetLease, sequence, leaseFor, view, poolers, formerPoolers,
-                                   positions, configurationVersion, configuration)
+// A list, because an answer holds one for each pooler of a failure domain.
+inline void to_json(nlohmann::json &to, const PoolerPeer &peer)
+{
+    to = nlohmann::json::array({peer.instance, peer.address});
+}
+inline void from_json(const nlohmann::json &from, PoolerPeer &peer)
+{
+    from.at(0).get_to(peer.instance);
+    from.at(1).get_to(peer.address);
+}
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PoolerPeers, version, failureDomains, peers)
+inline void to_json(nlohmann::json &to, const FleetLease &lease)
+{
+    to = {{"sequence", lease.sequence},
+          {"leaseFor", lease.leaseFor},
+          {"view", lease.view},
+          {"poolers", lease.poolers},
+          {"formerPoolers", lease.formerPoolers},
+          {"positions", lease.positions},
+          {"configurationVersion", lease.configurationVersion},
+          {"configuration", lease.configuration}};
+    if (lease.peers)
+        to["peers"] = *lease.peers;
+}
+inline void from_json(const nlohmann::json &from, FleetLease &lease)
+{
+    from.at("sequence").get_to(lease.sequence);
+    from.at("leaseFor").get_to(lease.leaseFor);
+    from.at("view").get_to(lease.view);
+    from.at("poolers").get_to(lease.poolers);
+    from.at("formerPoolers").get_to(lease.formerPoolers);
+    from.at("positions").get_to(lease.positions);
+    from.at("configurationVersion").get_to(lease.configurationVersion);
+    from.at("configuration").get_to(lease.configuration);
+    // Absent from versions without relayed sessions, and if the pooler has the peers.
+    lease.peers.reset();
+    if (const auto found = from.find("peers"); found != from.end())
+        lease.peers = found->get<PoolerPeers>();
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetRedirect, leader)
 
+// relay_messages.hpp. Lists, because these are sent for each statement.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayOpen, relay, database, key)
+inline void to_json(nlohmann::json &to, const RelayStatement &message)
+{
+    const TextStatement &statement = message.statement;
+    to = nlohmann::json::array({message.relay, statement.id, statement.kind, statement.readOnly,
+                                statement.name, statement.argument, statement.text});
+}
+inline void from_json(const nlohmann::json &from, RelayStatement &message)
+{
+    TextStatement &statement = message.statement;
+    from.at(0).get_to(message.relay);
+    from.at(1).get_to(statement.id);
+    from.at(2).get_to(statement.kind);
+    from.at(3).get_to(statement.readOnly);
+    from.at(4).get_to(statement.name);
+    from.at(5).get_to(statement.argument);
+    from.at(6).get_to(statement.text);
+}
+inline void to_json(nlohmann::json &to, const RelayAnswer &message)
+{
+    const StatementAnswer &answer = message.answer;
+    to = nlohmann::json::array({message.relay, answer.rows, answer.signature, answer.detail,
+                                answer.state, nullptr, nullptr});
+    if (answer.fault)
+        to[5] = *answer.fault;
+    if (answer.position)
+        to[6] = *answer.position;
+}
+inline void from_json(const nlohmann::json &from, RelayAnswer &message)
+{
+    StatementAnswer &answer = message.answer;
+    from.at(0).get_to(message.relay);
+    from.at(1).get_to(answer.rows);
+    from.at(2).get_to(answer.signature);
+    from.at(3).get_to(answer.detail);
+    from.at(4).get_to(answer.state);
+    answer.fault.reset();
+    if (!from.at(5).is_null())
+        answer.fault = from.at(5).get<StatementFault>();
+    answer.position.reset();
+    if (!from.at(6).is_null())
+        answer.position = from.at(6).get<LogPosition>();
+}
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayClose, relay)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayEnded, relay, reason)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayPing, isAnswer)
+
 } // namespace rhubarbweir
--- a/src/rhubarbweir/protocol/message.hpp
+++ b/src/rhubarbweir/protocol/message.hpp
@@ -8,6 +8,7 @@
 #include "rhubarbweir/coordination/proxy/peer_messages.hpp"
 #include "rhubarbweir/coordination/proxy/target_messages.hpp"
 #include "rhubarbweir/coordination/quorum/quorum_messages.hpp"
+#include "rhubarbweir/coordination/sessions/relay_messages.hpp"
 
 #include <variant>
 
@@ -23,6 +24,7 @@
     ReplicateEntries, ReplicateAnswer, ObserverReport, QuorumBootstrapQuery, QuorumBootstrapAnswer,
     QuorumJoin, QuorumVoteRequest, QuorumVoteAnswer, QuorumAppend, QuorumAppendAnswer,
     QuorumSnapshotChunk, QuorumSnapshotAnswer, QuorumTimeoutNow, FleetLease, FleetRedirect,
-    PositionReport, QuorumJoinRedirect, QuorumLeave, QuorumLeaveAnswer>;
+    PositionReport, QuorumJoinRedirect, QuorumLeave, QuorumLeaveAnswer, RelayOpen, RelayStatement,
+    RelayAnswer, RelayClose, RelayEnded, RelayPing>;
 
 } // namespace rhubarbweir
--- a/tests/fakes/pooler_fixture.hpp
+++ b/tests/fakes/pooler_fixture.hpp
@@ -269,6 +269,9 @@
             this->teamOf[connection] = team;
             this->targetOf[connection] = target.target;
         };
+        hooks.heldConnections = [](const GroupId &, const TeamId &) {
+            return std::nullopt;
+        };
         hooks.sendToTarget = [this](ConnectionId connection,
                                     const std::vector<TargetCommand> &commands) {
             for (const TargetCommand &command : commands) {
