--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -46,7 +46,7 @@
         this->hooks.observationsChanged();
     if (TargetRecord *record = this->targetTracker.find(connection->target); record && position)
         record->position = position;
-    this->release(*connection, now, true);
+    this->release(*connection, now);
 }
 
 void SessionPooler::targetAnswered(ConnectionId id, const StatementAnswer &answer, TimePoint now)
@@ -419,10 +419,7 @@
         } else if (connection.phase == ConnectionPhase::Idle) {
             const TargetRecord *record = this->targetTracker.find(connection.target);
             const bool leaves = record == nullptr || record->target.phase != TargetPhase::Ready;
-            const bool isSurplus =
-                record != nullptr && now >= connection.idleSince + this->settings.surplusIdleTimeout
-                && record->connections.size() > this->idleShare(*record);
-            if (leaves || isSurplus)
+            if (leaves || this->isSurplus(connection, *record, now))
                 surplus.push_back(id);
         }
     }
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -105,7 +105,7 @@
 {
     for (const TargetId &id : targets) {
         const TargetRecord *record = this->targetTracker.find(id);
-        if (record->connections.size() < this->connectionShare(*record)) {
+        if (this->hasRoomFor(*record, session.team)) {
             this->openIfAllowed(id, session.team, now);
             return;
         }
@@ -253,6 +253,27 @@
     return this->homeReplica(record.target.group) == &record;
 }
 
+// Whether the share of this pooler in the target's connections allows one more.
+bool SessionPooler::hasRoomFor(const TargetRecord &record, const TeamId &team) const
+{
+    if (const auto held = this->hooks.heldConnections(record.target.group, team))
+        return this->targetTracker.connectionCount(record, team) < *held;
+    return record.connections.size() < this->connectionShare(record);
+}
+
+// Whether an idle connection is to be closed. A holder of a group serves the callers of many
+// poolers, so it keeps connections longer than a pooler that shares a target with all others.
+bool SessionPooler::isSurplus(const PooledConnection &connection, const TargetRecord &record,
+                              TimePoint now) const
+{
+    if (const auto held = this->hooks.heldConnections(record.target.group, connection.team))
+        return this->targetTracker.connectionCount(record, connection.team) > *held
+               || (this->view.routes().hasTeams
+                   && now >= connection.idleSince + this->settings.heldIdleTimeout);
+    return now >= connection.idleSince + this->settings.surplusIdleTimeout
+           && record.connections.size() > this->idleShare(record);
+}
+
 std::uint32_t SessionPooler::connectionShare(const TargetRecord &record) const
 {
     const std::uint32_t most = std::max<std::uint32_t>(1, this->connectionsForPoolers(record)
@@ -278,7 +299,8 @@
         return;
     for (const auto &[id, record] : this->targetTracker.records()) {
         if (record.connections.empty() && record.target.phase == TargetPhase::Ready
-            && now >= record.suspendedUntil && this->idleShare(record) > 0)
+            && now >= record.suspendedUntil && !this->hooks.heldConnections(record.target.group, {})
+            && this->idleShare(record) > 0)
             this->openIfAllowed(id, {}, now);
     }
 }
@@ -360,8 +382,7 @@
         if (!isPrimary && (needsPrimary || id == this->view.knownPrimary(group)))
             continue;
         if (this->targetTracker.hasIdleConnection(id, team)
-            || (team != nullptr ? this->mayOpen(record, *team, now)
-                                : record.connections.size() < this->connectionShare(record)))
+            || (team != nullptr ? this->mayOpen(record, *team, now) : this->hasRoomFor(record, {})))
             return true;
     }
     return false;
@@ -372,7 +393,7 @@
 {
     const TargetId &id = record.target.target;
     return now >= record.connectBlockedUntil && this->targetTracker.connectingCount(id, team) == 0
-           && (record.connections.size() < this->connectionShare(record)
+           && (this->hasRoomFor(record, team)
                || this->targetTracker.idleOfOtherTeam(id, team) != nullptr);
 }
 
@@ -516,8 +537,7 @@
 
 // Connections.
 
-// A new connection serves its own team first.
-void SessionPooler::release(PooledConnection &connection, TimePoint now, bool isNew)
+void SessionPooler::release(PooledConnection &connection, TimePoint now)
 {
     connection.owner = 0;
     if (!connection.awaited.empty())
@@ -529,34 +549,9 @@
     }
     connection.phase = ConnectionPhase::Idle;
     connection.idleSince = now;
-    if (isNew && !connection.team.empty())
-        this->dispatchToNew(connection.id, now);
     this->dispatchQueue(now);
 }
 
-// Starts the first waiting statement of the connection's team that may run on it. Otherwise
-// statements of other teams could replace each new connection before it served one.
-void SessionPooler::dispatchToNew(ConnectionId id, TimePoint now)
-{
-    std::vector<SessionNumber> waiting;
-    for (const auto &[order, number] : this->queue)
-        waiting.push_back(number);
-    for (const SessionNumber number : waiting) {
-        const PooledConnection *connection = this->targetTracker.connection(id);
-        if (connection == nullptr || connection->phase != ConnectionPhase::Idle)
-            return;
-        const auto found = this->sessions.find(number);
-        if (found == this->sessions.end() || found->second.team != connection->team
-            || !found->second.pending || found->second.pending->stage != StatementStage::Queued)
-            continue;
-        const std::vector<TargetId> targets = this->candidates(found->second, now);
-        if (std::find(targets.begin(), targets.end(), connection->target) == targets.end())
-            continue;
-        this->dequeue(number);
-        this->dispatch(found->second, now);
-    }
-}
-
 void SessionPooler::dropConnection(ConnectionId id)
 {
     this->targetTracker.removeConnection(id);
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -130,6 +130,9 @@
     std::uint32_t idleShare(const TargetRecord &record) const;
     bool mayKeepIdle(const TargetRecord &record) const;
     bool isWanted(const TargetRecord &record) const;
+    bool hasRoomFor(const TargetRecord &record, const TeamId &team) const;
+    bool isSurplus(const PooledConnection &connection, const TargetRecord &record,
+                   TimePoint now) const;
     std::uint32_t connectionShare(const TargetRecord &record) const;
     void startOn(Session &session, PooledConnection &connection, TimePoint now);
     void sendBegin(Session &session, PooledConnection &connection, TimePoint now);
@@ -138,8 +141,7 @@
     std::vector<TargetCommand> stateCommands(Session &session, PooledConnection &connection,
                                              const TextStatement &statement);
     std::string preparedName(const PreparedStatement &prepared);
-    void release(PooledConnection &connection, TimePoint now, bool isNew = false);
-    void dispatchToNew(ConnectionId connection, TimePoint now);
+    void release(PooledConnection &connection, TimePoint now);
     void dropConnection(ConnectionId connection);
     void unpin(Session &session, bool reusable, TimePoint now);
     void dispatchQueue(TimePoint now);
--- a/src/rhubarbweir/coordination/sessions/target_tracker.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.cpp
@@ -255,6 +255,13 @@
             *record, std::chrono::duration_cast<Duration>(now - connection.connectStartedAt), now);
 }
 
+std::size_t TargetTracker::connectionCount(const TargetRecord &record, const TeamId &team) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(record.connections.begin(), record.connections.end(),
+                      [this, &team](ConnectionId id) { return this->open.at(id).team == team; }));
+}
+
 void TargetTracker::commandSent(PooledConnection &connection, AwaitedAnswer answer)
 {
     connection.awaited.push_back(answer);
--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -134,6 +134,7 @@
     // The idle connection of another team that has been unused for longest; null if there is none.
     const PooledConnection *idleOfOtherTeam(const TargetId &target, const TeamId &team) const;
     std::size_t connectingCount(const TargetId &target, const TeamId &team) const;
+    std::size_t connectionCount(const TargetRecord &record, const TeamId &team) const;
 
     // The target accepted the connection.
     void connectionOpened(const PooledConnection &connection, TimePoint now);
