Let a team with a connection go before one that needs a new connection

Where targets accept few connections, the fair order among teams closed and opened a connection for nearly every other statement. Of the teams of a rank, one that has an idle connection now goes first while it was given at most 0.2 s of work more than the team that was given the least.

--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -315,7 +315,11 @@
         if (offersAll || !this->servesTeams(now))
             return true;
         const TeamId none;
-        return this->canServe(group, needsPrimary, this->queue.isByTeam() ? nullptr : &none, now);
+        return this->canServe(group, needsPrimary, this->queue.isByTeam() ? nullptr : &none, true,
+                              now);
+    };
+    offer.hasConnection = [this, now](const WaitingStatement &waiting) {
+        return this->canServe(waiting.group, waiting.needsPrimary, &waiting.team, false, now);
     };
     offer.offer = [this, now, offersAll](const WaitingStatement &waiting) {
         return this->offerQueued(waiting, now) || offersAll;
@@ -338,13 +342,13 @@
     if (this->trySend(session, now))
         return true;
     this->limitWaitForPrimary(session, now);
-    return this->canServe(waiting.group, waiting.needsPrimary, &session.team, now);
+    return this->canServe(waiting.group, waiting.needsPrimary, &session.team, true, now);
 }
 
-// Whether a target of the group has capacity and a connection for a statement, or may be connected
-// to. Without a team, whether it has them for any team.
+// Whether a target of the group has capacity and an idle connection for a statement or, with
+// `mayConnect`, may be connected to. Without a team, whether that is so for any team.
 bool SessionPooler::canServe(const GroupId &group, bool needsPrimary, const TeamId *team,
-                             TimePoint now) const
+                             bool mayConnect, TimePoint now) const
 {
     // The wait for a primary that is absent for long is shortened; see limitWaitForPrimary().
     const auto since = this->view.withoutPrimarySince(group, now);
@@ -358,8 +362,9 @@
         if (!isPrimary && (needsPrimary || id == this->view.knownPrimary(group)))
             continue;
         if (this->targetTracker.hasIdleConnection(id, team)
-            || (team != nullptr ? this->mayOpen(record, *team, now)
-                                : record.connections.size() < this->connectionShare(record)))
+            || (mayConnect
+                && (team != nullptr ? this->mayOpen(record, *team, now)
+                                    : record.connections.size() < this->connectionShare(record))))
             return true;
     }
     return false;
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -116,7 +116,8 @@
     std::optional<LogPosition> requiredPosition(const Session &session, TimePoint now) const;
     bool isAvailable(const TargetRecord &record, TimePoint now) const;
     bool needsAbsentPrimary(const Session &session, TimePoint now) const;
-    bool canServe(const GroupId &group, bool needsPrimary, const TeamId *team, TimePoint now) const;
+    bool canServe(const GroupId &group, bool needsPrimary, const TeamId *team, bool mayConnect,
+                  TimePoint now) const;
     bool mayOpen(const TargetRecord &record, const TeamId &team, TimePoint now) const;
     void enqueue(Session &session, TimePoint now);
     void limitWaitForPrimary(Session &session, TimePoint now) const;
--- a/src/rhubarbweir/coordination/sessions/statement_queue.cpp
+++ b/src/rhubarbweir/coordination/sessions/statement_queue.cpp
@@ -17,6 +17,9 @@
 constexpr std::chrono::seconds WorkHalfLife{2};
 // Work assumed for a statement while none is known.
 constexpr std::chrono::milliseconds MinWork{1};
+// Work, in seconds, that a team with a connection may be given in advance of a team that needs a
+// new one. The work of a few statements.
+constexpr double ConnectedLead = 0.2;
 // One in this many statements taken from a group's queue is the oldest of any priority.
 constexpr unsigned OldestShare = 8;
 // A late answer has value where the deadline is at least this many objectives after the arrival.
@@ -370,7 +373,7 @@
             chosen = this->oldest(queue, pass);
         const bool isOldest = chosen.has_value();
         if (!isOldest)
-            chosen = this->next(queue, pass, decided, now);
+            chosen = this->next(queue, pass, decided, hooks, now);
         if (!chosen)
             return;
         const Entry entry = this->entries.at(*chosen);
@@ -403,27 +406,32 @@
 }
 
 // The statement that is next in order. Among the teams of a rank, the one that was given the least
-// work goes first.
+// work goes first. A team that has a connection goes before it as long as it was not given much
+// more, because a new connection takes time of the target.
 std::optional<SessionNumber> StatementQueue::next(const GroupQueue &queue, Pass &pass,
-                                                  NewestFirst &decided, TimePoint now) const
+                                                  NewestFirst &decided, const QueueOffer &hooks,
+                                                  TimePoint now) const
 {
+    using Place = std::tuple<double, Urgency, SessionNumber>;
     for (const auto &[rank, teams] : queue.ranks) {
         const bool newestFirst =
             !this->byTeam && this->takesNewestFirst(rank.priority, decided, now);
-        std::optional<std::pair<double, Urgency>> best;
-        SessionNumber session = 0;
+        std::vector<Place> places;
         for (const auto &[team, lines] : teams) {
-            const auto candidate = first(rank, team, lines, pass, newestFirst);
-            if (!candidate)
-                continue;
-            const std::pair<double, Urgency> place(givenWork(queue, team, now), candidate->urgency);
-            if (!best || place < *best) {
-                best = place;
-                session = candidate->session;
-            }
+            if (const auto candidate = first(rank, team, lines, pass, newestFirst))
+                places.emplace_back(givenWork(queue, team, now), candidate->urgency,
+                                    candidate->session);
         }
-        if (best)
-            return session;
+        std::sort(places.begin(), places.end());
+        if (places.empty())
+            continue;
+        const auto connected = std::find_if(places.begin(), places.end(), [&](const Place &place) {
+            return places.size() > 1
+                   && std::get<double>(place) <= std::get<double>(places.front()) + ConnectedLead
+                   && hooks.hasConnection(
+                       this->entries.at(std::get<SessionNumber>(place)).statement);
+        });
+        return std::get<SessionNumber>(connected != places.end() ? *connected : places.front());
     }
     return std::nullopt;
 }
--- a/src/rhubarbweir/coordination/sessions/statement_queue.hpp
+++ b/src/rhubarbweir/coordination/sessions/statement_queue.hpp
@@ -67,6 +67,8 @@
     // Whether a target of the group may have a connection for a statement now. Asked before each
     // statement that is offered.
     std::function<bool(const GroupId &, bool needsPrimary)> hasCapacity;
+    // Whether the statement's team has an idle connection that can run it.
+    std::function<bool(const WaitingStatement &)> hasConnection;
     // Offers a waiting statement. It was sent if StatementQueue::taken() was called meanwhile.
     // False if no statement of the same group, need for the primary and team can be sent now.
     std::function<bool(const WaitingStatement &)> offer;
@@ -226,7 +228,7 @@
     void offerIn(const GroupId &group, TimePoint now, const QueueOffer &hooks,
                  NewestFirst &decided);
     std::optional<SessionNumber> next(const GroupQueue &queue, Pass &pass, NewestFirst &decided,
-                                      TimePoint now) const;
+                                      const QueueOffer &hooks, TimePoint now) const;
     std::optional<SessionNumber> oldest(const GroupQueue &queue, const Pass &pass) const;
     static std::optional<Candidate> first(const Rank &rank, const TeamId &team, const Lines &lines,
                                           const Pass &pass, bool newestFirst);
--- a/tests/unit/statement_queue.tests.cpp
+++ b/tests/unit/statement_queue.tests.cpp
@@ -36,6 +36,9 @@
         hooks.hasCapacity = [&](const GroupId &, bool) {
             return sent.size() < count;
         };
+        hooks.hasConnection = [this](const WaitingStatement &statement) {
+            return statement.team == this->connectedTeam;
+        };
         hooks.offer = [&](const WaitingStatement &statement) {
             sent.push_back(statement.session);
             this->queue.taken(statement.session, this->now);
@@ -48,6 +51,7 @@
     }
 
     PoolerSettings settings;
+    TeamId connectedTeam;
     TimePoint now = TimePoint(std::chrono::seconds(1000));
     StatementQueue queue{this->settings};
 };
@@ -69,6 +73,21 @@
     cr_assert(fixture.send(9) == Sessions({3, 5, 4, 2, 1}));
 }
 
+Test(statement_queue, connected_team,
+     .description = "A team that has a connection may be somewhat ahead of one that needs a new "
+                    "connection, so that targets do not open one for each statement")
+{
+    QueueFixture fixture;
+    fixture.connectedTeam = TeamId("a");
+    for (SessionNumber session = 1; session <= 60; ++session)
+        fixture.add(session, session % 2 == 0 ? "a" : "b");
+    const Sessions sent = fixture.send(40);
+    const auto first = std::find_if(sent.begin(), sent.end(),
+                                    [](SessionNumber session) { return session % 2 == 1; });
+    cr_assert_geq(first - sent.begin(), 4);
+    cr_assert_leq(first - sent.begin(), 25);
+}
+
 Test(statement_queue, order_without_teams,
      .description = "Without teams, the order is by priority and arrival, and the newest of a "
                     "priority goes first once its oldest has waited for 100 ms")
@@ -168,6 +187,9 @@
     hooks.hasCapacity = [](const GroupId &, bool) {
         return true;
     };
+    hooks.hasConnection = [](const WaitingStatement &) {
+        return false;
+    };
     hooks.offer = [&offers](const WaitingStatement &) {
         ++offers;
         return false;
