Refuse early what waits for a silent transaction

With teams a pooler may hold only one connection to a target. A transaction whose caller had fallen silent kept it until the idle limit (3 s), and statements of other teams waited their whole objective before they were refused. They are now refused after a fifth of it, as without a primary, once the transaction has been silent for as long as the objective; the caller tries another pooler. Documents without teams are not affected.

team_sessions (connection_held_by_an_idle_transaction) failed before and passes.

--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -86,6 +86,10 @@
                                                   session.pending->arrivedAt
                                                       + session.pending->route.latencyObjective
                                                             / this->settings.absentPrimaryDivisor);
+    if (this->waitsForIdleTransactions(session, ids, now))
+        session.pending->queueDeadline = std::min(
+            session.pending->queueDeadline,
+            now + session.pending->route.latencyObjective / this->settings.absentPrimaryDivisor);
     this->enqueue(session);
 }
 
@@ -116,6 +120,28 @@
     }
 }
 
+// Whether every connection that the statement could use is held by a transaction whose caller has
+// sent nothing for the statement's latency objective. Such a transaction goes on until its idle
+// limit, so another pooler should be tried soon. Only with teams, which share few connections.
+bool SessionPooler::waitsForIdleTransactions(const Session &session,
+                                             const std::vector<TargetId> &targets,
+                                             TimePoint now) const
+{
+    if (!this->view.routes().hasTeams || targets.empty())
+        return false;
+    const TimePoint silentSince = now - session.pending->route.latencyObjective;
+    const auto isHeld = [&](ConnectionId id) {
+        const auto owner = this->sessions.find(this->targetTracker.connections().at(id).owner);
+        return owner != this->sessions.end() && owner->second.pinned == id && !owner->second.pending
+               && owner->second.transactionActivity <= silentSince;
+    };
+    return std::all_of(targets.begin(), targets.end(), [&](const TargetId &target) {
+        const TargetRecord *record = this->targetTracker.find(target);
+        return record->connections.size() >= this->connectionShare(*record)
+               && std::all_of(record->connections.begin(), record->connections.end(), isHeld);
+    });
+}
+
 // Whether only a primary can serve the statement and the group has had none for longer than a
 // planned change takes.
 bool SessionPooler::needsAbsentPrimary(const Session &session, TimePoint now) const
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -115,6 +115,8 @@
     void enqueue(const Session &session);
     void dequeue(SessionNumber number);
     void openIfAllowed(const TargetId &target, const TeamId &team, TimePoint now);
+    bool waitsForIdleTransactions(const Session &session, const std::vector<TargetId> &targets,
+                                  TimePoint now) const;
     void openFor(const Session &session, const std::vector<TargetId> &targets, TimePoint now);
     void keepWarm(TimePoint now);
     std::uint32_t connectionsForPoolers(const TargetRecord &record) const;
--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -104,6 +104,7 @@
     const TargetRecord *find(const TargetId &target) const;
     PooledConnection *connection(ConnectionId id);
     std::map<ConnectionId, PooledConnection> &connections() { return this->open; }
+    const std::map<ConnectionId, PooledConnection> &connections() const { return this->open; }
     const std::map<TargetId, TargetRecord> &records() const { return this->targets; }
 
     PooledConnection &addConnection(const TargetRecord &record, const TeamId &team, TimePoint now);
--- a/tests/unit/team_sessions.tests.cpp
+++ b/tests/unit/team_sessions.tests.cpp
@@ -546,3 +546,45 @@
     for (const auto &[connection, target] : fixture.opening)
         cr_assert_neq(fixture.teamOf.at(connection), Red);
 }
+
+// Guards against a statement that waits in vain for a transaction whose caller fell silent.
+Test(team_sessions, connection_held_by_an_idle_transaction,
+     .description =
+         "A statement is refused early if idle transactions hold all connections that it "
+         "could use, and is served if one ends before")
+{
+    for (const bool ends : {false, true}) {
+        TeamFixture fixture;
+        fixture.makeConnectionsScarce();
+        const SessionNumber red = beginRed(fixture);
+        fixture.advance(milliseconds(500));
+        const SessionNumber blue = fixture.open("latest", BlueKey);
+        fixture.submit(blue, Kind::Write, "b");
+        fixture.advance(milliseconds(50));
+        if (ends)
+            fixture.submit(red, Kind::Commit, "commit");
+        fixture.answerAll();
+        fixture.advance(milliseconds(50));
+        cr_assert_eq(fixture.answerCount(blue), 1);
+        cr_assert_eq(fixture.faultOf(blue).has_value(), !ends);
+    }
+}
+
+Test(team_sessions, transaction_that_goes_on,
+     .description = "A statement waits its whole objective for a transaction that goes on")
+{
+    TeamFixture fixture;
+    fixture.makeConnectionsScarce();
+    const SessionNumber red = beginRed(fixture);
+    const SessionNumber blue = fixture.open("latest", BlueKey);
+    fixture.submit(blue, Kind::Write, "b");
+    for (int round = 0; round < 7; ++round) {
+        fixture.advance(milliseconds(50));
+        fixture.submit(red, Kind::Write, "r");
+        fixture.answerAll();
+    }
+    cr_assert_eq(fixture.answerCount(blue), 0);
+    fixture.submit(red, Kind::Commit, "commit");
+    fixture.answerAll();
+    cr_assert(!fixture.faultOf(blue));
+}
