Log and count refusals for keys and missing proofs

A statement or session that was refused on arrival left no line and no counter. Each now is an event: key_denied, configuration_unproven or key_moved, with request, session, database and version of the configuration, and never the key. The metrics count each, so there are three counters more.

--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -50,8 +50,12 @@
     if (route == nullptr)
         return SessionOpening::UnknownDatabase;
     const RouteTable &table = this->view.routes();
-    if (table.hasTeams && !route->isPublic && table.teamsByKey.count(key) == 0)
-        return this->proof.mayDeny(now) ? SessionOpening::Denied : SessionOpening::Unproven;
+    if (table.hasTeams && !route->isPublic && table.teamsByKey.count(key) == 0) {
+        const bool mayDeny = this->proof.mayDeny(now);
+        this->logRefusal(mayDeny ? StatementFault::Denied : StatementFault::Busy, number, "-",
+                         database);
+        return mayDeny ? SessionOpening::Denied : SessionOpening::Unproven;
+    }
     Session session;
     session.number = number;
     session.database = database;
@@ -211,6 +215,21 @@
     return std::nullopt;
 }
 
+// One event, and so one counter, for each cause.
+void SessionPooler::logRefusal(StatementFault fault, SessionNumber session,
+                               const std::string &request, const std::string &database) const
+{
+    const char *event = fault == StatementFault::Denied    ? "key_denied"
+                        : fault == StatementFault::Aborted ? "key_moved"
+                                                           : "configuration_unproven";
+    this->hooks.event(event,
+                      {{"request", request},
+                       {"session", absl::StrCat(session)},
+                       {"database", database},
+                       {"configuration", absl::StrCat(this->view.routes().version)}},
+                      false);
+}
+
 // Refuses the pending statement if its session has lost the right to run it. Checked again right
 // before sending, because the key may have been taken away while the statement waited.
 bool SessionPooler::refuseWithoutAccess(Session &session, TimePoint now)
@@ -218,6 +237,7 @@
     const std::optional<StatementFault> fault = this->updateTeam(session, now);
     if (!fault)
         return false;
+    this->logRefusal(*fault, session.number, session.pending->statement.id, session.database);
     this->refuse(session, *fault, causeOf(*fault), now);
     return true;
 }
@@ -231,6 +251,7 @@
     const bool isRollback = statement.kind == TextStatementKind::Rollback;
     if (!fault || (isRollback && *fault != StatementFault::Denied))
         return false;
+    this->logRefusal(*fault, session.number, statement.id, session.database);
     if (session.state == TransactionState::Open)
         this->failTransaction(session, now);
     if (isRollback || statement.kind == TextStatementKind::Commit)
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -92,6 +92,8 @@
     bool needsKey(const Session &session) const;
     std::optional<StatementFault> updateTeam(Session &session, TimePoint now) const;
     bool refuseAtArrival(Session &session, const TextStatement &statement, TimePoint now);
+    void logRefusal(StatementFault fault, SessionNumber session, const std::string &request,
+                    const std::string &database) const;
     bool refuseWithoutAccess(Session &session, TimePoint now);
     void rollback(Session &session, TimePoint now);
     void runAtTarget(Session &session, TextStatement statement, TimePoint now);
--- a/tests/fakes/pooler_fixture.hpp
+++ b/tests/fakes/pooler_fixture.hpp
@@ -228,6 +228,7 @@
     std::map<ConnectionId, TeamId> teamOf;
     SessionOpening lastOpening = SessionOpening::Opened;
     std::set<ConnectionId> closedConnections;
+    std::map<std::string, std::size_t> eventCounts;
     std::map<ConnectionId, bool> inTransaction;
     SessionNumber lastSession = 0;
     // Called for every command sent, before it is recorded.
@@ -286,7 +287,8 @@
         };
         hooks.finished = [](RouteConsistency, std::optional<StatementFault>, Duration) {
         };
-        hooks.event = [](std::string_view, const PoolerEventFields &, bool) {
+        hooks.event = [this](std::string_view event, const PoolerEventFields &, bool) {
+            ++this->eventCounts[std::string(event)];
         };
         return hooks;
     }
--- a/tests/unit/team_sessions.tests.cpp
+++ b/tests/unit/team_sessions.tests.cpp
@@ -588,3 +588,28 @@
     fixture.answerAll();
     cr_assert(!fixture.faultOf(blue));
 }
+
+Test(team_sessions, counted_refusals,
+     .description = "Each refusal for a key or a missing proof is counted under its cause")
+{
+    TeamFixture fixture(RevokeWithin);
+    const SessionNumber session = fixture.open("latest", RedKey);
+    fixture.open("latest", keyOf(9));
+    cr_assert_eq(fixture.eventCounts["key_denied"], 1);
+    fixture.submit(session, Kind::Begin, "b");
+    fixture.configure({{RedKey, Blue}});
+    fixture.submit(session, Kind::Read, "r");
+    cr_assert_eq(fixture.eventCounts["key_moved"], 1);
+    fixture.submit(session, Kind::Rollback, "e");
+    fixture.now += RevokeWithin;
+    fixture.submit(session, Kind::Read, "r");
+    fixture.open("latest", keyOf(9));
+    cr_assert_eq(fixture.eventCounts["configuration_unproven"], 2);
+    fixture.prove();
+    // Also once when the fixture first served teams.
+    cr_assert_eq(fixture.eventCounts["configuration_proven"], 2);
+    // Waiting for a connection when the key is taken away.
+    fixture.submit(session, Kind::Write, "w");
+    fixture.configure({{BlueKey, Blue}});
+    cr_assert_eq(fixture.eventCounts["key_denied"], 2);
+}
