--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -97,6 +97,8 @@
     bool needsKey(const Session &session) const;
     std::optional<StatementFault> updateTeam(Session &session, TimePoint now) const;
     bool refuseAtArrival(Session &session, const TextStatement &statement, TimePoint now);
+    void logRefusal(StatementFault fault, SessionNumber session, const std::string &request,
+                    const std::string &database) const;
     bool refuseWithoutAccess(Session &session, TimePoint now);
     void rollback(Session &session, TimePoint now);
     void runAtTarget(Session &session, TextStatement statement, TimePoint now);
@@ -125,6 +127,8 @@
     void limitWaitForPrimary(Session &session, TimePoint now) const;
     void refuseQueued(const std::vector<QueueRefusal> &refusals, TimePoint now);
     void openIfAllowed(const TargetId &target, const TeamId &team, TimePoint now);
+    bool waitsForIdleTransactions(const Session &session, const std::vector<TargetId> &targets,
+                                  TimePoint now) const;
     void openFor(const Session &session, const std::vector<TargetId> &targets, TimePoint now);
     void keepWarm(TimePoint now);
     std::uint32_t connectionsForPoolers(const TargetRecord &record) const;
--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -120,6 +120,7 @@
     const TargetRecord *find(const TargetId &target) const;
     PooledConnection *connection(ConnectionId id);
     std::map<ConnectionId, PooledConnection> &connections() { return this->open; }
+    const std::map<ConnectionId, PooledConnection> &connections() const { return this->open; }
     const std::map<TargetId, TargetRecord> &records() const { return this->targets; }
     // Empty for an unknown group.
     const TargetGroup &group(const GroupId &group) const;
