--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -251,6 +251,8 @@
 void PoolerProgram::handleRequest(const HttpRequest &request, const HttpResponder &respond)
 {
     if (request.method == "GET" && request.target == MetricsPath) {
+        this->metrics.set("rhubarbweir_waiting_statements", this->pooler.waitingCount());
+        this->metrics.set("rhubarbweir_late_statements", this->pooler.lateCount());
         respond(metricsResponse(this->metrics));
         return;
     }
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -324,6 +324,8 @@
                                 {"configuration", absl::StrCat(this->view.routes().version)},
                                 {"view", absl::StrCat(this->view.revision())},
                                 {"lease", this->view.leaseValid(now) ? "valid" : "ended"}};
+    if (!session.team.empty())
+        fields.emplace_back("team", session.team.value);
     for (const TargetId &target : pending.tried)
         fields.emplace_back("tried", target.value);
     this->hooks.event("statement", fields, sampled);
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -80,6 +80,8 @@
     std::size_t sessionCount() const { return this->sessions.size(); }
     // Statements that wait for a connection.
     std::size_t waitingCount() const { return this->queue.size(); }
+    // Those of them that can no longer be in time.
+    std::size_t lateCount() const { return this->queue.lateCount(); }
 
 private:
     struct OwnPosition
--- a/src/rhubarbweir/coordination/sessions/statement_queue.cpp
+++ b/src/rhubarbweir/coordination/sessions/statement_queue.cpp
@@ -308,6 +308,7 @@
     if (this->byTeam && !entry.isLate)
         queue.byArrival.at(lane).emplace(Urgency(statement.arrivedAt, entry.sequence),
                                          statement.session);
+    this->lateEntries += entry.isLate ? 1 : 0;
     queue.paces.at(lane).added(now);
     queue.teams[statement.team].paces.at(lane).added(now);
     ++this->waitingByTeam[statement.team];
@@ -329,6 +330,7 @@
     this->checks.erase({entry.checkAt, statement.session});
     this->arrivals.erase({statement.priority, this->urgencyOf(entry)});
     queue.byArrival.at(lane).erase(Urgency(statement.arrivedAt, entry.sequence));
+    this->lateEntries -= entry.isLate ? 1 : 0;
     --queue.paces.at(lane).waiting;
     --queue.teams[statement.team].paces.at(lane).waiting;
     const auto count = this->waitingByTeam.find(statement.team);
--- a/src/rhubarbweir/coordination/sessions/statement_queue.hpp
+++ b/src/rhubarbweir/coordination/sessions/statement_queue.hpp
@@ -109,6 +109,8 @@
     bool contains(SessionNumber session) const { return this->entries.count(session) != 0; }
     bool isWaited(const GroupId &group, bool needsPrimary) const;
     std::size_t size() const { return this->entries.size(); }
+    // Statements that wait although they cannot be in time.
+    std::size_t lateCount() const { return this->lateEntries; }
     bool empty() const { return this->entries.empty(); }
 
 private:
@@ -240,6 +242,8 @@
     bool byTeam = false;
     std::uint64_t lastSequence = 0;
     std::unordered_map<SessionNumber, Entry> entries;
+    // Number of entries with Entry::isLate.
+    std::size_t lateEntries = 0;
     // A group stays when its queue is empty, since its paces are still needed.
     std::map<GroupId, GroupQueue> groups;
     // Only teams with waiting statements.
