Count the poolers of a region that share a home replica

Home replicas are chosen in the region, so a group's only replica there is the home of all poolers of the region. The limit was checked as if they were spread over the replicas of both regions. Now it is checked for poolers spread evenly over the failure domains. The new test fails without it.

--- a/src/rhubarbweir/coordination/sessions/domain_distances.hpp
+++ b/src/rhubarbweir/coordination/sessions/domain_distances.hpp
@@ -9,6 +9,7 @@
 #include "rhubarbweir/state/ids.hpp"
 #include "rhubarbweir/state/time.hpp"
 
+#include <cstddef>
 #include <map>
 #include <set>
 
@@ -27,6 +28,8 @@
     // How much longer a round trip to the domain takes than one in this region; zero unless the
     // domain is distant.
     Duration extraRoundTrip(const FailureDomainId &domain) const;
+    // Domains from which there was any time.
+    std::size_t domainCount() const { return this->timesByDomain.size(); }
     const std::set<FailureDomainId> &distantDomains() const { return this->distant; }
 
 private:
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -185,7 +185,8 @@
     const TargetGroup &group = this->targetTracker.group(id);
     if (group.home == nullptr)
         return nullptr;
-    const std::uint32_t share = this->view.connectionHolders() / group.replicas;
+    const std::uint32_t share =
+        this->targetTracker.poolersOfHome(group, this->view.connectionHolders());
     return share <= this->connectionsForPoolers(*group.home) ? group.home : nullptr;
 }
 
--- a/src/rhubarbweir/coordination/sessions/target_tracker.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.cpp
@@ -110,15 +110,17 @@
 {
     group.home = nullptr;
     group.replicas = 0;
+    group.replicasInRegion = 0;
     std::tuple<bool, bool, std::size_t> best;
     for (const TargetRecord *record : group.members) {
         const RegisteredTarget &target = record->target;
         if (target.phase != TargetPhase::Ready || target.target == group.primary)
             continue;
+        const bool isInRegion = !this->domainDistances.isDistant(target.failureDomain);
         ++group.replicas;
+        group.replicasInRegion += isInRegion ? 1 : 0;
         const std::tuple<bool, bool, std::size_t> rank(
-            target.failureDomain == this->settings.failureDomain,
-            !this->domainDistances.isDistant(target.failureDomain),
+            target.failureDomain == this->settings.failureDomain, isInRegion,
             std::hash<std::string>()(this->settings.instance.value + "/" + target.target.value));
         if (group.home == nullptr || best < rank) {
             group.home = record;
@@ -127,6 +129,19 @@
     }
 }
 
+std::uint32_t TargetTracker::poolersOfHome(const TargetGroup &group, std::uint32_t poolers) const
+{
+    if (group.replicasInRegion == 0 || this->domainDistances.distantDomains().empty())
+        return poolers / group.replicas;
+    const auto domains = static_cast<std::uint32_t>(this->domainDistances.domainCount());
+    const auto distant = static_cast<std::uint32_t>(this->domainDistances.distantDomains().size());
+    const std::uint32_t inRegion = poolers * (domains - distant) / domains;
+    // Poolers of a region without a replica have homes in this one.
+    const bool isOnlyRegion = group.replicasInRegion == group.replicas;
+    return inRegion / group.replicasInRegion
+           + (isOnlyRegion ? (poolers - inRegion) / group.replicas : 0);
+}
+
 void TargetTracker::recordDistance(const TargetRecord &record, Duration took, TimePoint now)
 {
     if (!this->domainDistances.record(record.target.failureDomain, took, now))
--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -102,8 +102,9 @@
     // target; null without a replica.
     const TargetRecord *home = nullptr;
     TargetId primary;
-    // Members that are ready and not the primary.
+    // Members that are ready and not the primary, and those of them in this region.
     std::uint32_t replicas = 0;
+    std::uint32_t replicasInRegion = 0;
 };
 
 class TargetTracker
@@ -123,6 +124,9 @@
     const std::map<TargetId, TargetRecord> &records() const { return this->targets; }
     // Empty for an unknown group.
     const TargetGroup &group(const GroupId &group) const;
+    // How many of `poolers` have the same home replica as this one, if they are spread evenly over
+    // the failure domains. The group must have a home replica.
+    std::uint32_t poolersOfHome(const TargetGroup &group, std::uint32_t poolers) const;
 
     PooledConnection &addConnection(const TargetRecord &record, const TeamId &team, TimePoint now);
     void removeConnection(ConnectionId id);
--- a/tests/unit/domain_distances.tests.cpp
+++ b/tests/unit/domain_distances.tests.cpp
@@ -6,6 +6,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace rhubarbweir;
 using namespace rhubarbweir::fakes;
 using std::chrono::seconds;
@@ -150,3 +152,33 @@
     fixture.advance(milliseconds(20));
     cr_assert_eq(sentTo(fixture, PoolerFixture::ReplicaB), 1);
 }
+
+namespace {
+
+// Whether the pooler keeps a connection to the replica in its region, which is the only one there.
+bool keepsHomeReplica(std::uint32_t poolers)
+{
+    PoolerFixture fixture;
+    learn(fixture, milliseconds(35));
+    for (int round = 0; round < 6; ++round) {
+        fixture.pooler.leaseReceived(fixture.now + milliseconds(4000), poolers, 0, fixture.now);
+        fixture.advance(milliseconds(500));
+        fixture.openConnections();
+    }
+    return std::any_of(fixture.targetOf.begin(), fixture.targetOf.end(),
+                       [&fixture](const auto &each) {
+                           return each.second == PoolerFixture::ReplicaA
+                                  && fixture.closedConnections.count(each.first) == 0;
+                       });
+}
+
+} // namespace
+
+Test(domain_distances, home_replica_of_a_region,
+     .description = "Where a single replica is the home of all poolers of a region, their "
+                    "connections together stay below its limit")
+{
+    // Two of three domains are in the region, and poolers may open 36 connections to a target.
+    cr_assert(keepsHomeReplica(54));
+    cr_assert(!keepsHomeReplica(60));
+}
