--- a/bench/pooler_scale.cpp
+++ b/bench/pooler_scale.cpp
@@ -331,5 +331,7 @@
             Benchmark(targets, sessions, ScarceConnections).run();
     }
     Benchmark(300, 35, AmpleConnections).run();
+    // More statements than the connections can run, so that the queue is full.
+    Benchmark(30, 1000, ScarceConnections).run();
     return EXIT_SUCCESS;
 }
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -175,9 +175,6 @@
     TargetTracker targetTracker;
     RetryBudget retries;
     std::map<SessionNumber, Session> sessions;
-    // Contains every session with a pending statement or a pinned connection. Others are removed by
-    // the next advance().
-    std::map<SessionNumber, const Session *> activeSessions;
     // Sessions whose statement is queued, by priority and arrival.
     std::multimap<std::pair<unsigned, TimePoint>, SessionNumber> queue;
     // Positions of each group's primary under the current log generation, learned here or received.
@@ -186,6 +183,9 @@
     // The newest position learned here, and when the newest one that the leader has was asked for.
     std::map<GroupId, OwnPosition> ownPositions;
     std::map<GroupId, TimePoint> sharedAsOf;
+    // Contains every session with a pending statement or a pinned connection. Others are removed by
+    // the next advance().
+    std::map<SessionNumber, const Session *> activeSessions;
     // When the last statement arrived for each group in use.
     std::map<GroupId, TimePoint> groupsInUse;
     // Failure domains of other regions, as logged last.
