--- a/src/rhubarbweir/coordination/sessions/internal/session_regions.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_regions.cpp
@@ -39,7 +39,7 @@
     const TargetRecord &record = *this->targetTracker.find(id);
     return !this->targetTracker.distances().isDistant(record.target.failureDomain)
            && id != this->view.knownPrimary(pending.route.group)
-           && now + delay <= pending.queueDeadline
+           && now + delay <= pending.arrivedAt + pending.route.latencyObjective
            && (!record.connections.empty() || now >= record.connectBlockedUntil);
 }
 
