Pack a view once for all poolers, and queue nothing for a full link

Cause: each new pooler got the whole view, encoded for it alone (40 kB at 240 targets), and each message of changes was composed and encoded anew for each pooler. What a slow link did not take waited in the memory of the leader, up to 4 MB for each pooler.

Change: the leader composes a view once for each revision that poolers start from. With 16 entries or more it is encoded and compressed once and sent as bytes (FleetLease::packedView). While more than 128 kB wait for a pooler it is sent neither views nor answers; its next renewal is answered with what it has missed.

--- a/bench/fleet_control.cpp
+++ b/bench/fleet_control.cpp
@@ -5,6 +5,7 @@
 #include "rhubarbweir/coordination/fleet/fleet_controller.hpp"
 #include "rhubarbweir/protocol/codec.hpp"
 #include "rhubarbweir/protocol/compression.hpp"
+#include "rhubarbweir/protocol/fleet_codec.hpp"
 #include "rhubarbweir/protocol/message_conversion.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 #include "rhubarbweir/transport/http.hpp"
@@ -65,6 +66,14 @@
     std::size_t receivedBytes = 0;
 };
 
+bool changesAuthority(const FleetLease &lease)
+{
+    if (lease.packedView.bytes.empty())
+        return !lease.view.authorities.empty();
+    const auto view = unpackFleetView(lease.packedView);
+    return view.ok() && !view->authorities.empty();
+}
+
 class Bench
 {
 public:
@@ -255,6 +264,7 @@
         hooks.compress = [](const OpaqueBytes &document) {
             return OpaqueBytes(compress(document.bytes));
         };
+        hooks.packView = packFleetView;
         hooks.callObserver = [](const std::string &) {
         };
         hooks.syncReplicas = [](const OpaqueBytes &) {
@@ -391,7 +401,7 @@
             for (const GroupPosition &each : lease->positions)
                 pooler.sharedAsOf[each.group] = this->now - LinkDelay - each.age;
             this->report(pooler);
-        } else if ((pooler.revision != before && !lease->view.authorities.empty())
+        } else if ((pooler.revision != before && changesAuthority(*lease))
                    || pooler.version != versionBefore) {
             this->renew(pooler);
         }
--- a/src/programs/control/control_server.cpp
+++ b/src/programs/control/control_server.cpp
@@ -25,6 +25,12 @@
         found->second->send(message);
 }
 
+std::size_t ControlServer::queuedBytes(ConnectionId id) const
+{
+    const auto found = this->connections.find(id);
+    return found == this->connections.end() ? 0 : found->second->queuedBytes();
+}
+
 void ControlServer::closeAll(CloseReason reason)
 {
     for (const auto &[id, connection] : this->connections)
--- a/src/programs/control/control_server.hpp
+++ b/src/programs/control/control_server.hpp
@@ -30,6 +30,8 @@
     absl::Status listen() { return this->server.listen(); }
     // Does nothing when the connection is closed.
     void send(ConnectionId id, const Message &message);
+    // Bytes that wait to be sent on the connection; 0 when it is closed.
+    std::size_t queuedBytes(ConnectionId id) const;
     void closeAll(CloseReason reason);
 
 private:
--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -28,6 +28,9 @@
 constexpr std::uint32_t InternalPart = 2;
 constexpr std::uint32_t CallPart = 8;
 constexpr std::chrono::milliseconds PromotionTimeout{1000};
+// A pooler with more bytes waiting is sent no views and answers. Its link of 1.4 Mbit/s takes 0.75
+// s for them, and 300 such poolers take a quarter of the memory of an instance.
+constexpr std::size_t MaxBacklogBytes = 128 << 10;
 // Delay of the exit after a failed disk write. A full disk lasts for seconds, so an immediate
 // restart would fail again.
 constexpr std::chrono::milliseconds DiskFailureExitDelay{1500};
@@ -210,6 +213,10 @@
     hooks.compress = [](const OpaqueBytes &document) {
         return OpaqueBytes(compress(document.bytes));
     };
+    hooks.packView = packFleetView;
+    hooks.isBacklogged = [this](ConnectionId connection) {
+        return this->server.queuedBytes(connection) > MaxBacklogBytes;
+    };
     hooks.syncReplicas = [](const OpaqueBytes &document) {
         std::map<GroupId, std::uint32_t> replicas;
         const auto table = platform::decodeRouteTable(document.bytes);
--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -2,6 +2,7 @@
 #include "programs/pooler/fleet_link.hpp"
 
 #include "programs/support/event_log.hpp"
+#include "rhubarbweir/protocol/fleet_codec.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 
 #include <algorithm>
@@ -172,6 +173,10 @@
 void FleetLink::receive(const Message &message)
 {
     if (const auto *lease = std::get_if<FleetLease>(&message)) {
+        if (!lease->packedView.bytes.empty()) {
+            this->receivePacked(*lease);
+            return;
+        }
         this->lastMessageAt = EventLoop::now();
         this->leaderlessPolls = 0;
         this->isAnswered = true;
@@ -196,6 +201,20 @@
     }
 }
 
+void FleetLink::receivePacked(const FleetLease &lease)
+{
+    auto view = unpackFleetView(lease.packedView);
+    if (!view.ok()) {
+        logEvent(LogLevel::Error, "view_unreadable", {{"cause", view.status().ToString()}});
+        return;
+    }
+    FleetLease unpacked = lease;
+    view->controls = lease.view.controls;
+    unpacked.view = *std::move(view);
+    unpacked.packedView = {};
+    this->receive(unpacked);
+}
+
 // Sent right after an answer, from whose sending the leader counts the ages.
 void FleetLink::reportPositions()
 {
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -55,6 +55,7 @@
     void connect(const std::string &address);
     void connected(const ConnectionPtr &connection, const std::string &address);
     void receive(const Message &message);
+    void receivePacked(const FleetLease &lease);
     void reportPositions();
     void redirect(const std::string &leader);
     void drop(const std::string &cause);
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -83,6 +83,8 @@
     this->relievedAt.clear();
     this->replicaRoleSince.clear();
     this->lastAnnouncements.clear();
+    this->registrations.clear();
+    this->answerRegistrationsAt = TimePoint::max();
     this->views.beginLeadership();
     this->positions.clear();
     this->questions.clear();
@@ -380,8 +382,33 @@
                                             {"lease", mayAnswer ? "granted" : "awaits_renewal"}});
     if (!mayAnswer)
         return;
-    this->leases.grant(lease->second, this->fleet.viewRevision(), now);
-    this->views.answer(lease->second, *sequence, now);
+    // Together with the others of a crowd, so that all get the same view.
+    this->registrations[run] = *sequence;
+    const TimePoint earliest =
+        this->registrationsAnsweredAt + crowdInterval(this->fleet.livePoolers());
+    this->answerRegistrationsAt = std::min(this->answerRegistrationsAt, std::max(now, earliest));
+    this->answerRegistrations(now);
+}
+
+void FleetController::answerRegistrations(TimePoint now)
+{
+    if (now < this->answerRegistrationsAt)
+        return;
+    this->answerRegistrationsAt = TimePoint::max();
+    this->registrationsAnsweredAt = now;
+    const std::map<ProxyRun, std::uint64_t> due = std::exchange(this->registrations, {});
+    // Without the leader's lease they are answered when they renew again.
+    if (!this->canDecide(now))
+        return;
+    for (const auto &[run, sequence] : due) {
+        const auto lease = this->leases.all().find(run);
+        const bool mayAnswer = lease != this->leases.all().end() && lease->second.connection != 0
+                               && !lease->second.isRetired;
+        if (!mayAnswer)
+            continue;
+        this->leases.grant(lease->second, this->fleet.viewRevision(), now);
+        this->views.answer(lease->second, sequence, now);
+    }
 }
 
 void FleetController::connectionClosed(ConnectionId connection)
@@ -396,6 +423,7 @@
 void FleetController::advance(TimePoint now)
 {
     this->views.advance(now);
+    this->answerRegistrations(now);
     if (now < this->wakeAt)
         return;
     this->advanceTime = now;
@@ -560,6 +588,8 @@
     ports.send = this->hooks.sendToPooler;
     ports.controlAddresses = this->hooks.controlAddresses;
     ports.compress = this->hooks.compress;
+    ports.packView = this->hooks.packView;
+    ports.isBacklogged = this->hooks.isBacklogged;
     return ports;
 }
 
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -31,7 +31,10 @@
     void leadershipChanged(TimePoint now);
     void advance(TimePoint now);
     // When advance() is due.
-    TimePoint nextDeadline() const { return std::min(this->wakeAt, this->views.nextDeadline()); }
+    TimePoint nextDeadline() const
+    {
+        return std::min({this->wakeAt, this->views.nextDeadline(), this->answerRegistrationsAt});
+    }
 
     void receiveFromPooler(ConnectionId connection, const RenewLease &message, TimePoint now);
     void positionsReported(ConnectionId connection, const PositionReport &report)
@@ -81,6 +84,7 @@
     // Makes the next supervision due, at once unless the last one was just before in a large fleet.
     void requestSupervision(TimePoint now);
     void superviseGroups(TimePoint now);
+    void answerRegistrations(TimePoint now);
     void superviseGroup(const PrimaryAuthority &authority, TimePoint now);
     void grantFirstAuthorities(TimePoint now);
     void revoke(const PrimaryAuthority &authority, const std::string &cause,
@@ -112,6 +116,11 @@
     TimePoint wakeAt;
     // Time of the running advance(), or of the last one that supervised the groups.
     TimePoint advanceTime;
+    // Registered runs whose renewal is not answered yet, with its sequence; when that is due, and
+    // when it was done last.
+    std::map<ProxyRun, std::uint64_t> registrations;
+    TimePoint answerRegistrationsAt = TimePoint::max();
+    TimePoint registrationsAnsweredAt;
     // When expired leases and poolers are looked for.
     TimePoint evictAt;
     // Latest announcement of each target, also if it changed nothing.
--- a/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
@@ -4,6 +4,7 @@
 
 #include "rhubarbweir/state/fleet_state.hpp"
 #include "rhubarbweir/state/log_position.hpp"
+#include "rhubarbweir/state/opaque_bytes.hpp"
 #include "rhubarbweir/state/time.hpp"
 
 #include <cstdint>
@@ -65,6 +66,9 @@
     std::uint64_t configurationVersion = 0;
     // Compressed. Empty if the pooler already has this version or was sent it before.
     OpaqueBytes configuration;
+    // A view with many entries, packed by FleetHooks::packView; `view` then holds only its
+    // revisions and the addresses. Empty otherwise.
+    OpaqueBytes packedView;
 };
 
 // Answer of a control instance that does not lead.
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -151,6 +151,12 @@
     std::function<void(ConnectionId, const FleetReply &)> sendToPooler;
     // Compresses a configuration document for poolers.
     std::function<OpaqueBytes(const OpaqueBytes &)> compress;
+    // Encodes and compresses a view with many entries, once for all poolers. May be empty; views
+    // are then sent unpacked.
+    std::function<OpaqueBytes(const FleetView &)> packView;
+    // Whether so many bytes wait to be sent on the connection that more would only queue up. May be
+    // empty.
+    std::function<bool(ConnectionId)> isBacklogged;
     // Tells the observer at the internal address that this instance leads. Best effort.
     std::function<void(const std::string &address)> callObserver;
     // How many replicas hold a commit before it is confirmed, by group; groups without such a rule
--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -9,6 +9,16 @@
 
 namespace {
 
+// A view with at least this many entries is packed. Below, packing saves little.
+constexpr std::size_t MinPackedEntries = 16;
+// Limit on the remembered composed views. Most poolers hold one of the last few revisions.
+constexpr std::size_t MaxComposedViews = 32;
+
+std::size_t entriesOf(const FleetView &view)
+{
+    return view.targets.size() + view.removedTargets.size() + view.authorities.size();
+}
+
 // Only control instances compare logs.
 PrimaryAuthority forPoolers(PrimaryAuthority authority)
 {
@@ -34,6 +44,7 @@
 {
     this->pushAt = TimePoint::max();
     this->records.clear();
+    this->composed.clear();
 }
 
 void ViewSender::recordReport(const ProxyRun &run, std::uint64_t configurationVersion)
@@ -43,7 +54,13 @@
 
 void ViewSender::answer(ProxyLease &lease, std::uint64_t sequence, TimePoint now)
 {
-    this->send(lease, sequence, this->baseOfAnswer(lease, now), now);
+    if (!this->isBacklogged(lease))
+        this->send(lease, sequence, this->baseOfAnswer(lease, now), now);
+}
+
+bool ViewSender::isBacklogged(const ProxyLease &lease) const
+{
+    return this->ports.isBacklogged && this->ports.isBacklogged(lease.connection);
 }
 
 // Repeating what is on its way would, on a full link, add to the queue with each renewal.
@@ -80,7 +97,7 @@
     this->pushedAt = now;
     this->forgetEvicted();
     for (auto &[run, lease] : this->leases.all()) {
-        if (lease.connection == 0 || lease.isRetired)
+        if (lease.connection == 0 || lease.isRetired || this->isBacklogged(lease))
             continue;
         if (lease.sentRevision <= lease.revision)
             this->records[run].view = {lease.revision, now + this->settings.viewResendInterval};
@@ -111,7 +128,7 @@
         message.positions = this->positions.takeChanges(lease.connection, now);
         this->positions.answerSent(lease.connection, sequence, now);
     }
-    message.view = this->viewAfter(baseRevision);
+    this->addView(message, baseRevision);
     this->addControls(message.view, lease);
     message.configurationVersion = this->state.configuration().version;
     if (this->needsDocument(lease, now))
@@ -136,6 +153,34 @@
     view.controls = this->controls;
 }
 
+void ViewSender::addView(FleetLease &message, std::uint64_t baseRevision)
+{
+    const ComposedView &composedView = this->compose(baseRevision);
+    if (composedView.packed.bytes.empty()) {
+        message.view = composedView.view;
+        return;
+    }
+    message.view.revision = composedView.view.revision;
+    message.view.baseRevision = composedView.view.baseRevision;
+    message.packedView = composedView.packed;
+}
+
+const ViewSender::ComposedView &ViewSender::compose(std::uint64_t baseRevision)
+{
+    const bool isOutdated = this->composedRevision != this->state.viewRevision();
+    if (isOutdated || this->composed.size() > MaxComposedViews)
+        this->composed.clear();
+    this->composedRevision = this->state.viewRevision();
+    const auto [entry, isNew] = this->composed.try_emplace(baseRevision);
+    ComposedView &result = entry->second;
+    if (isNew) {
+        result.view = this->viewAfter(baseRevision);
+        if (this->ports.packView && entriesOf(result.view) >= MinPackedEntries)
+            result.packed = this->ports.packView(result.view);
+    }
+    return result;
+}
+
 FleetView ViewSender::viewAfter(std::uint64_t baseRevision) const
 {
     const auto changes = this->state.viewChangesAfter(baseRevision);
--- a/src/rhubarbweir/coordination/fleet/view_sender.hpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.hpp
@@ -3,7 +3,10 @@
 // A pooler receives what changed since the view that it holds, and the whole view only where the
 // changes are not known. Each change is sent once on a connection, which keeps the order of its
 // messages. What a pooler does not report in time is sent again from the revision that it reports;
-// until it can apply a view, it uses no grant that came with it.
+// until it can apply a view, it uses no grant that came with it. Nothing is sent to a pooler while
+// much waits on its connection: it renews again, and is sent then what it has missed.
+//
+// What all poolers are sent is composed and packed once for each revision that they start from.
 #pragma once
 
 #include "rhubarbweir/coordination/fleet/pooler_registry.hpp"
@@ -22,6 +25,9 @@
     std::function<std::vector<std::string>()> controlAddresses;
     // Compresses a configuration document for poolers.
     std::function<OpaqueBytes(const OpaqueBytes &)> compress;
+    // See FleetHooks; both may be empty.
+    std::function<OpaqueBytes(const FleetView &)> packView;
+    std::function<bool(ConnectionId)> isBacklogged;
 };
 
 class ViewSender
@@ -81,6 +87,16 @@
     void forgetEvicted();
     void send(ProxyLease &lease, std::uint64_t sequence, std::uint64_t baseRevision, TimePoint now);
     void addControls(FleetView &view, const ProxyLease &lease);
+    // A view and, if it has many entries, its packed form.
+    struct ComposedView
+    {
+        FleetView view;
+        OpaqueBytes packed;
+    };
+
+    bool isBacklogged(const ProxyLease &lease) const;
+    const ComposedView &compose(std::uint64_t baseRevision);
+    void addView(FleetLease &message, std::uint64_t baseRevision);
     FleetView viewAfter(std::uint64_t baseRevision) const;
     FleetView wholeView() const;
     bool needsDocument(const ProxyLease &lease, TimePoint now);
@@ -100,6 +116,9 @@
     // Addresses of the control instances; the version counts their changes.
     std::vector<std::string> controls;
     std::uint64_t controlsVersion = 0;
+    // Views of the newest revision, by their base revision.
+    std::map<std::uint64_t, ComposedView> composed;
+    std::uint64_t composedRevision = 0;
     std::uint64_t compressedVersion = 0;
     OpaqueBytes compressed;
 };
--- a/src/rhubarbweir/protocol/fleet_codec.cpp
+++ b/src/rhubarbweir/protocol/fleet_codec.cpp
@@ -1,6 +1,7 @@
 // See fleet_codec.hpp.
 #include "rhubarbweir/protocol/fleet_codec.hpp"
 
+#include "rhubarbweir/protocol/compression.hpp"
 #include "rhubarbweir/protocol/internal/json_messages.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -122,6 +123,25 @@
     return encodeEnvelope(json(snapshot), std::variant_size_v<FleetCommand>);
 }
 
+OpaqueBytes packFleetView(const FleetView &view)
+{
+    std::string bytes;
+    json::to_cbor(json(view), bytes);
+    return OpaqueBytes(compress(bytes));
+}
+
+absl::StatusOr<FleetView> unpackFleetView(const OpaqueBytes &packed)
+{
+    const auto bytes = decompress(packed.bytes, MaxUnpackedViewBytes);
+    if (!bytes.ok())
+        return bytes.status();
+    try {
+        return json::from_cbor(*bytes).get<FleetView>();
+    } catch (const std::exception &error) {
+        return absl::InvalidArgumentError(error.what());
+    }
+}
+
 absl::StatusOr<FleetState::Snapshot> decodeFleetSnapshot(std::string_view bytes)
 {
     const auto envelope = decodeEnvelope(bytes);
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -178,7 +178,7 @@
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PositionReport, answered, positions)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetLease, sequence, leaseFor, view, poolers, formerPoolers,
-                                   positions, configurationVersion, configuration)
+                                   positions, configurationVersion, configuration, packedView)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetRedirect, leader)
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/transport/connection.hpp
+++ b/src/rhubarbweir/transport/connection.hpp
@@ -65,6 +65,8 @@
     // Closes the connection after all queued messages are sent; onClosed is called afterwards.
     virtual void close(CloseReason reason) = 0;
     virtual bool isOpen() const = 0;
+    // Bytes that wait for an earlier write to end.
+    virtual std::size_t queuedBytes() const = 0;
     // Host and port of the peer.
     virtual std::string peerAddress() const = 0;
 
--- a/src/rhubarbweir/transport/web_socket.cpp
+++ b/src/rhubarbweir/transport/web_socket.cpp
@@ -123,6 +123,8 @@
         return this->rawConnection->get_state() == websocketpp::session::state::open;
     }
 
+    std::size_t queuedBytes() const override { return this->rawConnection->get_buffered_amount(); }
+
     std::string peerAddress() const override { return this->rawConnection->get_remote_endpoint(); }
 
     // Called once when the connection has ended.
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -247,6 +247,9 @@
     std::vector<std::string> controls{"leader:1"};
     std::vector<std::string> calledObservers;
     std::vector<std::pair<ConnectionId, FleetReply>> sent;
+    // Views of at least 16 entries that were packed.
+    std::size_t packedViews = 0;
+    std::set<ConnectionId> backlogged;
     FleetController controller;
 
 private:
@@ -285,6 +288,13 @@
         hooks.compress = [](const OpaqueBytes &document) {
             return document;
         };
+        hooks.packView = [this](const FleetView &view) {
+            ++this->packedViews;
+            return OpaqueBytes(std::to_string(view.targets.size()));
+        };
+        hooks.isBacklogged = [this](ConnectionId connection) {
+            return this->backlogged.count(connection) != 0;
+        };
         hooks.syncReplicas = [this](const OpaqueBytes &) {
             return std::map<GroupId, std::uint32_t>{{Group, this->syncReplicas}};
         };
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -1079,3 +1079,43 @@
     cr_assert_eq(fleet.lastLease("p99")->view.revision, fleet.revision());
     cr_assert_eq(fleet.controller.state().authorities().size(), 20);
 }
+
+Test(fleet_controller, view_packed_once,
+     .description = "A crowd of new poolers gets one view that is packed once, not once for each")
+{
+    FleetFixture fleet;
+    for (int number = 0; number < 30; ++number)
+        fleet.announce(FleetFixture::target("t" + std::to_string(number), false, 1));
+    fleet.advance(milliseconds(100));
+    for (int number = 0; number < 200; ++number) {
+        fleet.renew("p" + std::to_string(number), 0);
+        fleet.now += milliseconds(1);
+        fleet.controller.advance(fleet.now);
+    }
+    fleet.advance(milliseconds(50));
+    cr_assert_eq(fleet.packedViews, 1);
+    for (const std::string pooler : {"p0", "p199"}) {
+        const FleetLease *lease = fleet.lastLease(pooler);
+        cr_assert_not_null(lease);
+        cr_assert_eq(lease->packedView.bytes, "30");
+        cr_assert_eq(lease->view.revision, fleet.revision());
+    }
+}
+
+Test(fleet_controller, backlogged_pooler,
+     .description =
+         "Nothing is queued for a pooler whose link is full; it gets what it missed later")
+{
+    RunningFleet fleet;
+    const std::uint64_t before = fleet.revision();
+    fleet.backlogged = {fleet.connectionOf("p1")};
+    const std::size_t sent = fleet.sent.size();
+    fleet.announce(FleetFixture::target("t4", false, ++fleet.sequence));
+    fleet.advance(milliseconds(50));
+    fleet.renew("p1", before);
+    cr_assert_eq(fleet.sent.size(), sent + 1, "only p2 is told");
+    fleet.backlogged.clear();
+    fleet.renew("p1", before);
+    cr_assert_eq(fleet.lastLease("p1")->view.baseRevision, before);
+    cr_assert_eq(fleet.lastLease("p1")->view.targets.size(), 1);
+}
