Do not acknowledge a call when a successor's command is at its index

Cause: a call of an operator or target is acknowledged when the command at the index of its proposal is applied. A former leader applies commands of its successor within the event in which it follows it, and the controller is told of the change of leadership only after that event. A command of the successor at the same index then acknowledged a configuration that was never committed, and a later read returned the older one.

Change: a call is acknowledged only while this instance leads the quorum log; otherwise it is answered 503, and repeating it is safe. The order of messages makes the case unlikely: a new leader sends entries only after an answer to an empty message.

Tested: the new test fails without the check (Accepted instead of Unavailable).

--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -151,7 +151,10 @@
             this->views.viewChanged(isUrgent(command), now);
         this->requestSupervision(now);
     }
-    this->finishCalls(index, FleetCallOutcome::Accepted);
+    // A former leader applies commands of its successor before it is told of the change, and one of
+    // them may be at the index of a call that waits here.
+    const bool isOwn = this->leads && this->hooks.isLeader();
+    this->finishCalls(index, isOwn ? FleetCallOutcome::Accepted : FleetCallOutcome::Unavailable);
 }
 
 // A leaving primary that is granted the authority again serves on for a while.
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -96,6 +96,20 @@
     cr_assert_eq(*result, FleetCallOutcome::Unavailable);
 }
 
+Test(fleet_controller, index_of_successor,
+     .description = "A configuration is not acknowledged when the next leader's command is applied "
+                    "at its index, as a later read would return an older version")
+{
+    FleetFixture fleet;
+    std::optional<FleetCallOutcome> result;
+    fleet.controller.configurationSent(
+        3, OpaqueBytes("three"), [&result](FleetCallOutcome outcome) { result = outcome; },
+        fleet.now);
+    fleet.isLeader = false;
+    fleet.controller.applied(fleet.lastIndex, RegisterObserver{"other:1"}, fleet.now);
+    cr_assert_eq(*result, FleetCallOutcome::Unavailable);
+}
+
 Test(fleet_controller, late_announcement,
      .description = "A late announcement of an earlier start is ignored")
 {
