Let waiting announcements give way to other calls

Cause: the listener for targets and operators takes 256 connections or an eighth of the descriptors (128 by default), and refused new ones while all had requests. At a start, 240 targets that wait for the commits of their announcements kept operators out.

Change: when no connection is idle, a new one takes the place of the one that has waited longest with an announcement, which is answered 503. Calls of operators never give way. Below the limit nothing changes.

Tested: the new test, with a listener of four connections; the one for idle connections passes.

--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -125,13 +125,15 @@
              })
     , controller(fleetSettings(this->settings), this->fleetHooks())
     , quorum(quorumSettings(this->settings), this->quorumHooks(), std::mt19937_64(randomSeed()))
-    , calls(this->loop, this->settings.controlAddress,
-            std::min(MaxCallConnections, this->settings.descriptorLimit / CallPart),
-            [this](const HttpRequest &request, const HttpResponder &respond) {
-                this->handleRequest(request, respond);
-                if (this->isStarted)
-                    this->finishEvent();
-            })
+    , calls(
+          this->loop, this->settings.controlAddress,
+          std::min(MaxCallConnections, this->settings.descriptorLimit / CallPart),
+          [this](const HttpRequest &request, const HttpResponder &respond) {
+              this->handleRequest(request, respond);
+              if (this->isStarted)
+                  this->finishEvent();
+          },
+          platform::isAnnouncement)
     , seeds(this->loop, this->settings, std::move(path), this->seedHooks())
 {
 }
--- a/src/rhubarbweir/transport/http.cpp
+++ b/src/rhubarbweir/transport/http.cpp
@@ -57,15 +57,22 @@
 class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection>
 {
 public:
-    HttpServerConnection(ByteStreamPtr byteStream, HttpListener::Handler requestHandler)
+    HttpServerConnection(ByteStreamPtr byteStream, HttpListener::Handler requestHandler,
+                         HttpListener::GivesWay givesWayHook)
         : stream(std::move(byteStream))
         , handler(std::move(requestHandler))
+        , givesWay(std::move(givesWayHook))
     {
         http_parser_init(&this->parser, HTTP_REQUEST);
         this->parser.data = this;
     }
 
     bool isIdle() const { return !this->isHandlingRequest && this->pendingRequests.empty(); }
+    // Whether the handler has a request that gives way, and none waits behind it.
+    bool mayGiveWay() const
+    {
+        return this->isHandlingRequest && this->handledGivesWay && this->pendingRequests.empty();
+    }
     TimePoint lastUsedAt() const { return this->usedAt; }
     bool isOpen() const { return this->stream->isOpen(); }
     void close()
@@ -74,6 +81,13 @@
         this->stream->close();
     }
 
+    void giveWay()
+    {
+        HttpResponse refusal;
+        refusal.status = 503;
+        this->answer(refusal, false);
+    }
+
     void start()
     {
         // The stream's hooks keep this object alive until the stream is closed.
@@ -162,6 +176,7 @@
             this->isHandlingRequest = true;
             this->handledBytes = sizeOf(request);
             this->pendingBytes -= this->handledBytes;
+            this->handledGivesWay = this->givesWay && this->givesWay(request);
             this->usedAt = EventLoop::now();
             this->handler(std::move(request),
                           [self = this->shared_from_this(), keep = keepAlive](
@@ -188,6 +203,7 @@
 
     ByteStreamPtr stream;
     HttpListener::Handler handler;
+    HttpListener::GivesWay givesWay;
     http_parser parser{};
     HttpRequest current;
     std::deque<std::pair<HttpRequest, bool>> pendingRequests;
@@ -196,6 +212,7 @@
     std::size_t handledBytes = 0;
     TimePoint usedAt = EventLoop::now();
     bool isHandlingRequest = false;
+    bool handledGivesWay = false;
     bool isInHandlingLoop = false;
     bool tooLarge = false;
     bool isFinished = false;
@@ -300,36 +317,52 @@
         this->all.push_back(connection);
     }
 
-    // False if every connection has a request.
-    bool closeLongestIdle()
+    // The connection that was used longest ago of those that `mayClose`; null if there is none.
+    std::shared_ptr<HttpServerConnection>
+    longestUnused(const std::function<bool(const HttpServerConnection &)> &mayClose) const
     {
         std::shared_ptr<HttpServerConnection> longest;
         for (const auto &each : this->all) {
             const auto connection = each.lock();
-            const bool mayClose = connection && connection->isOpen() && connection->isIdle();
-            if (mayClose && (!longest || connection->lastUsedAt() < longest->lastUsedAt()))
+            const bool isCandidate = connection && connection->isOpen() && mayClose(*connection);
+            if (isCandidate && (!longest || connection->lastUsedAt() < longest->lastUsedAt()))
                 longest = connection;
         }
-        if (longest)
-            longest->close();
-        return longest != nullptr;
+        return longest;
+    }
+
+    // False if every connection has a request that does not give way.
+    bool makeRoom()
+    {
+        const auto idle =
+            this->longestUnused([](const HttpServerConnection &each) { return each.isIdle(); });
+        if (idle) {
+            idle->close();
+            return true;
+        }
+        const auto waiting =
+            this->longestUnused([](const HttpServerConnection &each) { return each.mayGiveWay(); });
+        if (waiting)
+            waiting->giveWay();
+        return waiting != nullptr;
     }
 };
 
 HttpListener::HttpListener(EventLoop &loop, const std::string &address, std::size_t maxConnections,
-                           Handler requestHandler)
+                           Handler requestHandler, GivesWay givesWayHook)
     : handler(std::move(requestHandler))
+    , givesWay(std::move(givesWayHook))
     , connections(std::make_shared<Connections>())
     , listener(
           loop, address, maxConnections,
           [this](const ByteStreamPtr &stream) { this->accepted(stream); },
-          [known = this->connections] { return known->closeLongestIdle(); })
+          [known = this->connections] { return known->makeRoom(); })
 {
 }
 
 void HttpListener::accepted(const ByteStreamPtr &stream)
 {
-    auto connection = std::make_shared<HttpServerConnection>(stream, this->handler);
+    auto connection = std::make_shared<HttpServerConnection>(stream, this->handler, this->givesWay);
     this->connections->add(connection);
     connection->start();
 }
--- a/src/rhubarbweir/transport/http.hpp
+++ b/src/rhubarbweir/transport/http.hpp
@@ -38,11 +38,14 @@
 {
 public:
     using Handler = std::function<void(HttpRequest, HttpResponder)>;
+    // Whether a request is answered 503 to make room for another connection.
+    using GivesWay = std::function<bool(const HttpRequest &)>;
 
     // At `maxConnections` a new connection takes the place of the one that has been without a
-    // request for longest. It is refused if all have requests.
+    // request for longest, or else of the one that has waited longest with a request that gives
+    // way. It is refused if there is neither.
     HttpListener(EventLoop &loop, const std::string &address, std::size_t maxConnections,
-                 Handler handler);
+                 Handler handler, GivesWay givesWay = {});
 
     // Errors: the same as for StreamListener::listen().
     absl::Status listen() { return this->listener.listen(); }
@@ -54,6 +57,7 @@
     void accepted(const ByteStreamPtr &stream);
 
     Handler handler;
+    GivesWay givesWay;
     std::shared_ptr<Connections> connections;
     StreamListener listener;
 };
--- a/tests/unit/http_listener.tests.cpp
+++ b/tests/unit/http_listener.tests.cpp
@@ -58,3 +58,49 @@
     for (const ByteStreamPtr &stream : kept)
         stream->abort();
 }
+
+Test(http_listener, waiting_announcements_give_way,
+     .description = "Announcements that all wait for a commit do not keep an operator's call out")
+{
+    EventLoop loop;
+    const std::string address = freeAddress();
+    std::vector<HttpResponder> waiting;
+    HttpListener listener(
+        loop, address, 4,
+        [&waiting](const HttpRequest &request, const HttpResponder &respond) {
+            HttpResponse response;
+            response.status = 200;
+            if (request.target == "/announce")
+                waiting.push_back(respond);
+            else
+                respond(response);
+        },
+        [](const HttpRequest &request) { return request.target == "/announce"; });
+    cr_assert(listener.listen().ok());
+    std::vector<int> announced;
+    const auto call = [&loop, &address](const std::string &target,
+                                        std::function<void(absl::StatusOr<int>)> done) {
+        HttpCall made;
+        made.address = address;
+        made.target = target;
+        made.deadline = EventLoop::now() + std::chrono::seconds(2);
+        callHttp(loop, made, std::move(done));
+    };
+    for (int index = 0; index < 4; ++index)
+        call("/announce", [&announced](const absl::StatusOr<int> &result) {
+            announced.push_back(result.value_or(0));
+        });
+    absl::StatusOr<int> status = absl::UnknownError("not called");
+    loop.schedule(EventLoop::now() + milliseconds(300), [&] {
+        call("/change", [&](absl::StatusOr<int> result) {
+            status = std::move(result);
+            loop.schedule(EventLoop::now() + milliseconds(100), [&loop] { loop.stop(); });
+        });
+    });
+    loop.run();
+    cr_assert_eq(waiting.size(), 4);
+    cr_assert(status.ok(), "%s", status.status().ToString().c_str());
+    cr_assert_eq(*status, 200);
+    cr_assert_eq(announced.size(), 1);
+    cr_assert_eq(announced.front(), 503);
+}
