Spread the polls and handshakes of a crowd without a leader

Cause: a pooler asks a control instance without a leader again every 40 ms, and gives up a handshake after 250 ms. 300 poolers that lost all control instances then send 7,500 polls a second during the election, and handshakes that wait for those of the others are given up and begun again.

Change: above 80 poolers, as the last answer of a leader told, a poll follows after 0.5 ms for each pooler (150 ms at 300), at least twice, and a handshake may take 2 ms for each above 125 (600 ms at 300). Poolers that have not heard a leader, and smaller fleets, do as before.

--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -33,6 +33,14 @@
 // election, and replaced by another one after this many polls, because it may be partitioned.
 constexpr std::chrono::milliseconds LeaderlessRetryDelay{40};
 constexpr unsigned LeaderlessPolls = 8;
+// In a fleet of more than 80 poolers both take longer, so that the polls and handshakes of a crowd
+// that lost all control instances do not delay their election. At 300: 150 ms, and 600 ms for a
+// handshake, which takes two round trips of 60 ms between regions and waits for those of the
+// others.
+constexpr std::chrono::microseconds RetryDelayPerPooler{500};
+constexpr std::chrono::milliseconds ConnectTimePerPooler{2};
+// At least this many polls before an instance without a leader is replaced.
+constexpr unsigned MinLeaderlessPolls = 2;
 
 } // namespace
 
@@ -117,7 +125,9 @@
     if (this->isConnecting)
         return;
     this->isConnecting = true;
-    const Duration timeout = doubled(ConnectTimeout, this->failures, MaxConnectTimeout);
+    const Duration initial =
+        std::max<Duration>(ConnectTimeout, this->poolers * ConnectTimePerPooler);
+    const Duration timeout = doubled(initial, this->failures, MaxConnectTimeout);
     this->client.connect(target, Subprotocol::Control, EventLoop::now() + timeout,
                          [this, target](absl::StatusOr<ConnectionPtr> result) {
                              this->isConnecting = false;
@@ -182,6 +192,7 @@
         this->isAnswered = true;
         this->failures = 0;
         this->answered = std::max(this->answered, lease->sequence);
+        this->poolers = lease->poolers;
         std::optional<TimePoint> asked;
         const auto found = this->sentAt.find(lease->sequence);
         if (found != this->sentAt.end()) {
@@ -227,12 +238,15 @@
 {
     this->isAnswered = false;
     const bool isElsewhere = !leader.empty() && leader != this->address;
-    if (!isElsewhere && ++this->leaderlessPolls <= LeaderlessPolls) {
-        this->loop.schedule(EventLoop::now() + LeaderlessRetryDelay,
-                            [this, asked = this->connection] {
-                                if (this->connection == asked)
-                                    this->renewNow();
-                            });
+    const Duration delay =
+        std::max<Duration>(LeaderlessRetryDelay, this->poolers * RetryDelayPerPooler);
+    const auto polls = std::max<Duration::rep>(
+        MinLeaderlessPolls, LeaderlessPolls * Duration(LeaderlessRetryDelay) / delay);
+    if (!isElsewhere && ++this->leaderlessPolls <= polls) {
+        this->loop.schedule(EventLoop::now() + delay, [this, asked = this->connection] {
+            if (this->connection == asked)
+                this->renewNow();
+        });
         return;
     }
     const ConnectionPtr former = std::exchange(this->connection, nullptr);
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -82,6 +82,8 @@
     // Send times of unanswered renewals, by sequence.
     std::map<std::uint64_t, TimePoint> sentAt;
     TimePoint lastMessageAt;
+    // Poolers of the fleet, as the last answer told; 0 before.
+    std::uint32_t poolers = 0;
     // Consecutive answers without the address of another instance that leads.
     unsigned leaderlessPolls = 0;
 };
--- a/tests/unit/codec.tests.cpp
+++ b/tests/unit/codec.tests.cpp
@@ -1,6 +1,8 @@
 // Tests of message encoding and decoding.
 #include "rhubarbweir/protocol/codec.hpp"
 
+#include "rhubarbweir/protocol/fleet_codec.hpp"
+
 #include <criterion/criterion.h>
 
 using namespace rhubarbweir;
@@ -85,3 +87,26 @@
     }
     cr_assert_eq(std::get<FleetLease>(*decode(encode(FleetLease{}))).poolers, 1);
 }
+
+Test(codec, packed_view,
+     .description = "a packed view comes back whole, damaged bytes are an error")
+{
+    FleetView view;
+    view.revision = 12;
+    view.baseRevision = 7;
+    view.targets.resize(40);
+    view.targets.back().target = TargetId("t40");
+    view.removedTargets = {TargetId("gone")};
+    view.authorities.resize(1);
+    view.authorities.front().primary = TargetId("t40");
+    const OpaqueBytes packed = packFleetView(view);
+    const auto copy = unpackFleetView(packed);
+    cr_assert(copy.ok());
+    cr_assert_eq(copy->revision, 12);
+    cr_assert_eq(copy->baseRevision, 7);
+    cr_assert(copy->targets == view.targets);
+    cr_assert_eq(copy->removedTargets.front(), TargetId("gone"));
+    cr_assert_eq(copy->authorities.front().primary, TargetId("t40"));
+    cr_assert_not(unpackFleetView(OpaqueBytes(packed.bytes.substr(0, 20))).ok());
+    cr_assert_not(unpackFleetView(OpaqueBytes("no view")).ok());
+}
