--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -217,7 +217,10 @@
     };
     hooks.packView = packFleetView;
     hooks.isBacklogged = [this](ConnectionId connection) {
-        return this->server.queuedBytes(connection) > MaxBacklogBytes;
+        const bool isBacklogged = this->server.queuedBytes(connection) > MaxBacklogBytes;
+        if (isBacklogged)
+            this->metrics.count("pooler_backlogged");
+        return isBacklogged;
     };
     hooks.syncReplicas = [](const OpaqueBytes &document) {
         std::map<GroupId, std::uint32_t> replicas;
