--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -2,6 +2,7 @@
 #include "programs/pooler/fleet_link.hpp"
 
 #include "programs/support/event_log.hpp"
+#include "rhubarbweir/protocol/fleet_codec.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 
 #include <algorithm>
@@ -32,6 +33,14 @@
 // election, and replaced by another one after this many polls, because it may be partitioned.
 constexpr std::chrono::milliseconds LeaderlessRetryDelay{40};
 constexpr unsigned LeaderlessPolls = 8;
+// In a fleet of more than 80 poolers both take longer, so that the polls and handshakes of a crowd
+// that lost all control instances do not delay their election. At 300: 150 ms, and 600 ms for a
+// handshake, which takes two round trips of 60 ms between regions and waits for those of the
+// others.
+constexpr std::chrono::microseconds RetryDelayPerPooler{500};
+constexpr std::chrono::milliseconds ConnectTimePerPooler{2};
+// At least this many polls before an instance without a leader is replaced.
+constexpr unsigned MinLeaderlessPolls = 2;
 
 } // namespace
 
@@ -116,7 +125,9 @@
     if (this->isConnecting)
         return;
     this->isConnecting = true;
-    const Duration timeout = doubled(ConnectTimeout, this->failures, MaxConnectTimeout);
+    const Duration initial =
+        std::max<Duration>(ConnectTimeout, this->poolers * ConnectTimePerPooler);
+    const Duration timeout = doubled(initial, this->failures, MaxConnectTimeout);
     this->client.connect(target, Subprotocol::Control, EventLoop::now() + timeout,
                          [this, target](absl::StatusOr<ConnectionPtr> result) {
                              this->isConnecting = false;
@@ -172,11 +183,16 @@
 void FleetLink::receive(const Message &message)
 {
     if (const auto *lease = std::get_if<FleetLease>(&message)) {
+        if (!lease->packedView.bytes.empty()) {
+            this->receivePacked(*lease);
+            return;
+        }
         this->lastMessageAt = EventLoop::now();
         this->leaderlessPolls = 0;
         this->isAnswered = true;
         this->failures = 0;
         this->answered = std::max(this->answered, lease->sequence);
+        this->poolers = lease->poolers;
         std::optional<TimePoint> asked;
         const auto found = this->sentAt.find(lease->sequence);
         if (found != this->sentAt.end()) {
@@ -196,6 +212,20 @@
     }
 }
 
+void FleetLink::receivePacked(const FleetLease &lease)
+{
+    auto view = unpackFleetView(lease.packedView);
+    if (!view.ok()) {
+        logEvent(LogLevel::Error, "view_unreadable", {{"cause", view.status().ToString()}});
+        return;
+    }
+    FleetLease unpacked = lease;
+    view->controls = lease.view.controls;
+    unpacked.view = *std::move(view);
+    unpacked.packedView = {};
+    this->receive(unpacked);
+}
+
 // Sent right after an answer, from whose sending the leader counts the ages.
 void FleetLink::reportPositions()
 {
@@ -208,12 +238,15 @@
 {
     this->isAnswered = false;
     const bool isElsewhere = !leader.empty() && leader != this->address;
-    if (!isElsewhere && ++this->leaderlessPolls <= LeaderlessPolls) {
-        this->loop.schedule(EventLoop::now() + LeaderlessRetryDelay,
-                            [this, asked = this->connection] {
-                                if (this->connection == asked)
-                                    this->renewNow();
-                            });
+    const Duration delay =
+        std::max<Duration>(LeaderlessRetryDelay, this->poolers * RetryDelayPerPooler);
+    const auto polls = std::max<Duration::rep>(
+        MinLeaderlessPolls, LeaderlessPolls * Duration(LeaderlessRetryDelay) / delay);
+    if (!isElsewhere && ++this->leaderlessPolls <= polls) {
+        this->loop.schedule(EventLoop::now() + delay, [this, asked = this->connection] {
+            if (this->connection == asked)
+                this->renewNow();
+        });
         return;
     }
     const ConnectionPtr former = std::exchange(this->connection, nullptr);
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -83,6 +83,8 @@
     this->relievedAt.clear();
     this->replicaRoleSince.clear();
     this->lastAnnouncements.clear();
+    this->registrations.clear();
+    this->answerRegistrationsAt = TimePoint::max();
     this->views.beginLeadership(now);
     this->positions.clear();
     this->questions.clear();
@@ -149,7 +151,10 @@
             this->views.viewChanged(isUrgent(command), now);
         this->requestSupervision(now);
     }
-    this->finishCalls(index, FleetCallOutcome::Accepted);
+    // A former leader applies commands of its successor before it is told of the change, and one of
+    // them may be at the index of a call that waits here.
+    const bool isOwn = this->leads && this->hooks.isLeader();
+    this->finishCalls(index, isOwn ? FleetCallOutcome::Accepted : FleetCallOutcome::Unavailable);
 }
 
 // A leaving primary that is granted the authority again serves on for a while.
@@ -380,8 +385,33 @@
                                             {"lease", mayAnswer ? "granted" : "awaits_renewal"}});
     if (!mayAnswer)
         return;
-    this->leases.grant(lease->second, this->fleet.viewRevision(), now);
-    this->views.answer(lease->second, *sequence, now);
+    // Together with the others of a crowd, so that all get the same view.
+    this->registrations[run] = *sequence;
+    const TimePoint earliest =
+        this->registrationsAnsweredAt + crowdInterval(this->fleet.livePoolers());
+    this->answerRegistrationsAt = std::min(this->answerRegistrationsAt, std::max(now, earliest));
+    this->answerRegistrations(now);
+}
+
+void FleetController::answerRegistrations(TimePoint now)
+{
+    if (now < this->answerRegistrationsAt)
+        return;
+    this->answerRegistrationsAt = TimePoint::max();
+    this->registrationsAnsweredAt = now;
+    const std::map<ProxyRun, std::uint64_t> due = std::exchange(this->registrations, {});
+    // Without the leader's lease they are answered when they renew again.
+    if (!this->canDecide(now))
+        return;
+    for (const auto &[run, sequence] : due) {
+        const auto lease = this->leases.all().find(run);
+        const bool mayAnswer = lease != this->leases.all().end() && lease->second.connection != 0
+                               && !lease->second.isRetired;
+        if (!mayAnswer)
+            continue;
+        this->leases.grant(lease->second, this->fleet.viewRevision(), now);
+        this->views.answer(lease->second, sequence, now);
+    }
 }
 
 void FleetController::connectionClosed(ConnectionId connection)
@@ -396,6 +426,7 @@
 void FleetController::advance(TimePoint now)
 {
     this->views.advance(now);
+    this->answerRegistrations(now);
     if (now < this->wakeAt)
         return;
     this->advanceTime = now;
@@ -560,6 +591,8 @@
     ports.send = this->hooks.sendToPooler;
     ports.controlAddresses = this->hooks.controlAddresses;
     ports.compress = this->hooks.compress;
+    ports.packView = this->hooks.packView;
+    ports.isBacklogged = this->hooks.isBacklogged;
     return ports;
 }
 
--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -100,7 +100,13 @@
 void omitDefaults(json &body, const json &defaults)
 {
     for (auto member = body.begin(); member != body.end();) {
-        const json &usual = defaults.at(member.key());
+        const auto found = defaults.find(member.key());
+        // An optional member that is present.
+        if (found == defaults.end()) {
+            ++member;
+            continue;
+        }
+        const json &usual = *found;
         if (member->is_object() && usual.is_object())
             omitDefaults(*member, usual);
         const bool isUsual = *member == usual || (member->is_object() && member->empty());
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -232,7 +232,8 @@
           {"formerPoolers", lease.formerPoolers},
           {"positions", lease.positions},
           {"configurationVersion", lease.configurationVersion},
-          {"configuration", lease.configuration}};
+          {"configuration", lease.configuration},
+          {"packedView", lease.packedView}};
     if (lease.peers)
         to["peers"] = *lease.peers;
 }
@@ -246,6 +247,7 @@
     from.at("positions").get_to(lease.positions);
     from.at("configurationVersion").get_to(lease.configurationVersion);
     from.at("configuration").get_to(lease.configuration);
+    from.at("packedView").get_to(lease.packedView);
     // Absent from versions without relayed sessions, and if the pooler has the peers.
     lease.peers.reset();
     if (const auto found = from.find("peers"); found != from.end())
