--- a/src/rhubarbweir/coordination/control/control_messages.hpp
+++ b/src/rhubarbweir/coordination/control/control_messages.hpp
@@ -7,6 +7,7 @@
 #include "rhubarbweir/state/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -99,6 +100,33 @@
     std::vector<TargetObservation> observations;
 };
 
+// The tokens of one team at a session pooler. One token pays for one operation.
+struct TeamTokenUse
+{
+    TeamId team;
+    // Tokens spent since the pooler started.
+    std::uint64_t spent = 0;
+    // Tokens that may still be spent, including those of operations that wait or run.
+    std::uint32_t held = 0;
+    // Operations that wait for a token.
+    std::uint32_t waiting = 0;
+    // Further tokens for operations that are expected soon.
+    std::uint32_t wanted = 0;
+};
+
+// A session pooler's tokens and its requests for more. A pooler awaits one answer at a time: with
+// each report it gives up the answers to all earlier ones, so that the tokens in them are not
+// spent.
+struct TokenReport
+{
+    // Increases with each report of a process.
+    std::uint64_t sequence = 0;
+    // TokenAnswer::epoch of the answer on this connection that the report continues. Teams that are
+    // not listed are as after that answer. 0 for a whole report: teams not listed have no tokens.
+    std::uint64_t epoch = 0;
+    std::vector<TeamTokenUse> teams;
+};
+
 // Sent periodically by a proxy to request a lease and to report its observations.
 struct RenewLease
 {
@@ -123,6 +151,9 @@
     // Groups in which the primary alone serves all reads of a session pooler, and responds too
     // slowly.
     std::vector<GroupId> overloadedGroups;
+    // Only from a session pooler that limits teams, and while it awaits no answer to an earlier
+    // report.
+    std::optional<TokenReport> tokens;
 };
 
 struct LeaseGranted
--- a/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
@@ -1,12 +1,14 @@
-// Messages of control instances to session poolers. A pooler renews its lease with RenewLease
+// Messages between control instances and session poolers. A pooler renews its lease with RenewLease
 // (control_messages.hpp).
 #pragma once
 
+#include "rhubarbweir/coordination/control/control_messages.hpp"
 #include "rhubarbweir/state/fleet_state.hpp"
 #include "rhubarbweir/state/log_position.hpp"
 #include "rhubarbweir/state/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +49,37 @@
     std::vector<GroupPosition> positions;
 };
 
+struct TeamTokenGrant
+{
+    TeamId team;
+    std::uint32_t tokens = 0;
+    // The team has reached its limit; its operations without a token are to be refused.
+    bool exhausted = false;
+};
+
+// Answer to a TokenReport.
+struct TokenAnswer
+{
+    // TokenReport::sequence.
+    std::uint64_t sequence = 0;
+    // Differs between the times for which this instance led; never 0.
+    std::uint64_t epoch = 0;
+    // The report continued what the leader does not know; nothing was granted.
+    bool needsWholeReport = false;
+    // The tokens may be spent for this long from when the report was sent.
+    Duration lifetime{};
+    std::vector<TeamTokenGrant> grants;
+};
+
+// Sent by a session pooler at once when operations wait for tokens, but only on a connection on
+// which a TokenAnswer arrived: control instances of earlier versions do not know the message.
+struct TokenRequest
+{
+    InstanceId proxy;
+    std::uint64_t incarnation = 0;
+    TokenReport report;
+};
+
 // Answer to a renewal, or unsolicited when the view or the configuration changed.
 struct FleetLease
 {
@@ -64,6 +97,8 @@
     std::uint64_t configurationVersion = 0;
     // Compressed. Empty if the pooler already has this version or was sent it before.
     OpaqueBytes configuration;
+    // Answer to RenewLease::tokens.
+    std::optional<TokenAnswer> tokens;
 };
 
 // Answer of a control instance that does not lead.
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -123,7 +123,7 @@
     static constexpr std::string_view Names[] = {"accepted", "not_leader", "unavailable"};
 };
 
-using FleetReply = std::variant<FleetLease, FleetRedirect>;
+using FleetReply = std::variant<FleetLease, FleetRedirect, TokenAnswer>;
 using FleetCallDone = std::function<void(FleetCallOutcome)>;
 using FleetEventFields = std::vector<std::pair<std::string, std::string>>;
 
--- a/src/rhubarbweir/coordination/sessions/route_table.hpp
+++ b/src/rhubarbweir/coordination/sessions/route_table.hpp
@@ -4,6 +4,7 @@
 #include "rhubarbweir/state/enum_names.hpp"
 #include "rhubarbweir/state/ids.hpp"
 #include "rhubarbweir/state/key_digest.hpp"
+#include "rhubarbweir/state/team_limit.hpp"
 #include "rhubarbweir/state/time.hpp"
 
 #include <chrono>
@@ -55,14 +56,6 @@
     std::uint32_t syncReplicas = 0;
 };
 
-// Limit on the operations of a team over the whole fleet: a token bucket. An operation is a
-// statement outside a transaction, or a whole transaction.
-struct TeamLimit
-{
-    double operationsPerSecond = 0;
-    double burst = 0;
-};
-
 struct Team
 {
     // 0 is the highest priority.
--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -73,6 +73,8 @@
     "quorum_join_redirect",
     "quorum_leave",
     "quorum_leave_answer",
+    "token_request",
+    "token_answer",
 };
 static_assert(std::size(TypeNames) == std::variant_size_v<Message>);
 
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -74,9 +74,58 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewDelta, fromRevision, toRevision, groups, removed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetObservation, target, group, state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ObserverReport, instance, failureDomain, observations)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RenewLease, proxy, address, failureDomain, incarnation, sequence,
-                                   revision, draining, answered, isObserver, groups, observations,
-                                   configurationVersion, overloadedGroups)
+// A list, because renewals hold one for each team in use.
+inline void to_json(nlohmann::json &to, const TeamTokenUse &use)
+{
+    to = nlohmann::json::array({use.team, use.spent, use.held, use.waiting, use.wanted});
+}
+inline void from_json(const nlohmann::json &from, TeamTokenUse &use)
+{
+    from.at(0).get_to(use.team);
+    from.at(1).get_to(use.spent);
+    from.at(2).get_to(use.held);
+    from.at(3).get_to(use.waiting);
+    from.at(4).get_to(use.wanted);
+}
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TokenReport, sequence, epoch, teams)
+inline void to_json(nlohmann::json &to, const RenewLease &renewal)
+{
+    to = {{"proxy", renewal.proxy},
+          {"address", renewal.address},
+          {"failureDomain", renewal.failureDomain},
+          {"incarnation", renewal.incarnation},
+          {"sequence", renewal.sequence},
+          {"revision", renewal.revision},
+          {"draining", renewal.draining},
+          {"answered", renewal.answered},
+          {"isObserver", renewal.isObserver},
+          {"groups", renewal.groups},
+          {"observations", renewal.observations},
+          {"configurationVersion", renewal.configurationVersion},
+          {"overloadedGroups", renewal.overloadedGroups}};
+    if (renewal.tokens)
+        to["tokens"] = *renewal.tokens;
+}
+inline void from_json(const nlohmann::json &from, RenewLease &renewal)
+{
+    from.at("proxy").get_to(renewal.proxy);
+    from.at("address").get_to(renewal.address);
+    from.at("failureDomain").get_to(renewal.failureDomain);
+    from.at("incarnation").get_to(renewal.incarnation);
+    from.at("sequence").get_to(renewal.sequence);
+    from.at("revision").get_to(renewal.revision);
+    from.at("draining").get_to(renewal.draining);
+    from.at("answered").get_to(renewal.answered);
+    from.at("isObserver").get_to(renewal.isObserver);
+    from.at("groups").get_to(renewal.groups);
+    from.at("observations").get_to(renewal.observations);
+    from.at("configurationVersion").get_to(renewal.configurationVersion);
+    from.at("overloadedGroups").get_to(renewal.overloadedGroups);
+    // Absent from versions without team limits.
+    renewal.tokens.reset();
+    if (const auto found = from.find("tokens"); found != from.end())
+        renewal.tokens = found->get<TokenReport>();
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseGranted, sequence, leaseFor, delta)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseRefused, sequence, leaderAddress)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewChanged, delta)
@@ -164,8 +213,47 @@
                                    authorities, controls)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GroupPosition, group, generation, position, age)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PositionReport, answered, positions)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetLease, sequence, leaseFor, view, poolers, formerPoolers,
-                                   positions, configurationVersion, configuration)
+// A list, as for TeamTokenUse.
+inline void to_json(nlohmann::json &to, const TeamTokenGrant &grant)
+{
+    to = nlohmann::json::array({grant.team, grant.tokens, grant.exhausted});
+}
+inline void from_json(const nlohmann::json &from, TeamTokenGrant &grant)
+{
+    from.at(0).get_to(grant.team);
+    from.at(1).get_to(grant.tokens);
+    from.at(2).get_to(grant.exhausted);
+}
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TokenAnswer, sequence, epoch, needsWholeReport, lifetime, grants)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TokenRequest, proxy, incarnation, report)
+inline void to_json(nlohmann::json &to, const FleetLease &lease)
+{
+    to = {{"sequence", lease.sequence},
+          {"leaseFor", lease.leaseFor},
+          {"view", lease.view},
+          {"poolers", lease.poolers},
+          {"formerPoolers", lease.formerPoolers},
+          {"positions", lease.positions},
+          {"configurationVersion", lease.configurationVersion},
+          {"configuration", lease.configuration}};
+    if (lease.tokens)
+        to["tokens"] = *lease.tokens;
+}
+inline void from_json(const nlohmann::json &from, FleetLease &lease)
+{
+    from.at("sequence").get_to(lease.sequence);
+    from.at("leaseFor").get_to(lease.leaseFor);
+    from.at("view").get_to(lease.view);
+    from.at("poolers").get_to(lease.poolers);
+    from.at("formerPoolers").get_to(lease.formerPoolers);
+    from.at("positions").get_to(lease.positions);
+    from.at("configurationVersion").get_to(lease.configurationVersion);
+    from.at("configuration").get_to(lease.configuration);
+    // Absent from versions without team limits, and if the renewal had no report.
+    lease.tokens.reset();
+    if (const auto found = from.find("tokens"); found != from.end())
+        lease.tokens = found->get<TokenAnswer>();
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetRedirect, leader)
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/protocol/message.hpp
+++ b/src/rhubarbweir/protocol/message.hpp
@@ -23,6 +23,6 @@
     ReplicateEntries, ReplicateAnswer, ObserverReport, QuorumBootstrapQuery, QuorumBootstrapAnswer,
     QuorumJoin, QuorumVoteRequest, QuorumVoteAnswer, QuorumAppend, QuorumAppendAnswer,
     QuorumSnapshotChunk, QuorumSnapshotAnswer, QuorumTimeoutNow, FleetLease, FleetRedirect,
-    PositionReport, QuorumJoinRedirect, QuorumLeave, QuorumLeaveAnswer>;
+    PositionReport, QuorumJoinRedirect, QuorumLeave, QuorumLeaveAnswer, TokenRequest, TokenAnswer>;
 
 } // namespace rhubarbweir
