Keep the limits of teams in poolers and at the leader

Limits of teams were stored and not kept. With quota_window_s in the settings, the first statement of an operation takes a token after the check of access and before the queue; without one it waits for a third of its objective, or is refused with TOOMANY at the limit. The leader answers reports in renewals and urgent requests, and reads the limits once for each version of the document. Gauges by team at the leader.

--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -11,6 +11,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <absl/strings/str_replace.h>
 
 #include <algorithm>
 #include <random>
@@ -22,6 +23,8 @@
 
 // Time for sending queued messages before the process ends.
 constexpr std::chrono::milliseconds FlushTime{200};
+// Teams beyond this number have no metrics.
+constexpr std::size_t MaxTeamMetrics = 256;
 constexpr std::uint32_t MaxInternalConnections = 1024;
 constexpr std::uint32_t MaxCallConnections = 256;
 // Both are at most these parts of the file descriptors of the process.
@@ -95,6 +98,7 @@
     fleet.lease.failureDomain = settings.failureDomain;
     fleet.lease.leaseFor = LeaseLength;
     fleet.heartbeatInterval = settings.heartbeatInterval;
+    fleet.teamLimits = settings.teamLimits;
     return fleet;
 }
 
@@ -219,6 +223,17 @@
             replicas[group] = limits.syncReplicas;
         return replicas;
     };
+    hooks.teamLimits = [](const OpaqueBytes &document) {
+        std::map<TeamId, TeamLimit> limits;
+        const auto table = platform::decodeRouteTable(document.bytes);
+        if (!table.ok())
+            return limits;
+        for (const auto &[team, entry] : table->teams) {
+            if (entry.limit)
+                limits[team] = *entry.limit;
+        }
+        return limits;
+    };
     hooks.callObserver = [this](const std::string &address) {
         this->links.addPeer(peerAt(address, {}));
         this->links.send(InstanceId(address), FleetRedirect{this->self});
@@ -330,6 +345,10 @@
         this->controller.positionsReported(connection, *report);
         return;
     }
+    if (const auto *request = std::get_if<TokenRequest>(&message)) {
+        this->controller.tokensRequested(connection, *request, now);
+        return;
+    }
     if (const auto *hello = std::get_if<PeerHello>(&message)) {
         this->peers[connection] = hello->instance;
         return;
@@ -383,6 +402,7 @@
 void FleetProgram::handleRequest(const HttpRequest &request, const HttpResponder &respond)
 {
     if (request.method == "GET" && request.target == MetricsPath) {
+        this->setTeamMetrics();
         respond(metricsResponse(this->metrics));
         return;
     }
@@ -418,6 +438,27 @@
     }
 }
 
+// Gauges of the teams with a limit; 0 while this instance does not lead.
+void FleetProgram::setTeamMetrics()
+{
+    const auto set = [this](const TeamId &team, const BudgetAllocator::TeamStatus &status) {
+        const std::string name = absl::StrReplaceAll(team.value, {{"\\", "\\\\"}, {"\"", "\\\""}});
+        const std::string label = absl::StrCat("{team=\"", name, "\"}");
+        this->metrics.set(absl::StrCat("rhubarbweir_team_tokens", label),
+                          static_cast<std::uint64_t>(status.bucket));
+        this->metrics.set(absl::StrCat("rhubarbweir_team_tokens_at_poolers", label),
+                          status.atPoolers);
+    };
+    for (const TeamId &team : this->measuredTeams)
+        set(team, {});
+    for (const auto &[team, status] : this->controller.teamStatus()) {
+        if (this->measuredTeams.size() >= MaxTeamMetrics && this->measuredTeams.count(team) == 0)
+            continue;
+        this->measuredTeams.insert(team);
+        set(team, status);
+    }
+}
+
 HttpResponse FleetProgram::outcomeOf(FleetCallOutcome outcome, const std::string &target,
                                      const HttpResponse &accepted) const
 {
--- a/src/programs/fleet/fleet_program.hpp
+++ b/src/programs/fleet/fleet_program.hpp
@@ -19,6 +19,7 @@
 #include "rhubarbweir/transport/wake_timer.hpp"
 
 #include <map>
+#include <set>
 
 namespace rhubarbweir {
 
@@ -42,6 +43,7 @@
     void exitAfterDiskFailure();
     void promote(const PromotionRequest &request);
     void handleRequest(const HttpRequest &request, const HttpResponder &respond);
+    void setTeamMetrics();
     HttpResponse outcomeOf(FleetCallOutcome outcome, const std::string &target,
                            const HttpResponse &accepted) const;
     HttpResponse redirectOrUnavailable(const std::string &target) const;
@@ -68,6 +70,8 @@
     SeedReader seeds;
     // Other control instances, by the connection that they opened.
     std::map<ConnectionId, InstanceId> peers;
+    // Teams that have metrics, at most MaxTeamMetrics.
+    std::set<TeamId> measuredTeams;
     // Until then neither the quorum log nor the controller may be used.
     bool isStarted = false;
     bool wasLeader = false;
--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -159,6 +159,7 @@
     this->lastMessageAt = EventLoop::now();
     this->sentAt.clear();
     this->leaderlessPolls = 0;
+    this->forgetTokenReports();
     opened->onMessage = [this](const Message &message) {
         this->receive(message);
     };
@@ -185,12 +186,16 @@
         }
         const bool asksToConfirm = lease->sequence != 0 && lease->leaseFor == Duration::zero();
         if (asksToConfirm && !this->hooks.isObserver) {
+            this->forgetTokenReports();
             this->renewNow();
             return;
         }
         this->hooks.received(*lease, asked);
         if (asked && this->hooks.positions)
             this->reportPositions();
+    } else if (const auto *tokens = std::get_if<TokenAnswer>(&message)) {
+        if (this->hooks.tokensAnswered)
+            this->hooks.tokensAnswered(*tokens);
     } else if (const auto *redirection = std::get_if<FleetRedirect>(&message)) {
         this->redirect(redirection->leader);
     }
@@ -204,8 +209,23 @@
         this->connection->send(report);
 }
 
+void FleetLink::requestTokens()
+{
+    if (!this->connection || !this->isAnswered || !this->hooks.tokenRequest)
+        return;
+    if (const std::optional<TokenRequest> request = this->hooks.tokenRequest())
+        this->connection->send(*request);
+}
+
+void FleetLink::forgetTokenReports()
+{
+    if (this->hooks.tokensUnanswered)
+        this->hooks.tokensUnanswered();
+}
+
 void FleetLink::redirect(const std::string &leader)
 {
+    this->forgetTokenReports();
     this->isAnswered = false;
     const bool isElsewhere = !leader.empty() && leader != this->address;
     if (!isElsewhere && ++this->leaderlessPolls <= LeaderlessPolls) {
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "programs/support/seed_reader.hpp"
-#include "rhubarbweir/coordination/control/control_messages.hpp"
+#include "rhubarbweir/coordination/fleet/fleet_messages.hpp"
 #include "rhubarbweir/transport/web_socket.hpp"
 
 #include <functional>
@@ -25,6 +25,11 @@
     std::function<void(const FleetLease &, std::optional<TimePoint> sentAt)> received;
     // Positions to report after an answer; may be empty.
     std::function<std::vector<GroupPosition>()> positions;
+    // Returns the request to send on requestTokens(); may be empty, as the next two.
+    std::function<std::optional<TokenRequest>()> tokenRequest;
+    std::function<void(const TokenAnswer &)> tokensAnswered;
+    // Reports of tokens so far will not be answered; the next one goes to another instance.
+    std::function<void()> tokensUnanswered;
     // An observer gets answers without a lease.
     bool isObserver = false;
 };
@@ -44,6 +49,8 @@
     SeedReader::Hooks seedHooks();
     // Sends a renewal at once.
     void renewNow();
+    // Sends FleetLinkHooks::tokenRequest() if connected to a leader.
+    void requestTokens();
     // Connects to the leader at the internal address, unless it is the connected instance.
     void follow(const std::string &leader);
     // Internal address of the connected instance while it answers as the leader; else empty.
@@ -56,6 +63,7 @@
     void connected(const ConnectionPtr &connection, const std::string &address);
     void receive(const Message &message);
     void reportPositions();
+    void forgetTokenReports();
     void redirect(const std::string &leader);
     void drop(const std::string &cause);
     void retryLater();
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -48,6 +48,7 @@
     pooler.instance = settings.instance;
     pooler.failureDomain = settings.failureDomain;
     pooler.revokeWithin = settings.revokeWithin;
+    pooler.limitsTeams = settings.teamLimits.has_value();
     return pooler;
 }
 
@@ -134,6 +135,9 @@
     hooks.observationsChanged = [this] {
         this->link.renewNow();
     };
+    hooks.tokensNeeded = [this] {
+        this->link.requestTokens();
+    };
     hooks.finished = [this](RouteConsistency consistency, std::optional<StatementFault> fault,
                             Duration took) {
         this->metrics.measure(nameOf(consistency), took);
@@ -198,10 +202,24 @@
     hooks.positions = [this] {
         return this->pooler.positionsToReport(EventLoop::now());
     };
+    hooks.tokenRequest = [this]() -> std::optional<TokenRequest> {
+        auto report = this->pooler.tokenReport(EventLoop::now());
+        if (!report)
+            return std::nullopt;
+        return TokenRequest{this->settings.instance, this->incarnation, *std::move(report)};
+    };
+    hooks.tokensAnswered = [this](const TokenAnswer &answer) {
+        this->pooler.tokensAnswered(answer, EventLoop::now());
+        this->scheduleAdvance();
+    };
+    hooks.tokensUnanswered = [this] {
+        this->reportsTokens = false;
+        this->pooler.tokensUnanswered();
+    };
     return hooks;
 }
 
-RenewLease PoolerProgram::renewal() const
+RenewLease PoolerProgram::renewal()
 {
     RenewLease message;
     message.proxy = this->settings.instance;
@@ -212,6 +230,9 @@
     message.draining = this->stopBy != TimePoint::max();
     message.observations = this->pooler.observations();
     message.overloadedGroups = this->pooler.overloadedGroups(EventLoop::now());
+    message.tokens = this->pooler.tokenReport(EventLoop::now());
+    if (message.tokens)
+        this->reportsTokens = true;
     return message;
 }
 
@@ -236,6 +257,7 @@
     const bool holdsView = this->pooler.authorityView().revision() >= lease.view.revision;
     if (sentAt)
         this->pooler.positionsReceived(lease.positions, *sentAt, now);
+    this->tokensReceived(lease.tokens, sentAt.has_value());
     if (sentAt && holdsView)
         this->pooler.leaseReceived(*sentAt + lease.leaseFor, lease.poolers, lease.formerPoolers,
                                    now);
@@ -248,6 +270,19 @@
     this->scheduleAdvance();
 }
 
+// An instance that grants a lease to a start that it has just registered, or of a version without
+// team limits, answers a renewal but not the report in it.
+void PoolerProgram::tokensReceived(const std::optional<TokenAnswer> &tokens, bool isAnswer)
+{
+    if (!isAnswer)
+        return;
+    if (tokens)
+        this->pooler.tokensAnswered(*tokens, EventLoop::now());
+    else if (this->reportsTokens)
+        this->pooler.tokensUnanswered();
+    this->reportsTokens = false;
+}
+
 void PoolerProgram::handleRequest(const HttpRequest &request, const HttpResponder &respond)
 {
     if (request.method == "GET" && request.target == MetricsPath) {
--- a/src/programs/pooler/pooler_program.hpp
+++ b/src/programs/pooler/pooler_program.hpp
@@ -31,7 +31,8 @@
     FleetLinkHooks linkHooks();
     void handleRequest(const HttpRequest &request, const HttpResponder &respond);
     void leaseReceived(const FleetLease &lease, std::optional<TimePoint> sentAt);
-    RenewLease renewal() const;
+    void tokensReceived(const std::optional<TokenAnswer> &tokens, bool isAnswer);
+    RenewLease renewal();
     void scheduleAdvance();
     void stopRequested();
     void drainStep();
@@ -48,6 +49,8 @@
     HttpListener readiness;
     FleetLink link;
     SeedReader seeds;
+    // Whether the answer to a renewal with a report of tokens is awaited.
+    bool reportsTokens = false;
     // Times of a stop: when all sessions are closed, from when idle ones are closed, and from when
     // new ones are refused. max() until a stop is requested.
     TimePoint stopBy = TimePoint::max();
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -53,6 +53,11 @@
     , observers(this->fleet, this->observerPorts())
     , detector(this->settings)
 {
+    if (this->settings.teamLimits)
+        this->budgets.emplace(*this->settings.teamLimits,
+                              [this](const TeamId &, const FleetEventFields &fields) {
+                                  this->hooks.event("team_exhausted", fields);
+                              });
 }
 
 bool FleetController::canDecide(TimePoint now) const
@@ -78,6 +83,9 @@
     this->views.beginLeadership();
     this->positions.clear();
     this->questions.clear();
+    if (this->budgets)
+        this->budgets->beginLeadership();
+    this->limitsVersion = 0;
     if (isLeader) {
         this->leases.beginLeadership(now);
         this->registry.beginLeadership(now);
@@ -131,6 +139,7 @@
         this->poolerRegistered({registered->pooler, registered->incarnation}, now);
     if (const auto *forgotten = std::get_if<ForgetPooler>(&command))
         this->registry.removed({forgotten->pooler, forgotten->incarnation});
+    this->countPoolers(now);
     if (this->fleet.configuration().version != version)
         this->hooks.event("configuration_stored",
                           {{"version", absl::StrCat(this->fleet.configuration().version)},
@@ -156,6 +165,7 @@
 void FleetController::restored(const FleetState::Snapshot &snapshot, TimePoint now)
 {
     this->fleet.restore(snapshot);
+    this->countPoolers(now);
     this->wakeAt = now;
 }
 
@@ -328,7 +338,7 @@
         return;
     }
     this->leases.grant(*lease, this->fleet.viewRevision(), now);
-    this->views.answer(*lease, message.sequence, now);
+    this->views.answer(*lease, message.sequence, this->answerTokens(run, message.tokens, now), now);
 }
 
 // Whether the sender received an answer on this connection. A start that is not registered could
@@ -372,7 +382,69 @@
     if (!mayAnswer)
         return;
     this->leases.grant(lease->second, this->fleet.viewRevision(), now);
-    this->views.answer(lease->second, *sequence, now);
+    this->views.answer(lease->second, *sequence, std::nullopt, now);
+}
+
+// Tokens of teams.
+
+void FleetController::countPoolers(TimePoint now)
+{
+    if (this->budgets)
+        this->budgets->setPoolers(this->fleet.livePoolers(), now);
+}
+
+// Applies the limits in force. The first call under a leadership also begins to grant: by then the
+// lease of the former leader has ended and all its entries are applied.
+void FleetController::prepareTokens(TimePoint now)
+{
+    if (!this->budgets->isStarted()) {
+        std::vector<ProxyRun> registered;
+        for (const auto &[key, run] : this->fleet.poolers()) {
+            if (!run.hasEnded)
+                registered.push_back({run.pooler, run.incarnation});
+        }
+        this->budgets->start(registered, now);
+    }
+    const ConfigurationDocument &configuration = this->fleet.configuration();
+    if (configuration.version == this->limitsVersion)
+        return;
+    this->limitsVersion = configuration.version;
+    this->budgets->setLimits(this->hooks.teamLimits(configuration.document), now);
+}
+
+std::optional<TokenAnswer> FleetController::answerTokens(const ProxyRun &run,
+                                                         const std::optional<TokenReport> &report,
+                                                         TimePoint now)
+{
+    if (!this->budgets || !report)
+        return std::nullopt;
+    this->prepareTokens(now);
+    return this->budgets->answer(run, *report, now);
+}
+
+void FleetController::tokensRequested(ConnectionId connection, const TokenRequest &request,
+                                      TimePoint now)
+{
+    if (!this->canDecide(now)) {
+        this->hooks.sendToPooler(connection, FleetRedirect{this->hooks.leaderAddress()});
+        return;
+    }
+    const ProxyRun run{request.proxy, request.incarnation};
+    const PoolerRun *registered = this->fleet.findPooler(run.proxy, run.incarnation);
+    const ProxyLease *lease = this->leases.find(run);
+    const bool isKnown = registered != nullptr && !registered->hasEnded && lease != nullptr
+                         && !lease->isRetired && lease->connection == connection;
+    if (!isKnown)
+        return;
+    if (const auto answer = this->answerTokens(run, request.report, now))
+        this->hooks.sendToPooler(connection, *answer);
+}
+
+std::map<TeamId, BudgetAllocator::TeamStatus> FleetController::teamStatus() const
+{
+    if (!this->budgets || !this->leads)
+        return {};
+    return this->budgets->status();
 }
 
 void FleetController::connectionClosed(ConnectionId connection)
@@ -397,6 +469,10 @@
     this->leases.evictExpired(now);
     this->registry.evictExpired(now);
     this->observers.advance(now);
+    if (this->budgets) {
+        this->prepareTokens(now);
+        this->budgets->advance(now);
+    }
     this->grantFirstAuthorities(now);
     this->superviseGroups(now);
     if (!this->changes.empty())
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -7,6 +7,7 @@
 // that includes this entry, or its older leases have ended.
 #pragma once
 
+#include "rhubarbweir/coordination/fleet/budget_allocator.hpp"
 #include "rhubarbweir/coordination/fleet/observer_registry.hpp"
 #include "rhubarbweir/coordination/fleet/pooler_registry.hpp"
 #include "rhubarbweir/coordination/fleet/primary_change.hpp"
@@ -38,6 +39,8 @@
     {
         this->positions.report(connection, report);
     }
+    // A pooler needs tokens before its next renewal.
+    void tokensRequested(ConnectionId connection, const TokenRequest &request, TimePoint now);
     void connectionClosed(ConnectionId connection);
 
     // A target announced itself. `done` may be called before the function returns.
@@ -57,6 +60,8 @@
                            TimePoint now);
 
     const FleetState &state() const { return this->fleet; }
+    // Tokens of the teams that have a limit; empty unless this instance leads and limits teams.
+    std::map<TeamId, BudgetAllocator::TeamStatus> teamStatus() const;
 
 private:
     struct PendingCall
@@ -94,6 +99,10 @@
     void delayPromotions(TimePoint now);
     void answerObserver(ConnectionId connection, const RenewLease &message, TimePoint now);
     PrimaryChangePorts changePorts(const GroupId &group);
+    std::optional<TokenAnswer>
+    answerTokens(const ProxyRun &run, const std::optional<TokenReport> &report, TimePoint now);
+    void prepareTokens(TimePoint now);
+    void countPoolers(TimePoint now);
     std::uint32_t syncReplicasOf(const GroupId &group);
     void probeSuspected(const RegisteredTarget &target, TimePoint now);
 
@@ -134,6 +143,10 @@
     // What FleetHooks::syncReplicas told of the configuration of this version.
     std::uint64_t syncReplicasVersion = 0;
     std::map<GroupId, std::uint32_t> syncReplicas;
+    // Empty if teams are not limited.
+    std::optional<BudgetAllocator> budgets;
+    // Version of the configuration whose limits the allocator applies.
+    std::uint64_t limitsVersion = 0;
     // Since when a primary has reported itself as a replica.
     std::map<TargetId, TimePoint> replicaRoleSince;
 };
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -4,6 +4,7 @@
 #include "rhubarbweir/coordination/control/control_settings.hpp"
 #include "rhubarbweir/coordination/fleet/fleet_messages.hpp"
 #include "rhubarbweir/state/log_position.hpp"
+#include "rhubarbweir/state/team_limit.hpp"
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
@@ -77,6 +78,8 @@
     Duration proposalTimeout = std::chrono::milliseconds(1000);
     // A primary that reports itself as a replica for this long loses its authority.
     Duration roleMismatchThreshold = std::chrono::milliseconds(1500);
+    // Empty if teams are not limited.
+    std::optional<TeamLimitRules> teamLimits;
 };
 
 // A target's answer to a probe.
@@ -145,6 +148,8 @@
     // How many replicas hold a commit before it is confirmed, by group; groups without such a rule
     // may be absent.
     std::function<std::map<GroupId, std::uint32_t>(const OpaqueBytes &document)> syncReplicas;
+    // Limits of the teams that have one. Only called with FleetSettings::teamLimits.
+    std::function<std::map<TeamId, TeamLimit>(const OpaqueBytes &document)> teamLimits;
     // Answered through FleetController::probed().
     std::function<void(const RegisteredTarget &)> probe;
     // Answered through FleetController::promotionAnswered().
--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -41,9 +41,10 @@
     this->records[run].reportedVersion = configurationVersion;
 }
 
-void ViewSender::answer(ProxyLease &lease, std::uint64_t sequence, TimePoint now)
+void ViewSender::answer(ProxyLease &lease, std::uint64_t sequence,
+                        std::optional<TokenAnswer> tokens, TimePoint now)
 {
-    this->send(lease, sequence, this->baseOfAnswer(lease, now), now);
+    this->send(lease, sequence, this->baseOfAnswer(lease, now), std::move(tokens), now);
 }
 
 // Repeating what is on its way would, on a full link, add to the queue with each renewal.
@@ -82,7 +83,7 @@
             continue;
         if (lease.sentRevision <= lease.revision)
             this->records[run].view = {lease.revision, now + this->settings.viewResendInterval};
-        this->send(lease, 0, std::max(lease.revision, lease.sentRevision), now);
+        this->send(lease, 0, std::max(lease.revision, lease.sentRevision), std::nullopt, now);
     }
 }
 
@@ -97,10 +98,11 @@
 }
 
 void ViewSender::send(ProxyLease &lease, std::uint64_t sequence, std::uint64_t baseRevision,
-                      TimePoint now)
+                      std::optional<TokenAnswer> tokens, TimePoint now)
 {
     FleetLease message;
     message.sequence = sequence;
+    message.tokens = std::move(tokens);
     message.leaseFor = this->settings.lease.leaseFor;
     message.poolers =
         static_cast<std::uint32_t>(std::max<std::size_t>(1, this->state.livePoolers()));
--- a/src/rhubarbweir/coordination/fleet/view_sender.hpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.hpp
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,8 +35,10 @@
     void beginLeadership();
     // Records the configuration version that a renewal reports.
     void recordReport(const ProxyRun &run, std::uint64_t configurationVersion);
-    // Answers the renewal with `sequence`. The caller has granted the lease.
-    void answer(ProxyLease &lease, std::uint64_t sequence, TimePoint now);
+    // Answers the renewal with `sequence`, and its report of tokens. The caller has granted the
+    // lease.
+    void answer(ProxyLease &lease, std::uint64_t sequence, std::optional<TokenAnswer> tokens,
+                TimePoint now);
     // Schedules a message to all poolers. An urgent one is sent at once; others are collected.
     void viewChanged(bool isUrgent, TimePoint now);
     // Sends a scheduled message that is due.
@@ -78,7 +81,8 @@
     std::uint64_t baseOfAnswer(const ProxyLease &lease, TimePoint now);
     void push(TimePoint now);
     void forgetEvicted();
-    void send(ProxyLease &lease, std::uint64_t sequence, std::uint64_t baseRevision, TimePoint now);
+    void send(ProxyLease &lease, std::uint64_t sequence, std::uint64_t baseRevision,
+              std::optional<TokenAnswer> tokens, TimePoint now);
     void addControls(FleetView &view, const ProxyLease &lease);
     FleetView viewAfter(std::uint64_t baseRevision) const;
     FleetView wholeView() const;
--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -341,6 +341,12 @@
         else
             this->dispatch(session, now);
         return;
+    case StatementStage::AwaitingToken:
+        if (now < pending.resumeAt)
+            return;
+        this->stopAwaiting(session);
+        this->refuseWithoutToken(session, TokenShortage::Awaited, now);
+        return;
     case StatementStage::Queued:
         if (now < pending.queueDeadline)
             return;
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -69,7 +69,7 @@
 // Sends the session's statement on an idle connection, or queues it and opens one if allowed.
 void SessionPooler::dispatch(Session &session, TimePoint now)
 {
-    if (this->refuseWithoutAccess(session, now))
+    if (this->refuseWithoutAccess(session, now) || !this->mayProceed(session, now))
         return;
     const std::vector<TargetId> ids = this->candidates(session, now);
     for (const TargetId &id : ids) {
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -81,6 +81,10 @@
     Duration behindThreshold = std::chrono::milliseconds(300);
     // A key that was taken away stops within this time; empty if keys may stop later.
     std::optional<Duration> revokeWithin;
+    // Whether the limits of teams are kept.
+    bool limitsTeams = false;
+    // An operation waits for a token for at most its latency objective divided by this.
+    unsigned tokenWaitDivisor = 3;
     // Limit on queued statements over all groups; further ones are refused.
     std::size_t queueLimit = 512;
     // Limit on the values and prepared statements of a session, in bytes. They are sent to a target
@@ -102,6 +106,8 @@
     std::function<void(ConnectionId, const std::vector<TargetCommand> &)> sendToTarget;
     // After this, SessionPooler::targetClosed() is not called for the connection.
     std::function<void(ConnectionId)> closeTarget;
+    // SessionPooler::tokenReport() should be sent to the leader at once.
+    std::function<void()> tokensNeeded;
     // SessionPooler::observations() changed and should be reported to control at once.
     std::function<void()> observationsChanged;
     // A statement was answered; for counters and histograms. Without a fault on success.
--- a/src/rhubarbweir/coordination/sessions/session.hpp
+++ b/src/rhubarbweir/coordination/sessions/session.hpp
@@ -29,6 +29,8 @@
 };
 
 enum class StatementStage {
+    // Waits for a token of its team until PendingStatement::resumeAt.
+    AwaitingToken,
     // Waits for a connection.
     Queued,
     // Waits for PendingStatement::resumeAt before the next attempt.
@@ -51,6 +53,10 @@
     // The statement is refused if it has not been sent by then.
     TimePoint queueDeadline;
     TimePoint resumeAt;
+    // Token that pays for the operation, and its team; empty if the team has no limit, and after
+    // the operation has begun.
+    std::optional<TimePoint> token;
+    TeamId tokenTeam;
     bool needsPrimary = false;
     bool writes = false;
     // Whether it is the first of its transaction or outside a transaction, so that it may be
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -72,6 +72,10 @@
     Session &session = found->second;
     if (session.pending && session.pending->stage == StatementStage::Queued)
         this->dequeue(number);
+    if (session.pending && session.pending->stage == StatementStage::AwaitingToken)
+        this->stopAwaiting(session);
+    if (session.pending)
+        this->settleToken(*session.pending, session.pending->attempts != 0, now);
     if (session.pinned != 0) {
         const PooledConnection *connection = this->targetTracker.connection(session.pinned);
         this->unpin(session, connection != nullptr && connection->awaited.empty(), now);
@@ -233,7 +237,7 @@
 void SessionPooler::runAtTarget(Session &session, TextStatement statement, TimePoint now)
 {
     if (!this->admitStatement(session, std::move(statement), now)
-        || this->refuseWithoutAccess(session, now))
+        || this->refuseWithoutAccess(session, now) || !this->mayProceed(session, now))
         return;
     if (session.pinned != 0) {
         this->sendOnPinned(session, now);
@@ -320,6 +324,8 @@
                                 {"configuration", absl::StrCat(this->view.routes().version)},
                                 {"view", absl::StrCat(this->view.revision())},
                                 {"lease", this->view.leaseValid(now) ? "valid" : "ended"}};
+    if (!session.team.empty())
+        fields.emplace_back("team", session.team.value);
     for (const TargetId &target : pending.tried)
         fields.emplace_back("tried", target.value);
     this->hooks.event("statement", fields, sampled);
@@ -329,6 +335,7 @@
 void SessionPooler::finish(Session &session, const StatementAnswer &answer, TimePoint now)
 {
     this->logStatement(session, answer.fault ? nameOf(*answer.fault) : "ok", now, !answer.fault);
+    this->settleToken(*session.pending, didOperationRun(*session.pending, answer.fault), now);
     this->hooks.finished(session.pending->route.consistency, answer.fault,
                          std::chrono::duration_cast<Duration>(now - session.pending->arrivedAt));
     session.pending.reset();
@@ -414,6 +421,7 @@
     this->proof.applied(this->view.routes().version);
     this->hooks.event("configuration_in_force",
                       {{"version", absl::StrCat(this->view.routes().version)}}, false);
+    this->serveUnlimited(now);
     this->dispatchQueue(now);
 }
 
@@ -489,12 +497,13 @@
 
 TimePoint SessionPooler::nextDeadline() const
 {
-    TimePoint earliest = this->nextCheck;
+    TimePoint earliest = std::min(this->nextCheck, this->budget.requestDueAt());
     for (const auto &[number, session] : this->sessions) {
         if (!session.pending)
             continue;
         const PendingStatement &pending = *session.pending;
-        if (pending.stage == StatementStage::Paused)
+        if (pending.stage == StatementStage::Paused
+            || pending.stage == StatementStage::AwaitingToken)
             earliest = std::min(earliest, pending.resumeAt);
         else if (pending.stage == StatementStage::Queued)
             earliest = std::min(earliest, pending.queueDeadline);
@@ -515,6 +524,7 @@
 void SessionPooler::advance(TimePoint now)
 {
     this->advancedAt = now;
+    this->requestTokensIfDue(now);
     std::vector<SessionNumber> due;
     for (const auto &[number, session] : this->sessions) {
         const bool hasPending = session.pending.has_value();
@@ -593,6 +603,7 @@
         if (session.pending) {
             const bool wasSent = session.pending->stage == StatementStage::Sent;
             this->dequeue(number);
+            this->stopAwaiting(session);
             this->refuse(session, wasSent ? StatementFault::Timeout : StatementFault::Busy,
                          "stopping", now);
         }
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -10,7 +10,9 @@
 #include "rhubarbweir/coordination/sessions/configuration_proof.hpp"
 #include "rhubarbweir/coordination/sessions/session.hpp"
 #include "rhubarbweir/coordination/sessions/target_tracker.hpp"
+#include "rhubarbweir/coordination/sessions/team_budget.hpp"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -53,6 +55,13 @@
     // Positions that this pooler learned and that are newer than those received.
     std::vector<GroupPosition> positionsToReport(TimePoint now);
 
+    // The report to send with the next renewal, or at once after PoolerHooks::tokensNeeded. Empty
+    // if no team has a limit, or if the answer to an earlier report is awaited.
+    std::optional<TokenReport> tokenReport(TimePoint now);
+    void tokensAnswered(const TokenAnswer &answer, TimePoint now);
+    // The answer to the last report will not come, or the next one goes to another instance.
+    void tokensUnanswered() { this->budget.disconnected(); }
+
     void advance(TimePoint now);
     // When advance() is due.
     TimePoint nextDeadline() const;
@@ -137,6 +146,19 @@
     bool holdsAuthority(const PooledConnection &connection, std::uint64_t generation,
                         TimePoint now) const;
 
+    // internal/session_tokens.cpp: tokens of teams.
+    const TeamLimit *limitOf(const TeamId &team) const;
+    bool mayProceed(Session &session, TimePoint now);
+    void awaitToken(Session &session, TimePoint now);
+    void refuseWithoutToken(Session &session, TokenShortage shortage, TimePoint now);
+    void settleToken(PendingStatement &pending, bool hasRun, TimePoint now);
+    static bool didOperationRun(const PendingStatement &pending,
+                                const std::optional<StatementFault> &fault);
+    void stopAwaiting(const Session &session);
+    void serveAwaiting(const TeamId &team, TimePoint now);
+    void serveUnlimited(TimePoint now);
+    void requestTokensIfDue(TimePoint now);
+
     // internal/session_answers.cpp: answers of targets, lost connections and timeouts.
     void recordPosition(const PooledConnection &connection, const AwaitedAnswer &awaited,
                         const StatementAnswer &answer, TimePoint now);
@@ -165,6 +187,9 @@
     std::map<SessionNumber, Session> sessions;
     // Sessions whose statement is queued, by priority and arrival.
     std::multimap<std::pair<unsigned, TimePoint>, SessionNumber> queue;
+    // Tokens of the teams, and sessions whose statement awaits one, by arrival.
+    TeamBudget budget;
+    std::map<TeamId, std::deque<SessionNumber>> awaitingToken;
     // Positions of each group's primary under the current log generation, learned here or received.
     std::map<GroupId, FreshnessTracker> freshness;
     std::map<GroupId, TimePoint> lastSample;
--- a/src/rhubarbweir/coordination/sessions/team_budget.hpp
+++ b/src/rhubarbweir/coordination/sessions/team_budget.hpp
@@ -42,6 +42,8 @@
     void settle(const TeamId &team, TimePoint token, bool hasRun, TimePoint now);
     // The number of operations that wait for a token.
     void setWaiting(const TeamId &team, std::size_t count);
+    // The sum over all teams.
+    std::size_t waiting() const { return this->waitingCount; }
 
     // Whether a report may go with the next renewal: no answer to an earlier one is awaited.
     bool mayReport(TimePoint now) const;
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -228,6 +228,8 @@
     // Proposals stay uncommitted.
     bool withholdsCommits = false;
     // In force once a configuration is sent.
+    std::map<TeamId, TeamLimit> teamLimits;
+    std::size_t limitsDecoded = 0;
     std::uint32_t syncReplicas = 0;
     std::uint64_t sequence = 0;
     std::uint64_t lastIndex = 0;
@@ -255,6 +257,7 @@
         FleetSettings settings;
         settings.lease.instance = InstanceId(instance);
         settings.lease.leaseFor = milliseconds(4000);
+        settings.teamLimits = TeamLimitRules{milliseconds(5000), 0.1, 20, milliseconds(3000)};
         return settings;
     }
 
@@ -288,6 +291,10 @@
         hooks.syncReplicas = [this](const OpaqueBytes &) {
             return std::map<GroupId, std::uint32_t>{{Group, this->syncReplicas}};
         };
+        hooks.teamLimits = [this](const OpaqueBytes &) {
+            ++this->limitsDecoded;
+            return this->teamLimits;
+        };
         hooks.callObserver = [this](const std::string &address) {
             this->calledObservers.push_back(address);
         };
--- a/tests/fakes/pooler_fixture.hpp
+++ b/tests/fakes/pooler_fixture.hpp
@@ -36,8 +36,9 @@
     static inline const TargetId ReplicaA{"t2"};
     static inline const TargetId ReplicaB{"t3"};
 
-    explicit PoolerFixture(std::optional<Duration> revokeWithin = std::nullopt)
-        : pooler(makeSettings(revokeWithin), this->makeHooks())
+    explicit PoolerFixture(std::optional<Duration> revokeWithin = std::nullopt,
+                           bool limitsTeams = false)
+        : pooler(makeSettings(revokeWithin, limitsTeams), this->makeHooks())
     {
         this->view.revision = 1;
         for (const TargetId &id : {Primary, ReplicaA, ReplicaB}) {
@@ -230,14 +231,17 @@
     std::set<ConnectionId> closedConnections;
     std::map<ConnectionId, bool> inTransaction;
     SessionNumber lastSession = 0;
+    // Calls of PoolerHooks::tokensNeeded.
+    std::size_t tokenRequests = 0;
     // Called for every command sent, before it is recorded.
     std::function<void(const SentCommand &)> onSent;
     SessionPooler pooler;
 
 private:
-    static PoolerSettings makeSettings(std::optional<Duration> revokeWithin)
+    static PoolerSettings makeSettings(std::optional<Duration> revokeWithin, bool limitsTeams)
     {
         PoolerSettings settings;
+        settings.limitsTeams = limitsTeams;
         settings.revokeWithin = revokeWithin;
         settings.failureDomain = FailureDomainId("d-t2");
         return settings;
@@ -284,6 +288,9 @@
         };
         hooks.observationsChanged = [] {
         };
+        hooks.tokensNeeded = [this] {
+            ++this->tokenRequests;
+        };
         hooks.finished = [](RouteConsistency, std::optional<StatementFault>, Duration) {
         };
         hooks.event = [](std::string_view, const PoolerEventFields &, bool) {
--- a/tests/unit/platform.tests.cpp
+++ b/tests/unit/platform.tests.cpp
@@ -273,3 +273,21 @@
     cr_assert(!parseProcessSettings(replaced(text, "[7440,7455]", "7440")).ok());
     cr_assert(!readProcessSettings("/nowhere/settings.json").ok());
 }
+
+// Guards against limits where the settings ask for none.
+Test(platform, team_limit_settings,
+     .description = "Team limits are kept if the settings name their window")
+{
+    const auto bounded = [](const std::string &bounds) {
+        return parseProcessSettings(
+            R"({"node_name":"i","ip_address":"10.0.0.1","zone":"z","internal_port_range":[1,2],)"
+            R"("bounds":{)"
+            + bounds + "}}");
+    };
+    cr_assert(!bounded(R"("quota_overshoot":0.1)")->teamLimits);
+    const auto limits =
+        bounded(R"("quota_window_s":5,"quota_overshoot":0.1,"quota_slack":20,"revoke_ms":4000)")
+            ->teamLimits;
+    cr_assert(limits && limits->window == std::chrono::seconds(5) && limits->slack == 20);
+    cr_assert(limits->overshoot == 0.1 && limits->tokenLifetime == std::chrono::milliseconds(2400));
+}
--- a/tests/unit/team_limits.tests.cpp
+++ b/tests/unit/team_limits.tests.cpp
@@ -1,7 +1,10 @@
 // Tests of the tokens that carry the limits of teams: which of them a pooler may spend, and which
 // of them the leader may grant again.
+#include "fakes/fleet_fixture.hpp"
+#include "fakes/pooler_fixture.hpp"
 #include "rhubarbweir/coordination/fleet/budget_allocator.hpp"
 #include "rhubarbweir/coordination/sessions/team_budget.hpp"
+#include "rhubarbweir/protocol/codec.hpp"
 
 #include <criterion/criterion.h>
 
@@ -9,11 +12,12 @@
 #include <optional>
 
 using namespace rhubarbweir;
-using std::chrono::milliseconds;
+using namespace rhubarbweir::fakes;
+using Kind = TextStatementKind;
 
 namespace {
 
-const TeamId Team("team");
+const TeamId Blue("team");
 
 // A leader with one team of 10 operations per second, whose bucket is full, and poolers.
 struct LimitFixture
@@ -26,7 +30,7 @@
         this->now += milliseconds(10000);
         this->allocator.beginLeadership();
         this->allocator.start({}, this->now);
-        this->allocator.setLimits({{Team, {10, 10}}}, this->now);
+        this->allocator.setLimits({{Blue, {10, 10}}}, this->now);
         this->now += milliseconds(10000);
         this->allocator.advance(this->now);
     }
@@ -42,16 +46,70 @@
 
     TokenReport reportOf(TeamBudget &budget, std::size_t waiting)
     {
-        budget.setWaiting(Team, waiting);
+        budget.setWaiting(Blue, waiting);
         return budget.report(this->now);
     }
 
-    double bucket() const { return this->allocator.status().at(Team).bucket; }
+    double bucket() const { return this->allocator.status().at(Blue).bucket; }
 
     TimePoint now;
     BudgetAllocator allocator;
 };
 
+KeyDigest keyOf(std::uint8_t number)
+{
+    KeyDigest key;
+    key.bytes[0] = number;
+    return key;
+}
+
+// A pooler with two limited teams, whose keys are 1 and 2, and a leader that answers on demand.
+struct LimitedPooler : PoolerFixture
+{
+    LimitedPooler()
+        : PoolerFixture(std::nullopt, true)
+    {
+        this->warmUp();
+        this->setTeams(2, 2);
+        this->advance(milliseconds(20));
+    }
+
+    // The team of key 1 is `Blue`, that of key 2 is "other"; `moved` is also a key of "other".
+    void setTeams(std::uint64_t version, std::uint8_t moved)
+    {
+        RouteTable table = routes(version);
+        table.hasTeams = true;
+        table.teams[Blue].limit = TeamLimit{10, 10};
+        table.teams[TeamId("other")].limit = TeamLimit{10, 10};
+        table.teamsByKey = {{keyOf(1), Blue}, {keyOf(2), TeamId("other")}};
+        table.teamsByKey[keyOf(moved)] = TeamId("other");
+        this->pooler.routesReceived(table, this->now);
+    }
+
+    // The leader answers the next report.
+    std::uint32_t grant(const TeamId &team, std::uint32_t tokens, bool exhausted = false)
+    {
+        const auto report = this->pooler.tokenReport(this->now);
+        std::uint32_t waiting = 0;
+        for (const TeamTokenUse &use : report->teams)
+            waiting += use.team == team ? use.waiting : 0;
+        TokenAnswer answer;
+        answer.sequence = report->sequence;
+        answer.epoch = 1;
+        answer.lifetime = milliseconds(3000);
+        answer.grants = {{team, tokens, exhausted}};
+        this->pooler.tokensAnswered(answer, this->now);
+        return waiting;
+    }
+
+    // Runs until the statements that may be sent are answered.
+    void serve()
+    {
+        this->advance(milliseconds(10));
+        this->answerAll();
+    }
+};
+
 std::uint32_t tokensIn(const TokenAnswer &answer)
 {
     return answer.grants.empty() ? 0 : answer.grants.front().tokens;
@@ -70,10 +128,10 @@
     cr_assert_eq(tokensIn(answer), 5);
     fleet.exchange(budget, "p", 0);
     budget.answered(answer, fleet.now);
-    cr_assert_eq(budget.held(Team, fleet.now), 0);
+    cr_assert_eq(budget.held(Blue, fleet.now), 0);
     const TokenReport awaited = fleet.reportOf(budget, 1);
     budget.answered(answer, fleet.now);
-    cr_assert_eq(budget.held(Team, fleet.now), 0);
+    cr_assert_eq(budget.held(Blue, fleet.now), 0);
     cr_assert_gt(awaited.sequence, answer.sequence);
 }
 
@@ -84,7 +142,7 @@
     LimitFixture fleet;
     TeamBudget budget;
     fleet.exchange(budget, "p", 1);
-    const auto token = budget.take(Team, fleet.now);
+    const auto token = budget.take(Blue, fleet.now);
     cr_assert(token.has_value());
     const TokenReport before = fleet.reportOf(budget, 0);
     cr_assert_eq(before.teams.at(0).held, 1);
@@ -92,7 +150,7 @@
     const TokenReport after = fleet.reportOf(budget, 0);
     cr_assert_eq(after.teams.at(0).held, 0);
     cr_assert_eq(after.teams.at(0).spent, before.teams.at(0).spent + 1);
-    budget.settle(Team, *token, true, fleet.now);
+    budget.settle(Blue, *token, true, fleet.now);
     cr_assert_eq(fleet.reportOf(budget, 0).teams.at(0).spent, after.teams.at(0).spent);
 }
 
@@ -107,8 +165,8 @@
     const TimePoint asked = fleet.now;
     fleet.now += milliseconds(900);
     budget.answered(answer, fleet.now);
-    cr_assert_eq(budget.held(Team, asked + milliseconds(2999)), 2);
-    cr_assert(!budget.take(Team, asked + milliseconds(3000)));
+    cr_assert_eq(budget.held(Blue, asked + milliseconds(2999)), 2);
+    cr_assert(!budget.take(Blue, asked + milliseconds(3000)));
 }
 
 // Guards against a charge for an operation that had no effect.
@@ -118,10 +176,10 @@
     LimitFixture fleet;
     TeamBudget budget;
     fleet.exchange(budget, "p", 1);
-    const auto token = budget.take(Team, fleet.now);
-    cr_assert(token && !budget.take(Team, fleet.now));
-    budget.settle(Team, *token, false, fleet.now);
-    cr_assert(budget.take(Team, fleet.now) == token);
+    const auto token = budget.take(Blue, fleet.now);
+    cr_assert(token && !budget.take(Blue, fleet.now));
+    budget.settle(Blue, *token, false, fleet.now);
+    cr_assert(budget.take(Blue, fleet.now) == token);
 }
 
 // Guards against a new leader that grants what its predecessor has granted.
@@ -135,7 +193,7 @@
     cr_assert_eq(tokensIn(fleet.exchange(silent, "silent", 20)), 20);
     fleet.allocator.beginLeadership();
     fleet.allocator.start({{InstanceId("silent"), 1}, {InstanceId("p"), 1}}, fleet.now);
-    fleet.allocator.setLimits({{Team, {10, 10}}}, fleet.now);
+    fleet.allocator.setLimits({{Blue, {10, 10}}}, fleet.now);
     TeamBudget budget;
     fleet.now += milliseconds(2900);
     const TokenAnswer early = fleet.exchange(budget, "p", 30);
@@ -157,12 +215,12 @@
     const double atGrant = fleet.bucket();
     fleet.now += milliseconds(2990);
     fleet.allocator.advance(fleet.now);
-    const auto status = fleet.allocator.status().at(Team);
+    const auto status = fleet.allocator.status().at(Blue);
     cr_assert_lt(status.bucket + static_cast<double>(status.atPoolers), status.capacity + 0.001);
     cr_assert_eq(status.atPoolers, 30);
     fleet.now += milliseconds(300);
     fleet.allocator.advance(fleet.now);
-    cr_assert_eq(fleet.allocator.status().at(Team).atPoolers, 0);
+    cr_assert_eq(fleet.allocator.status().at(Blue).atPoolers, 0);
     cr_assert_lt(fleet.bucket(), atGrant + 30);
 }
 
@@ -177,9 +235,9 @@
     fleet.exchange(other, "other", 1000);
     const TokenAnswer answer = fleet.exchange(budget, "p", 1000);
     cr_assert(answer.grants.at(0).exhausted);
-    cr_assert(budget.shortage(Team, fleet.now) == TokenShortage::Exhausted);
-    cr_assert(budget.shortage(Team, fleet.now + milliseconds(200)) == TokenShortage::Awaited);
-    cr_assert(budget.shortage(Team, fleet.now + milliseconds(1600))
+    cr_assert(budget.shortage(Blue, fleet.now) == TokenShortage::Exhausted);
+    cr_assert(budget.shortage(Blue, fleet.now + milliseconds(200)) == TokenShortage::Awaited);
+    cr_assert(budget.shortage(Blue, fleet.now + milliseconds(1600))
               == TokenShortage::WithoutLeader);
 }
 
@@ -192,8 +250,169 @@
     fleet.exchange(budget, "p", 3);
     fleet.allocator.beginLeadership();
     fleet.allocator.start({{InstanceId("p"), 1}}, fleet.now);
-    fleet.allocator.setLimits({{Team, {10, 10}}}, fleet.now);
+    fleet.allocator.setLimits({{Blue, {10, 10}}}, fleet.now);
     cr_assert(fleet.exchange(budget, "p", 1).needsWholeReport);
     fleet.exchange(budget, "p", 0);
-    cr_assert_eq(fleet.allocator.status().at(Team).atPoolers, 3);
+    cr_assert_eq(fleet.allocator.status().at(Blue).atPoolers, 3);
+}
+
+// Guards against operations that run before they are paid for, and against statements of a
+// transaction that pay again.
+Test(team_limits, one_token_for_an_operation,
+     .description = "A statement outside a transaction or a whole transaction costs one token")
+{
+    LimitedPooler fixture;
+    const SessionNumber session = fixture.open("latest", keyOf(1));
+    fixture.submit(session, Kind::Begin, "b");
+    fixture.submit(session, Kind::Write, "w1");
+    fixture.serve();
+    cr_assert(fixture.statements().empty());
+    cr_assert_eq(fixture.grant(Blue, 2), 1);
+    fixture.serve();
+    fixture.submit(session, Kind::Write, "w2");
+    fixture.serve();
+    fixture.submit(session, Kind::Commit, "c");
+    fixture.serve();
+    cr_assert_eq(fixture.statements().size(), 3);
+    fixture.submit(session, Kind::Write, "alone");
+    fixture.serve();
+    cr_assert_eq(fixture.statements().size(), 4);
+    fixture.submit(session, Kind::Read, "third");
+    fixture.serve();
+    cr_assert_eq(fixture.statements().size(), 4);
+    cr_assert_gt(fixture.tokenRequests, 0);
+}
+
+// Guards against operations over the limit that wait.
+Test(team_limits, over_the_limit,
+     .description =
+         "An operation of a team at its limit is refused at once, of another team it is not")
+{
+    LimitedPooler fixture;
+    const SessionNumber session = fixture.open("latest", keyOf(1));
+    fixture.submit(session, Kind::Read, "r1");
+    fixture.grant(Blue, 0, true);
+    cr_assert_eq(fixture.lastAnswer(session).fault, StatementFault::TooMany);
+    fixture.submit(session, Kind::Begin, "b");
+    fixture.submit(session, Kind::Write, "w");
+    cr_assert_eq(fixture.lastAnswer(session).fault, StatementFault::TooMany);
+    cr_assert(fixture.lastAnswer(session).state == TransactionState::Failed);
+    const SessionNumber other = fixture.open("latest", keyOf(2));
+    fixture.submit(other, Kind::Read, "r2");
+    fixture.grant(TeamId("other"), 1);
+    fixture.serve();
+    cr_assert(!fixture.lastAnswer(other).fault);
+}
+
+// Guards against an operation that waits for a leader until its timeout.
+Test(team_limits, no_leader,
+     .description =
+         "Without an answer an operation is refused as busy after a third of its objective")
+{
+    LimitedPooler fixture;
+    const SessionNumber session = fixture.open("latest", keyOf(1));
+    fixture.submit(session, Kind::Read, "r");
+    fixture.advance(milliseconds(130));
+    cr_assert_eq(fixture.answerCount(session), 0);
+    fixture.advance(milliseconds(10));
+    cr_assert_eq(fixture.lastAnswer(session).fault, StatementFault::Busy);
+    cr_assert(fixture.statements().empty());
+}
+
+// Guards against a charge for what did not run, and a refund of what may have run.
+Test(team_limits, refund,
+     .description = "A refused operation returns its token, one that may have run does not")
+{
+    LimitedPooler fixture;
+    fixture.submit(fixture.open("latest", keyOf(1)), Kind::Write, "w1");
+    fixture.grant(Blue, 1);
+    fixture.advance(milliseconds(500));
+    cr_assert_eq(fixture.answers.rbegin()->second.back().fault, StatementFault::Busy);
+    const SessionNumber session = fixture.open("latest", keyOf(1));
+    fixture.submit(session, Kind::Write, "w2");
+    fixture.openConnections();
+    cr_assert_eq(fixture.statements().size(), 1);
+    fixture.closeConnection(fixture.statements().back().connection);
+    cr_assert_eq(fixture.lastAnswer(session).fault, StatementFault::InDoubt);
+    fixture.submit(session, Kind::Write, "w3");
+    fixture.serve();
+    cr_assert_eq(fixture.statements().size(), 1);
+}
+
+// Guards against operations of a team that another one has paid for.
+Test(team_limits, moved_key,
+     .description = "An operation whose key moves while it waits is paid for by the new team")
+{
+    LimitedPooler fixture;
+    const SessionNumber session = fixture.open("latest", keyOf(1));
+    fixture.submit(session, Kind::Read, "r");
+    fixture.setTeams(3, 1);
+    fixture.grant(Blue, 1);
+    fixture.serve();
+    cr_assert(fixture.statements().empty());
+    fixture.grant(TeamId("other"), 1);
+    fixture.serve();
+    cr_assert_eq(fixture.statements().size(), 1);
+}
+
+// Guards against costs for deployments without limits.
+Test(team_limits, without_limits,
+     .description = "Without limited teams nothing is reported, and operations need no token")
+{
+    LimitedPooler fixture;
+    fixture.pooler.routesReceived(PoolerFixture::routes(3), fixture.now);
+    cr_assert(!fixture.pooler.tokenReport(fixture.now));
+    const SessionNumber session = fixture.open("latest");
+    fixture.submit(session, Kind::Read, "r");
+    fixture.serve();
+    cr_assert(!fixture.lastAnswer(session).fault);
+    cr_assert_eq(fixture.tokenRequests, 0);
+}
+
+// Guards against tokens for runs that the leader does not count.
+Test(team_limits, controller,
+     .description = "The leader grants tokens to registered runs only, and decodes a document once")
+{
+    FleetFixture fleet;
+    fleet.teamLimits[Blue] = {10, 10};
+    fleet.waitForGracePeriod();
+    fleet.configure(1, "document");
+    fleet.startGroup();
+    fleet.renew("p1", fleet.revision());
+    fleet.advance(milliseconds(5000));
+    fleet.renew("p1", fleet.revision());
+    const auto ask = [&fleet](const char *name, std::uint64_t incarnation) {
+        TokenRequest request{InstanceId(name), incarnation, {}};
+        request.report.sequence = ++fleet.sequence;
+        request.report.teams = {{Blue, 0, 0, 3, 0}};
+        fleet.sent.clear();
+        fleet.controller.tokensRequested(fleet.connectionOf(name), request, fleet.now);
+        const auto *answer =
+            fleet.sent.empty() ? nullptr : std::get_if<TokenAnswer>(&fleet.sent.back().second);
+        return answer == nullptr ? 0 : tokensIn(*answer);
+    };
+    cr_assert_eq(ask("p1", 1), 3);
+    cr_assert_eq(ask("p1", 2), 0);
+    cr_assert_eq(ask("unknown", 1), 0);
+    cr_assert_leq(fleet.limitsDecoded, 2);
+    fleet.hasLease = false;
+    ask("p1", 1);
+    cr_assert(std::holds_alternative<FleetRedirect>(fleet.sent.back().second));
+}
+
+// Guards against an upgrade during which instances do not understand each other.
+Test(team_limits, optional_fields,
+     .description = "Renewals and leases without tokens are encoded as before, others keep them")
+{
+    RenewLease renewal;
+    cr_assert_eq(encode(renewal, Encoding::Json).find("tokens"), std::string::npos);
+    cr_assert(!std::get<RenewLease>(*decode(encode(renewal))).tokens);
+    renewal.tokens = TokenReport{7, 3, {{Blue, 5, 4, 3, 2}}};
+    const auto report = std::get<RenewLease>(*decode(encode(renewal))).tokens;
+    cr_assert(report && report->epoch == 3 && report->teams.at(0).waiting == 3);
+    FleetLease lease;
+    cr_assert_eq(encode(lease, Encoding::Json).find("tokens"), std::string::npos);
+    lease.tokens = TokenAnswer{7, 3, false, milliseconds(3000), {{Blue, 2, true}}};
+    const auto answer = std::get<FleetLease>(*decode(encode(lease))).tokens;
+    cr_assert(answer && answer->lifetime == milliseconds(3000) && answer->grants.at(0).exhausted);
 }
