--- a/src/programs/pooler/pooler_program.hpp
+++ b/src/programs/pooler/pooler_program.hpp
@@ -44,7 +44,8 @@
     void relayStatement(SessionNumber session, TextStatement statement);
     void handleRequest(const HttpRequest &request, const HttpResponder &respond);
     void leaseReceived(const FleetLease &lease, std::optional<TimePoint> sentAt);
-    RenewLease renewal() const;
+    void tokensReceived(const std::optional<TokenAnswer> &tokens, bool isAnswer);
+    RenewLease renewal();
     void scheduleAdvance();
     void stopRequested();
     void drainStep();
@@ -69,6 +70,8 @@
     // Callers' sessions that have sent no statement yet. With the first one they are bound to a
     // holder or to this pooler.
     std::map<SessionNumber, RelayedSession> unbound;
+    // Whether the answer to a renewal with a report of tokens is awaited.
+    bool reportsTokens = false;
     // Times of a stop: when all sessions are closed, from when idle ones are closed, and from when
     // new ones are refused. max() until a stop is requested.
     TimePoint stopBy = TimePoint::max();
--- a/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
@@ -1,7 +1,8 @@
-// Messages of control instances to session poolers. A pooler renews its lease with RenewLease
+// Messages between control instances and session poolers. A pooler renews its lease with RenewLease
 // (control_messages.hpp).
 #pragma once
 
+#include "rhubarbweir/coordination/control/control_messages.hpp"
 #include "rhubarbweir/state/fleet_state.hpp"
 #include "rhubarbweir/state/log_position.hpp"
 #include "rhubarbweir/state/opaque_bytes.hpp"
@@ -67,6 +68,37 @@
     std::vector<PoolerPeer> peers;
 };
 
+struct TeamTokenGrant
+{
+    TeamId team;
+    std::uint32_t tokens = 0;
+    // The team has reached its limit; its operations without a token are to be refused.
+    bool exhausted = false;
+};
+
+// Answer to a TokenReport.
+struct TokenAnswer
+{
+    // TokenReport::sequence.
+    std::uint64_t sequence = 0;
+    // Differs between the times for which this instance led; never 0.
+    std::uint64_t epoch = 0;
+    // The report continued what the leader does not know; nothing was granted.
+    bool needsWholeReport = false;
+    // The tokens may be spent for this long from when the report was sent.
+    Duration lifetime{};
+    std::vector<TeamTokenGrant> grants;
+};
+
+// Sent by a session pooler at once when operations wait for tokens, but only on a connection on
+// which a TokenAnswer arrived: control instances of earlier versions do not know the message.
+struct TokenRequest
+{
+    InstanceId proxy;
+    std::uint64_t incarnation = 0;
+    TokenReport report;
+};
+
 // Answer to a renewal, or unsolicited when the view or the configuration changed.
 struct FleetLease
 {
@@ -90,6 +122,8 @@
     // A view with many entries, packed by FleetHooks::packView; `view` then holds only its
     // revisions and the addresses. Empty otherwise.
     OpaqueBytes packedView;
+    // Answer to RenewLease::tokens.
+    std::optional<TokenAnswer> tokens;
 };
 
 // Answer of a control instance that does not lead.
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -4,6 +4,7 @@
 #include "rhubarbweir/coordination/control/control_settings.hpp"
 #include "rhubarbweir/coordination/fleet/fleet_messages.hpp"
 #include "rhubarbweir/state/log_position.hpp"
+#include "rhubarbweir/state/team_limit.hpp"
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
@@ -77,6 +78,8 @@
     Duration proposalTimeout = std::chrono::milliseconds(1000);
     // A primary that reports itself as a replica for this long loses its authority.
     Duration roleMismatchThreshold = std::chrono::milliseconds(1500);
+    // Empty if teams are not limited.
+    std::optional<TeamLimitRules> teamLimits;
 };
 
 // Minimum time between two passes over all poolers that events cause. Events of a crowd are then
@@ -134,7 +137,7 @@
     static constexpr std::string_view Names[] = {"accepted", "not_leader", "unavailable"};
 };
 
-using FleetReply = std::variant<FleetLease, FleetRedirect>;
+using FleetReply = std::variant<FleetLease, FleetRedirect, TokenAnswer>;
 using FleetCallDone = std::function<void(FleetCallOutcome)>;
 using FleetEventFields = std::vector<std::pair<std::string, std::string>>;
 
@@ -162,6 +165,8 @@
     // How many replicas hold a commit before it is confirmed, by group; groups without such a rule
     // may be absent.
     std::function<std::map<GroupId, std::uint32_t>(const OpaqueBytes &document)> syncReplicas;
+    // Limits of the teams that have one. Only called with FleetSettings::teamLimits.
+    std::function<std::map<TeamId, TeamLimit>(const OpaqueBytes &document)> teamLimits;
     // Answered through FleetController::probed().
     std::function<void(const RegisteredTarget &)> probe;
     // Answered through FleetController::promotionAnswered().
--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -56,10 +56,11 @@
     record.peersVersion = message.peersVersion;
 }
 
-void ViewSender::answer(ProxyLease &lease, std::uint64_t sequence, TimePoint now)
+void ViewSender::answer(ProxyLease &lease, std::uint64_t sequence,
+                        std::optional<TokenAnswer> tokens, TimePoint now)
 {
     if (!this->isBacklogged(lease))
-        this->send(lease, sequence, this->baseOfAnswer(lease, now), now);
+        this->send(lease, sequence, this->baseOfAnswer(lease, now), std::move(tokens), now);
 }
 
 bool ViewSender::isBacklogged(const ProxyLease &lease) const
@@ -105,7 +106,7 @@
             continue;
         if (lease.sentRevision <= lease.revision)
             this->records[run].view = {lease.revision, now + this->settings.viewResendInterval};
-        this->send(lease, 0, std::max(lease.revision, lease.sentRevision), now);
+        this->send(lease, 0, std::max(lease.revision, lease.sentRevision), std::nullopt, now);
     }
 }
 
@@ -120,10 +121,11 @@
 }
 
 void ViewSender::send(ProxyLease &lease, std::uint64_t sequence, std::uint64_t baseRevision,
-                      TimePoint now)
+                      std::optional<TokenAnswer> tokens, TimePoint now)
 {
     FleetLease message;
     message.sequence = sequence;
+    message.tokens = std::move(tokens);
     message.leaseFor = this->settings.lease.leaseFor;
     message.poolers =
         static_cast<std::uint32_t>(std::max<std::size_t>(1, this->state.livePoolers()));
--- a/src/rhubarbweir/coordination/fleet/view_sender.hpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.hpp
@@ -42,8 +42,10 @@
     void beginLeadership(TimePoint now);
     // Records the versions of the configuration and the peers that a renewal reports.
     void recordReport(const ProxyRun &run, const RenewLease &message);
-    // Answers the renewal with `sequence`. The caller has granted the lease.
-    void answer(ProxyLease &lease, std::uint64_t sequence, TimePoint now);
+    // Answers the renewal with `sequence`, and its report of tokens. The caller has granted the
+    // lease.
+    void answer(ProxyLease &lease, std::uint64_t sequence, std::optional<TokenAnswer> tokens,
+                TimePoint now);
     // Schedules a message to all poolers. An urgent one is sent at once, or in a large fleet
     // crowdInterval() after the last one; others are collected.
     void viewChanged(bool isUrgent, TimePoint now);
@@ -88,7 +90,8 @@
     std::uint64_t baseOfAnswer(const ProxyLease &lease, TimePoint now);
     void push(TimePoint now);
     void forgetEvicted();
-    void send(ProxyLease &lease, std::uint64_t sequence, std::uint64_t baseRevision, TimePoint now);
+    void send(ProxyLease &lease, std::uint64_t sequence, std::uint64_t baseRevision,
+              std::optional<TokenAnswer> tokens, TimePoint now);
     void addControls(FleetView &view, const ProxyLease &lease);
     // A view and, if it has many entries, its packed form.
     struct ComposedView
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -71,7 +71,7 @@
 // teams, a statement does not pass those that wait.
 void SessionPooler::dispatch(Session &session, TimePoint now)
 {
-    if (this->refuseWithoutAccess(session, now))
+    if (this->refuseWithoutAccess(session, now) || !this->mayProceed(session, now))
         return;
     const GroupId group = session.pending->route.group;
     if (this->queue.isByTeam() && this->queue.isWaited(group, session.pending->needsPrimary)) {
@@ -386,8 +386,9 @@
     if (this->refuseWithoutAccess(session, now))
         return true;
     if (session.team != waiting.team) {
+        // The new team has a place of its own in the queue, and a limit of its own.
         this->queue.remove(session.number);
-        this->enqueue(session, now);
+        this->dispatch(session, now);
         return true;
     }
     if (this->trySend(session, now))
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -92,6 +92,10 @@
     std::optional<Duration> revokeWithin;
     // The same where few poolers hold the connections of a group and serve the sessions of others.
     Duration heldIdleTimeout = std::chrono::milliseconds(3000);
+    // Whether the limits of teams are kept.
+    bool limitsTeams = false;
+    // An operation waits for a token for at most its latency objective divided by this.
+    unsigned tokenWaitDivisor = 3;
     // Limit on queued statements over all groups; further ones are refused.
     std::size_t queueLimit = 512;
     // Limit on the queued statements of one team over all groups. A quarter of the limit on all, so
@@ -119,6 +123,8 @@
     std::function<std::optional<std::uint32_t>(const GroupId &, const TeamId &)> heldConnections;
     // After this, SessionPooler::targetClosed() is not called for the connection.
     std::function<void(ConnectionId)> closeTarget;
+    // SessionPooler::tokenReport() should be sent to the leader at once.
+    std::function<void()> tokensNeeded;
     // SessionPooler::observations() changed and should be reported to control at once.
     std::function<void()> observationsChanged;
     // A statement was answered; for counters and histograms. Without a fault on success.
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -90,6 +90,10 @@
         return;
     Session &session = found->second;
     this->queue.remove(number);
+    if (session.pending && session.pending->stage == StatementStage::AwaitingToken)
+        this->stopAwaiting(session);
+    if (session.pending)
+        this->settleToken(*session.pending, session.pending->attempts != 0, now);
     if (session.pinned != 0) {
         const PooledConnection *connection = this->targetTracker.connection(session.pinned);
         this->unpin(session, connection != nullptr && connection->awaited.empty(), now);
@@ -293,7 +297,8 @@
 
 void SessionPooler::runAtTarget(Session &session, TextStatement statement, TimePoint now)
 {
-    if (!this->admitStatement(session, std::move(statement), now))
+    if (!this->admitStatement(session, std::move(statement), now)
+        || !this->mayProceed(session, now))
         return;
     if (session.pinned != 0) {
         this->sendOnPinned(session, now);
@@ -397,6 +402,7 @@
 void SessionPooler::finish(Session &session, const StatementAnswer &answer, TimePoint now)
 {
     this->logStatement(session, answer.fault ? nameOf(*answer.fault) : "ok", now, !answer.fault);
+    this->settleToken(*session.pending, didOperationRun(*session.pending, answer.fault), now);
     this->hooks.finished(session.pending->route.consistency, answer.fault,
                          std::chrono::duration_cast<Duration>(now - session.pending->arrivedAt));
     this->queue.remove(session.number);
@@ -486,6 +492,7 @@
     this->hooks.event("configuration_in_force",
                       {{"version", absl::StrCat(this->view.routes().version)}}, false);
     this->queue.setByTeam(this->view.routes().hasTeams, now);
+    this->serveUnlimited(now);
     this->recheckQueue(now);
 }
 
@@ -561,12 +568,13 @@
 
 TimePoint SessionPooler::nextDeadline() const
 {
-    TimePoint earliest = this->nextCheck;
+    TimePoint earliest = std::min(this->nextCheck, this->budget.requestDueAt());
     for (const auto &[number, session] : this->activeSessions) {
         if (!session->pending)
             continue;
         const PendingStatement &pending = *session->pending;
-        if (pending.stage == StatementStage::Paused)
+        if (pending.stage == StatementStage::Paused
+            || pending.stage == StatementStage::AwaitingToken)
             earliest = std::min(earliest, pending.resumeAt);
         else if (pending.stage == StatementStage::Queued)
             earliest = std::min(earliest, pending.queueDeadline);
@@ -583,6 +591,7 @@
 {
     this->advancedAt = now;
     this->targetTracker.forgetSuspensionsUntil(now);
+    this->requestTokensIfDue(now);
     std::vector<SessionNumber> due;
     for (auto entry = this->activeSessions.begin(); entry != this->activeSessions.end();) {
         const Session &session = *entry->second;
@@ -666,6 +675,7 @@
         Session &session = found->second;
         if (session.pending) {
             const bool wasSent = session.pending->stage == StatementStage::Sent;
+            this->stopAwaiting(session);
             this->refuse(session, wasSent ? StatementFault::Timeout : StatementFault::Busy,
                          "stopping", now);
         }
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -11,6 +11,7 @@
 #include "rhubarbweir/coordination/sessions/session.hpp"
 #include "rhubarbweir/coordination/sessions/statement_queue.hpp"
 #include "rhubarbweir/coordination/sessions/target_tracker.hpp"
+#include "rhubarbweir/coordination/sessions/team_budget.hpp"
 
 #include <deque>
 #include <map>
@@ -56,6 +57,13 @@
     // Positions that this pooler learned and that are newer than those received.
     std::vector<GroupPosition> positionsToReport(TimePoint now);
 
+    // The report to send with the next renewal, or at once after PoolerHooks::tokensNeeded. Empty
+    // if no team has a limit, or if the answer to an earlier report is awaited.
+    std::optional<TokenReport> tokenReport(TimePoint now);
+    void tokensAnswered(const TokenAnswer &answer, TimePoint now);
+    // The answer to the last report will not come, or the next one goes to another instance.
+    void tokensUnanswered() { this->budget.disconnected(); }
+
     void advance(TimePoint now);
     // When advance() is due.
     TimePoint nextDeadline() const;
@@ -170,6 +178,19 @@
                           TimePoint now) const;
     void logDistances();
 
+    // internal/session_tokens.cpp: tokens of teams.
+    const TeamLimit *limitOf(const TeamId &team) const;
+    bool mayProceed(Session &session, TimePoint now);
+    void awaitToken(Session &session, TimePoint now);
+    void refuseWithoutToken(Session &session, TokenShortage shortage, TimePoint now);
+    void settleToken(PendingStatement &pending, bool hasRun, TimePoint now);
+    static bool didOperationRun(const PendingStatement &pending,
+                                const std::optional<StatementFault> &fault);
+    void stopAwaiting(const Session &session);
+    void serveAwaiting(const TeamId &team, TimePoint now);
+    void serveUnlimited(TimePoint now);
+    void requestTokensIfDue(TimePoint now);
+
     // internal/session_answers.cpp: answers of targets, lost connections and timeouts.
     void recordPosition(const PooledConnection &connection, const AwaitedAnswer &awaited,
                         const StatementAnswer &answer, TimePoint now);
@@ -201,6 +222,9 @@
     StatementQueue queue;
     std::deque<QueueRefusal> queueRefusals;
     bool refusingQueued = false;
+    // Tokens of the teams, and sessions whose statement awaits one, by arrival.
+    TeamBudget budget;
+    std::map<TeamId, std::deque<SessionNumber>> awaitingToken;
     // Positions of each group's primary under the current log generation, learned here or received.
     std::map<GroupId, FreshnessTracker> freshness;
     std::map<GroupId, TimePoint> lastSample;
--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -81,6 +81,8 @@
     "relay_close",
     "relay_ended",
     "relay_ping",
+    "token_request",
+    "token_answer",
 };
 static_assert(std::size(TypeNames) == std::variant_size_v<Message>);
 
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -74,6 +74,20 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ViewDelta, fromRevision, toRevision, groups, removed)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TargetObservation, target, group, state)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ObserverReport, instance, failureDomain, observations)
+// A list, because renewals hold one for each team in use.
+inline void to_json(nlohmann::json &to, const TeamTokenUse &use)
+{
+    to = nlohmann::json::array({use.team, use.spent, use.held, use.waiting, use.wanted});
+}
+inline void from_json(const nlohmann::json &from, TeamTokenUse &use)
+{
+    from.at(0).get_to(use.team);
+    from.at(1).get_to(use.spent);
+    from.at(2).get_to(use.held);
+    from.at(3).get_to(use.waiting);
+    from.at(4).get_to(use.wanted);
+}
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TokenReport, sequence, epoch, teams)
 inline void to_json(nlohmann::json &to, const RenewLease &renewal)
 {
     to = {{"proxy", renewal.proxy},
@@ -91,6 +105,8 @@
           {"overloadedGroups", renewal.overloadedGroups}};
     if (renewal.peersVersion)
         to["peersVersion"] = *renewal.peersVersion;
+    if (renewal.tokens)
+        to["tokens"] = *renewal.tokens;
 }
 inline void from_json(const nlohmann::json &from, RenewLease &renewal)
 {
@@ -111,6 +127,10 @@
     renewal.peersVersion.reset();
     if (const auto found = from.find("peersVersion"); found != from.end())
         renewal.peersVersion = found->get<std::uint64_t>();
+    // Absent from versions without team limits.
+    renewal.tokens.reset();
+    if (const auto found = from.find("tokens"); found != from.end())
+        renewal.tokens = found->get<TokenReport>();
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseGranted, sequence, leaseFor, delta)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LeaseRefused, sequence, leaderAddress)
@@ -223,6 +243,19 @@
     from.at(1).get_to(peer.address);
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PoolerPeers, version, failureDomains, peers)
+// A list, as for TeamTokenUse.
+inline void to_json(nlohmann::json &to, const TeamTokenGrant &grant)
+{
+    to = nlohmann::json::array({grant.team, grant.tokens, grant.exhausted});
+}
+inline void from_json(const nlohmann::json &from, TeamTokenGrant &grant)
+{
+    from.at(0).get_to(grant.team);
+    from.at(1).get_to(grant.tokens);
+    from.at(2).get_to(grant.exhausted);
+}
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TokenAnswer, sequence, epoch, needsWholeReport, lifetime, grants)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TokenRequest, proxy, incarnation, report)
 inline void to_json(nlohmann::json &to, const FleetLease &lease)
 {
     to = {{"sequence", lease.sequence},
@@ -236,6 +269,8 @@
           {"packedView", lease.packedView}};
     if (lease.peers)
         to["peers"] = *lease.peers;
+    if (lease.tokens)
+        to["tokens"] = *lease.tokens;
 }
 inline void from_json(const nlohmann::json &from, FleetLease &lease)
 {
@@ -252,6 +287,10 @@
     lease.peers.reset();
     if (const auto found = from.find("peers"); found != from.end())
         lease.peers = found->get<PoolerPeers>();
+    // Absent from versions without team limits, and if the renewal had no report.
+    lease.tokens.reset();
+    if (const auto found = from.find("tokens"); found != from.end())
+        lease.tokens = found->get<TokenAnswer>();
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetRedirect, leader)
 
