--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -120,8 +120,14 @@
 json toJson(const Body &body)
 {
     json converted = body;
-    if constexpr (OmitsDefaults<Body>)
+    if constexpr (std::is_same_v<Body, RenewLease>) {
+        // A proxy holds no configuration document, and may renew with a control instance of an
+        // earlier version, which requires every member.
+        if (body.configurationVersion != 0)
+            omitDefaults(converted, defaultsOf<Body>());
+    } else if constexpr (OmitsDefaults<Body>) {
         omitDefaults(converted, defaultsOf<Body>());
+    }
     return converted;
 }
 
--- a/tests/unit/codec.tests.cpp
+++ b/tests/unit/codec.tests.cpp
@@ -110,3 +110,35 @@
     cr_assert_not(unpackFleetView(OpaqueBytes(packed.bytes.substr(0, 20))).ok());
     cr_assert_not(unpackFleetView(OpaqueBytes("no view")).ok());
 }
+
+// Members that are usually absent must pass the shortened form of both messages: a pooler that sent
+// one ended by an exception.
+Test(codec, renewals_and_answers_keep_their_optional_members)
+{
+    RenewLease renewal;
+    renewal.configurationVersion = 7;
+    renewal.peersVersion = 3;
+    renewal.tokens = TokenReport{5, 9, {{TeamId("blue"), 4, 3, 2, 1}}};
+    const auto renewed = std::get<RenewLease>(*decode(encode(renewal)));
+    cr_assert_eq(renewed.configurationVersion, 7);
+    cr_assert_eq(*renewed.peersVersion, 3);
+    cr_assert_eq(renewed.tokens->teams.at(0).team.value, "blue");
+    cr_assert(!std::get<RenewLease>(*decode(encode(RenewLease{}))).tokens);
+
+    FleetLease lease;
+    lease.peers = PoolerPeers{8, 3, {{InstanceId("p1"), "10.0.0.1:7441"}}};
+    lease.tokens = TokenAnswer{5, 9, false, Duration(3000), {{TeamId("blue"), 6, true}}};
+    const auto answered = std::get<FleetLease>(*decode(encode(lease)));
+    cr_assert_eq(answered.peers->peers.at(0).address, "10.0.0.1:7441");
+    cr_assert_eq(answered.tokens->grants.at(0).tokens, 6);
+    cr_assert(!std::get<FleetLease>(*decode(encode(FleetLease{}))).peers);
+}
+
+// Proxies and control instances of different versions have to understand each other during an
+// update.
+Test(codec, renewals_of_proxies_hold_every_member)
+{
+    const std::string text = encode(RenewLease{}, Encoding::Json);
+    for (const char *member : {"\"address\"", "\"draining\"", "\"groups\"", "\"overloadedGroups\""})
+        cr_assert(text.find(member) != std::string::npos, "%s is missing", member);
+}
