Soak: documents with teams, keys that are taken away, targets that judge the team

The stand-ins knew nothing of teams. The operator now sends documents with three teams, takes keys away and issues others; callers use a key until it is denied; two of three kinds of routes need a key. Targets check the word that a connection begins with and, for each statement, the team of its key and when the key was taken away. Also found: a valid key that is denied, a key in a process's log. The settings ask for strict revocation.

--- a/tests/unit/process_soak.tests.cpp
+++ b/tests/unit/process_soak.tests.cpp
@@ -3,6 +3,7 @@
 #include "unit/support/platform/process_settings.hpp"
 #include "unit/support/platform/soak_caller.hpp"
 #include "unit/support/platform/soak_operator.hpp"
+#include "unit/support/platform/soak_teams.hpp"
 #include "unit/support/platform/standin_group.hpp"
 #include "unit/support/supervised_process.hpp"
 
@@ -14,6 +15,7 @@
 #include <cstdint>
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -58,6 +60,7 @@
         , shape(runShape)
         , random(runSeed)
         , findings(this->folder.file("events"))
+        , teams(runShape.callers, this->findings)
         , server([this] {
             for (const auto &group : this->groups)
                 group->replicate();
@@ -101,6 +104,10 @@
         for (const auto &process : this->processes)
             process->start();
         this->expectService("after the end of all processes");
+        this->expectNoKeysInLogs();
+        if (this->teams.runCount() == 0)
+            this->findings.add("nothing ran with a key", "");
+        this->findings.event(std::to_string(this->teams.runCount()) + " statements ran with keys");
         std::string summary = this->findings.summary(isJudged);
         if (!summary.empty())
             std::filesystem::copy(this->folder.path, this->keptFolder(),
@@ -167,9 +174,9 @@
             std::vector<std::string> hosts;
             for (std::size_t member = 0; member < 3; ++member)
                 hosts.push_back(this->machineHost(101 + 3 * number + member));
-            auto group =
-                std::make_unique<StandinGroup>(this->server, "group" + std::to_string(number),
-                                               hosts, this->controlHosts(), ProcessPorts::Control);
+            auto group = std::make_unique<StandinGroup>(
+                this->server, "group" + std::to_string(number), hosts, this->controlHosts(),
+                ProcessPorts::Control, &this->teams);
             const std::lock_guard<std::mutex> lock(this->server.mutex);
             this->groups.push_back(std::move(group));
         }
@@ -232,11 +239,18 @@
                                  {"rate_per_s", 50.0},
                                  {"duties", {"promotion"}},
                                  {"duty_per_s", 50.0}};
-        settings["bounds"] = {{"seed_lag_s", 3},    {"address_reuse_s", 2},
-                              {"contact_ms", 4000}, {"ack_timeout_ms", 5000},
-                              {"catch_up_s", 4},    {"drain_ms", 7000},
-                              {"grace_s", 6},       {"config_deadline_ms", 3000},
-                              {"recovery_s", 12},   {"fencing_required", false}};
+        settings["bounds"] = {{"seed_lag_s", 3},
+                              {"address_reuse_s", 2},
+                              {"contact_ms", 4000},
+                              {"ack_timeout_ms", 5000},
+                              {"catch_up_s", 4},
+                              {"drain_ms", 7000},
+                              {"grace_s", 6},
+                              {"config_deadline_ms", 3000},
+                              {"recovery_s", 12},
+                              {"fencing_required", false},
+                              {"strict_revocation", true},
+                              {"revoke_ms", SoakTeams::RevokeWithin.count()}};
         return settings;
     }
 
@@ -245,15 +259,16 @@
         std::vector<std::string> names;
         for (const auto &group : this->groups)
             names.push_back(group->groupName());
-        this->configurations = std::make_unique<SoakOperator>(
-            this->controlHosts(), ProcessPorts::Control, names, this->random(), this->findings);
+        this->configurations =
+            std::make_unique<SoakOperator>(this->controlHosts(), ProcessPorts::Control, names,
+                                           this->random(), this->findings, this->teams);
         std::vector<std::string> poolers;
         for (std::size_t number = 1; number <= this->shape.poolers; ++number)
             poolers.push_back(this->machineHost(number));
         for (std::size_t number = 0; number < this->shape.callers; ++number)
             this->callers.push_back(std::make_unique<SoakCaller>(
-                poolers, ProcessPorts::Callers, *this->groups[number % this->groups.size()],
-                "item" + std::to_string(number), this->random(), this->findings));
+                poolers, ProcessPorts::Callers, *this->groups[number % this->groups.size()], number,
+                this->random(), this->findings, this->teams));
     }
 
     // The course of time.
@@ -324,6 +339,22 @@
         }
     }
 
+    // The data folders hold the documents with their keys, which operators read back.
+    void expectNoKeysInLogs()
+    {
+        for (const auto &entry : std::filesystem::recursive_directory_iterator(this->folder.path)) {
+            const auto &path = entry.path();
+            if (path.filename().string().rfind("log-", 0) != 0
+                || path.parent_path().filename() == "data")
+                continue;
+            std::ifstream log(path);
+            for (std::string line; std::getline(log, line);) {
+                if (line.find(SoakTeams::Secret) != std::string::npos)
+                    this->findings.add("key in a log line", path.string());
+            }
+        }
+    }
+
     bool serves(Clock::time_point since) const
     {
         bool all =
@@ -570,6 +601,7 @@
     std::uint64_t steps = 0;
     TemporaryFolder folder;
     SoakFindings findings;
+    SoakTeams teams;
     std::vector<std::string> seedHosts;
     bool isBootstrap = true;
     // Guarded by the mutex of the server, whose thread uses it.
--- a/tests/unit/support/platform/soak_caller.hpp
+++ b/tests/unit/support/platform/soak_caller.hpp
@@ -28,14 +28,18 @@
     static constexpr milliseconds AnswerTimeout{4000};
     static constexpr milliseconds LongestPause{60};
 
+    // `number` tells its key in `soakTeams`.
     SoakCaller(std::vector<std::string> poolerHosts, int port, StandinGroup &standinGroup,
-               std::string name, std::uint64_t seed, SoakFindings &soakFindings)
+               std::size_t number, std::uint64_t seed, SoakFindings &soakFindings,
+               SoakTeams &soakTeams)
         : hosts(std::move(poolerHosts))
         , poolerPort(port)
         , group(standinGroup)
-        , item(std::move(name))
+        , item("item" + std::to_string(number))
+        , caller(number)
         , random(seed)
         , findings(soakFindings)
+        , teams(soakTeams)
         , thread([this] { this->run(); })
     {
     }
@@ -56,12 +60,16 @@
         const auto deadline = Clock::now() + AnswerTimeout;
         this->statement = this->item + "q" + std::to_string(++this->statements);
         this->row.clear();
+        const auto asked = Clock::now();
+        this->teams.sending(this->statement, this->key);
         if (!this->session.send("QUERY " + this->statement + " " + text + "\r\n", deadline))
             return std::nullopt;
         std::string last;
         while (auto line = this->session.line(deadline)) {
             if (line->rfind("READY ", 0) == 0) {
                 this->state = line->substr(6, 1);
+                if (last.rfind("ERROR DENIED", 0) == 0)
+                    this->denied(asked);
                 return last;
             }
             if (line->rfind("DATAROW ", 0) == 0)
@@ -72,6 +80,14 @@
         return std::nullopt;
     }
 
+    // Goes on with its newest key.
+    void denied(Clock::time_point asked)
+    {
+        this->teams.denied(this->key, asked);
+        this->session.close();
+        this->newestKey = this->teams.keyOf(this->caller);
+    }
+
     bool succeeds(const std::string &text)
     {
         const auto answer = this->query(text);
@@ -98,14 +114,20 @@
                                              "bounded_staleness"};
         this->kind = kinds[this->random() % kinds.size()];
         this->hasPrepared = false;
-        const auto deadline = Clock::now() + StartTimeout;
+        const auto asked = Clock::now();
+        const auto deadline = asked + StartTimeout;
+        if (this->newestKey.empty())
+            this->newestKey = this->teams.keyOf(this->caller);
+        this->key = SoakOperator::isPublic(this->kind) ? "" : this->newestKey;
         if (!this->session.open(host, this->poolerPort, StartTimeout)
             || !this->session.send(
                 "STARTUP " + SoakOperator::routeHost(this->kind, this->group.groupName()) + " "
-                    + this->item + "\r\n",
+                    + (this->key.empty() ? this->item : this->key) + "\r\n",
                 deadline))
             return false;
         const auto line = this->session.line(deadline);
+        if (line && line->rfind("ERROR DENIED", 0) == 0)
+            this->denied(asked);
         return (line && line->rfind("READY", 0) == 0) || this->session.close();
     }
 
@@ -195,8 +217,13 @@
     StandinGroup &group;
     // Nobody else writes it.
     std::string item;
+    std::size_t caller;
     std::mt19937_64 random;
     SoakFindings &findings;
+    SoakTeams &teams;
+    // Key of the session, empty on a public route, and the one for the next session.
+    std::string key;
+    std::string newestKey;
     LoopbackSocket session;
     std::string kind;
     bool hasPrepared = false;
--- a/tests/unit/support/platform/soak_operator.hpp
+++ b/tests/unit/support/platform/soak_operator.hpp
@@ -1,6 +1,7 @@
 // An operator that changes the configuration in the ways of the platform's days and reads it back.
 #pragma once
 
+#include "soak_teams.hpp"
 #include "unit/support/http_call.hpp"
 #include "unit/support/soak_findings.hpp"
 
@@ -34,12 +35,13 @@
 
     SoakOperator(std::vector<std::string> controlHosts, int port,
                  std::vector<std::string> groupNames, std::uint64_t seed,
-                 SoakFindings &soakFindings)
+                 SoakFindings &soakFindings, SoakTeams &soakTeams)
         : hosts(std::move(controlHosts))
         , controlPort(port)
         , groups(std::move(groupNames))
         , random(seed)
         , findings(soakFindings)
+        , teams(soakTeams)
         , thread([this] { this->run(); })
     {
     }
@@ -60,6 +62,9 @@
         return kind + "." + group;
     }
 
+    // Whether callers of routes of this kind need no key.
+    static bool isPublic(const std::string &kind) { return kind == "bounded_staleness"; }
+
 private:
     json document(std::int64_t version) const
     {
@@ -77,6 +82,8 @@
                           {"max_attempts", 2}};
             if (kind != "primary")
                 route["max_staleness_ms"] = 2500;
+            if (isPublic(kind))
+                route["public"] = true;
             routes.push_back(std::move(route));
         };
         json services = json::array();
@@ -95,6 +102,7 @@
             add("idle-" + name, "host" + name, "read_your_writes", this->groups.front());
         }
         return {{"version", version},
+                {"tenants", this->tenants},
                 {"routes", std::move(routes)},
                 {"services", std::move(services)},
                 {"limits",
@@ -117,6 +125,7 @@
     {
         if (this->pending.empty()) {
             this->sentVersion += 1 + static_cast<std::int64_t>(this->random() % 3);
+            this->tenants = this->teams.nextDocument(this->random);
             this->pending = this->document(this->sentVersion).dump();
             if (this->pending.size() > MaxBytes) {
                 this->idleRoutes = 0;
@@ -129,6 +138,7 @@
                                "version " + std::to_string(this->sentVersion));
         if (status != 200)
             return;
+        this->teams.acknowledged();
         this->acked = Clock::now();
         this->acknowledged.emplace_back(this->acked, this->sentVersion);
         this->findings.event("operator: version " + std::to_string(this->sentVersion)
@@ -140,7 +150,15 @@
     {
         json body = this->document(this->sentVersion + 1);
         std::string text;
-        switch (this->random() % 4) {
+        switch (this->random() % 6) {
+        case 4:
+            body["tenants"][0]["name"] = body["tenants"][1]["name"];
+            break;
+        case 5:
+            // A key of another team.
+            body["tenants"][0]["api_keys"].push_back("shared");
+            body["tenants"][1]["api_keys"].push_back("shared");
+            break;
         case 0:
             body["routes"][0]["service"] = "unknown";
             break;
@@ -214,6 +232,9 @@
     std::vector<std::string> groups;
     std::mt19937_64 random;
     SoakFindings &findings;
+    SoakTeams &teams;
+    // List of teams in the newest document.
+    json tenants = json::array();
     std::int64_t sentVersion = 0;
     std::size_t idleRoutes = 8;
     // The newest change, until it is acknowledged.
--- a/tests/unit/support/platform/standin_group.hpp
+++ b/tests/unit/support/platform/standin_group.hpp
@@ -33,10 +33,11 @@
     // How long a former primary leads on once it reaches the new one.
     static constexpr milliseconds DemotionDelay{1000};
 
-    // `controlHosts` serve the control port; `hosts` are the addresses of the databases.
+    // `controlHosts` serve the control port; `hosts` are the addresses of the databases. `teams`
+    // judges what these are told, if it is not null.
     StandinGroup(PollServer &pollServer, std::string groupName,
                  const std::vector<std::string> &hosts, std::vector<std::string> controlHosts,
-                 int control)
+                 int control, SoakTeams *teams = nullptr)
         : server(pollServer)
         , name(std::move(groupName))
         , controls(std::move(controlHosts))
@@ -50,6 +51,7 @@
             target->host = hosts[number];
             target->zone = "zone-" + std::string(1, static_cast<char>('a' + number % 3));
             target->isPrimary = number == 0;
+            target->teams = teams;
             this->start(*target);
             this->targets.push_back(std::move(target));
         }
--- a/tests/unit/support/platform/standin_target.hpp
+++ b/tests/unit/support/platform/standin_target.hpp
@@ -1,6 +1,7 @@
 // One database of a stand-in group and the statements of its connections, as PROTOCOL.md has them.
 #pragma once
 
+#include "soak_teams.hpp"
 #include "unit/support/standin_log.hpp"
 
 #include <cstdint>
@@ -18,6 +19,8 @@
     struct Connection
     {
         bool isStarted = false;
+        // Second word of its start: a team or the name of an instance.
+        std::string caller;
         bool inTransaction = false;
         bool isReadOnly = false;
         bool hasFailed = false;
@@ -46,6 +49,9 @@
                 return false;
             }
             connection.isStarted = true;
+            connection.caller = caller;
+            if (this->teams != nullptr)
+                this->teams->told(caller);
             output += "READY I " + this->position() + "\r\n";
             return true;
         }
@@ -79,6 +85,8 @@
     unsigned long term = 1;
     StandinLog log;
     int listener = -1;
+    // Judges what is told and run; null for nobody.
+    SoakTeams *teams = nullptr;
 
 private:
     static std::string fail(Connection &connection, const std::string &code)
@@ -157,6 +165,8 @@
     std::string runItem(Connection &connection, const std::string &statement,
                         const std::string &verb, const StandinLog::Write &item)
     {
+        if (this->teams != nullptr)
+            this->teams->ran(statement, connection.caller);
         std::string complete = "COMPLETE 7." + this->id + "." + statement + "\r\n";
         const bool hasLostLead = connection.inTransaction && !connection.isReadOnly
                                  && (!this->isPrimary || connection.term != this->term);
