Let new connections of public routes serve before they are replaced

A new connection for callers without a team could still be replaced by a waiting statement of a team before it served. It now starts a waiting statement of its own callers first too. Documents without teams are not affected.

team_sessions (new_connections_serve) covers both kinds now; the public one failed before and passes.

--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -444,7 +444,7 @@
     }
     connection.phase = ConnectionPhase::Idle;
     connection.idleSince = now;
-    if (isNew && !connection.team.empty())
+    if (isNew && this->view.routes().hasTeams)
         this->dispatchToNew(connection.id, now);
     this->dispatchQueue(now);
 }
--- a/tests/unit/team_sessions.tests.cpp
+++ b/tests/unit/team_sessions.tests.cpp
@@ -508,22 +508,27 @@
      .description = "A connection that was opened for a waiting statement serves one before it is "
                     "replaced")
 {
-    TeamFixture fixture;
-    fixture.makeConnectionsScarce();
-    const SessionNumber first = fixture.open("latest", RedKey);
-    fixture.submit(first, Kind::Write, "first");
-    // Past the time after which the newest statement goes first.
-    fixture.advance(milliseconds(120));
-    for (int round = 0; round < 4 && fixture.statements().empty(); ++round) {
-        fixture.submit(fixture.open("latest", round % 2 == 0 ? BlueKey : RedKey), Kind::Write,
-                       absl::StrCat("w", round));
-        // The connection that the former round opened; the other team's statement is newer by now.
-        const auto [connection, target] = fixture.opening.front();
-        fixture.opening.pop_front();
-        fixture.pooler.targetOpened(connection, fixture.positions[target], fixture.now);
-        fixture.advance(milliseconds(20));
+    // The other team, and callers of a public route.
+    for (const std::string database : {"latest", "open"}) {
+        TeamFixture fixture;
+        fixture.makeConnectionsScarce();
+        fixture.submit(fixture.open(database, BlueKey), Kind::Write, "first");
+        // Past the time after which the newest statement goes first.
+        fixture.advance(milliseconds(120));
+        for (int round = 0; round < 4 && fixture.statements().empty(); ++round) {
+            const bool isRed = round % 2 == 0;
+            fixture.submit(fixture.open(isRed ? "latest" : database, isRed ? RedKey : BlueKey),
+                           Kind::Write, absl::StrCat("w", round));
+            // The connection that the former round opened; the other team's statement is newer by
+            // now.
+            const auto [connection, target] = fixture.opening.front();
+            fixture.opening.pop_front();
+            fixture.pooler.targetOpened(connection, fixture.positions[target], fixture.now);
+            fixture.advance(milliseconds(20));
+        }
+        cr_assert_eq(fixture.statements().size(), 1);
+        cr_assert_eq(fixture.statements().front().command.id, "first");
     }
-    cr_assert(!fixture.statements().empty());
 }
 
 Test(team_sessions, removed_team,
