Construct the remembered tallies from values

Cause: clang does not accept std::optional::emplace() without arguments for a nested structure with default members, within the class; clang-tidy reported it as an error.

Change: a value is passed. Tested: clang-tidy reports nothing on the changed sources; tests of the controller (65), platform soak (2), web sockets (2), control node (12) and others pass.

--- a/src/rhubarbweir/coordination/fleet/pooler_registry.cpp
+++ b/src/rhubarbweir/coordination/fleet/pooler_registry.cpp
@@ -157,7 +157,7 @@
 {
     if (this->lastSummary && this->lastSummary->madeAt == now)
         return *this->lastSummary;
-    Summary &summary = this->lastSummary.emplace();
+    Summary &summary = this->lastSummary.emplace(Summary{});
     summary.madeAt = now;
     summary.oldestRevision = std::numeric_limits<std::uint64_t>::max();
     for (const auto &[key, registered] : this->state.poolers()) {
--- a/src/rhubarbweir/coordination/fleet/primary_failure_detector.cpp
+++ b/src/rhubarbweir/coordination/fleet/primary_failure_detector.cpp
@@ -86,7 +86,7 @@
 {
     if (this->counted && this->counted->countedAt == now)
         return *this->counted;
-    Tally &tally = this->counted.emplace();
+    Tally &tally = this->counted.emplace(Tally{});
     tally.countedAt = now;
     for (const auto &[run, report] : this->reports) {
         if (!this->isReportValid(run, report, leases, now))
