--- a/src/rhubarbweir/coordination/fleet/budget_allocator.cpp
+++ b/src/rhubarbweir/coordination/fleet/budget_allocator.cpp
@@ -216,7 +216,8 @@
     this->refill(*bucket, now);
     Holding &holding = pooler.holdings[use.team];
     if (isFirstReport) {
-        // Granted by a former leader.
+        // Granted by a former leader. A malformed report may list a team twice.
+        this->release(use.team, holding, now);
         holding.tokens = std::min(use.held, this->largestHolding(*bucket, 1));
         holding.endsAt = this->endOfTokens(now);
         bucket->atPoolers += holding.tokens;
