--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -407,8 +407,10 @@
     if (since && now >= *since + this->settings.primaryAbsenceThreshold)
         return true;
     const std::optional<TargetId> primary = this->view.primary(group, now);
-    for (const auto &[id, record] : this->targetTracker.records()) {
-        if (record.target.group != group || !this->isAvailable(record, now))
+    for (const TargetRecord *member : this->targetTracker.group(group).members) {
+        const TargetRecord &record = *member;
+        const TargetId &id = record.target.target;
+        if (!this->isAvailable(record, now))
             continue;
         const bool isPrimary = primary && *primary == id;
         if (!isPrimary && (needsPrimary || id == this->view.knownPrimary(group)))
