Test the pooler's invariants with teams as well

The random run of statements and faults now also runs with three teams that share four connections to each target and whose keys move, and checks that no statement uses a connection of another team. It guards against a queue that loses or repeats statements when teams change. The run without teams is unchanged. The load fixture is shorter.

--- a/tests/fakes/team_load.hpp
+++ b/tests/fakes/team_load.hpp
@@ -1,6 +1,5 @@
-// Test fixture: callers of several teams before one pooler and a group of targets with slots, in
-// virtual time. The kinds of operations are those of a photo service; all run at the primary, but
-// for browsing.
+// Test fixture: callers of several teams before one pooler and a group of targets, in virtual time.
+// The kinds of operations are those of a photo service.
 #pragma once
 
 #include "fakes/pooler_fixture.hpp"
@@ -44,40 +43,37 @@
 class TeamLoad
 {
 public:
+    static constexpr std::size_t Teams = 8;
+
     // Begins after two seconds of the usual load.
-    TeamLoad(unsigned seed, std::size_t teams, bool hasTeams = true)
-        : factors(teams, 1.0)
-        , random(seed)
+    explicit TeamLoad(unsigned seed, bool hasTeams = true)
+        : random(seed)
     {
         RouteTable table;
         table.version = 2;
         table.hasTeams = hasTeams;
         table.groups[PoolerFixture::Group].maxConnections = 200;
         for (unsigned kind = 0; kind < LoadKinds.size(); ++kind) {
-            Route &route = table.routes[LoadKinds.at(kind).route];
-            route.database = LoadKinds.at(kind).route;
-            route.group = PoolerFixture::Group;
-            route.consistency = LoadKinds.at(kind).consistency;
-            route.timeout = LoadKinds.at(kind).timeout;
-            route.latencyObjective = LoadKinds.at(kind).objective;
-            route.maxAge = milliseconds(2000);
-            route.priority = kind;
-        }
-        for (std::size_t team = 0; team < teams; ++team) {
-            const TeamId id("team" + std::to_string(team));
-            table.teams[id] = Team();
-            table.teamsByKey[keyOf(team)] = id;
+            const LoadKind &of = LoadKinds.at(kind);
+            table.routes[of.route] = {of.route,   PoolerFixture::Group, of.consistency,
+                                      of.timeout, of.objective,         milliseconds(2000),
+                                      kind};
         }
+        for (std::size_t team = 0; team < Teams; ++team)
+            table.teamsByKey[keyOf(team)] = TeamId("team" + std::to_string(team));
+        this->factors.fill(1);
         this->fixture.pooler.routesReceived(table, this->fixture.now);
         this->fixture.extendLease(std::chrono::minutes(10));
         this->run(std::chrono::seconds(2));
-        this->resetTallies();
     }
 
+    // Counts only operations that begin during this run.
     void run(Duration time)
     {
-        const TimePoint end = this->fixture.now + time;
-        while (this->fixture.now < end) {
+        this->byTeam.fill({});
+        this->byKind.fill({});
+        this->countedFrom = this->fixture.now;
+        while (this->fixture.now < this->countedFrom + time) {
             this->fixture.now += milliseconds(1);
             this->arrive();
             this->openConnections();
@@ -87,10 +83,10 @@
         }
     }
 
-    // Breaks the connections to the target; none can be opened before `until`.
-    void stop(const TargetId &target, TimePoint until = TimePoint::max())
+    // Breaks the connections to the target; none can be opened for `time`.
+    void stop(const TargetId &target, Duration time)
     {
-        this->stoppedUntil[target] = until;
+        this->stoppedUntil[target] = this->fixture.now + time;
         const auto connections = this->fixture.targetOf;
         for (const auto &[connection, of] : connections) {
             if (of == target && this->fixture.closedConnections.count(connection) == 0)
@@ -98,19 +94,11 @@
         }
     }
 
-    // Counts only operations that begin from now on.
-    void resetTallies()
-    {
-        this->byTeam.clear();
-        this->byKind.clear();
-        this->countedFrom = this->fixture.now;
-    }
-
     PoolerFixture fixture;
-    std::map<std::size_t, LoadTally> byTeam;
-    std::map<std::size_t, LoadTally> byKind;
-    // Multiples of each team's usual load; all teams have the same.
-    std::vector<double> factors;
+    std::array<LoadTally, Teams> byTeam;
+    std::array<LoadTally, LoadKinds.size()> byKind;
+    // Multiples of each team's usual load, which is the same for all teams.
+    std::array<double, Teams> factors{};
     double burst = 1;
     // Callers give up after their objective divided by this, if it is not 0.
     int patienceDivisor = 0;
@@ -134,16 +122,15 @@
 
     void arrive()
     {
-        for (std::size_t team = 0; team < this->factors.size(); ++team) {
-            for (std::size_t kind = 0; kind < LoadKinds.size(); ++kind) {
-                const LoadKind &of = LoadKinds.at(kind);
-                const double mean = of.rate / 1000 / double(this->factors.size())
-                                    * this->factors[team] * this->burst;
-                for (int n = std::poisson_distribution<int>(mean)(this->random); n > 0; --n) {
-                    const SessionNumber session = this->fixture.open(of.route, keyOf(team));
-                    this->calls[session] = {team, kind, this->fixture.now};
-                    this->fixture.submit(session, of.statement, absl::StrCat(kind, "-", session));
-                }
+        for (std::size_t each = 0; each < Teams * LoadKinds.size(); ++each) {
+            const std::size_t team = each / LoadKinds.size();
+            const std::size_t kind = each % LoadKinds.size();
+            const LoadKind &of = LoadKinds.at(kind);
+            const double mean = of.rate / 1000 / Teams * this->factors.at(team) * this->burst;
+            for (int n = std::poisson_distribution<int>(mean)(this->random); n > 0; --n) {
+                const SessionNumber session = this->fixture.open(of.route, keyOf(team));
+                this->calls[session] = {team, kind, this->fixture.now};
+                this->fixture.submit(session, of.statement, absl::StrCat(kind, "-", session));
             }
         }
     }
@@ -152,12 +139,12 @@
     {
         while (!this->fixture.opening.empty()) {
             const auto [connection, target] = this->fixture.opening.front();
-            this->fixture.opening.pop_front();
-            if (this->fixture.now < this->stoppedUntil[target])
+            if (this->fixture.now < this->stoppedUntil[target]) {
                 this->fixture.closeConnection(connection, TargetFailure::Refused);
-            else
-                this->fixture.pooler.targetOpened(connection, LogPosition{1, 10},
-                                                  this->fixture.now);
+                continue;
+            }
+            this->fixture.opening.pop_front();
+            this->fixture.pooler.targetOpened(connection, LogPosition{1, 10}, this->fixture.now);
         }
     }
 
@@ -188,7 +175,7 @@
             const auto &[session, call] = *entry;
             const LoadKind &of = LoadKinds.at(call.kind);
             const bool isAnswered = this->fixture.answerCount(session) != 0;
-            const Duration age = std::chrono::duration_cast<Duration>(this->fixture.now - call.at);
+            const auto age = this->fixture.now - call.at;
             const bool givesUp =
                 this->patienceDivisor != 0 && age >= of.objective / this->patienceDivisor;
             if (!isAnswered && !givesUp) {
@@ -196,7 +183,7 @@
                 continue;
             }
             const bool isFault = isAnswered && this->fixture.lastAnswer(session).fault;
-            for (LoadTally *tally : {&this->byTeam[call.team], &this->byKind[call.kind]}) {
+            for (LoadTally *tally : {&this->byTeam.at(call.team), &this->byKind.at(call.kind)}) {
                 if (call.at < this->countedFrom)
                     continue;
                 ++tally->sent;
--- a/tests/unit/session_pooler_properties.tests.cpp
+++ b/tests/unit/session_pooler_properties.tests.cpp
@@ -21,6 +21,7 @@
 {
     SessionNumber number = 0;
     std::string database;
+    KeyDigest key;
     std::map<std::string, std::string> values;
     std::map<std::string, std::string> shapes;
     TransactionState state = TransactionState::None;
@@ -45,14 +46,17 @@
 class RandomRun
 {
 public:
-    explicit RandomRun(std::uint64_t seed)
+    explicit RandomRun(std::uint64_t seed, bool hasTeams)
         : random(seed)
     {
+        this->table.hasTeams = hasTeams;
         this->fixture.onSent = [this](const SentCommand &each) {
             this->check(each);
         };
         this->fixture.warmUp();
         this->backends.clear();
+        if (hasTeams)
+            this->changeTeams();
         for (int count = 0; count < 6; ++count)
             this->openCaller();
     }
@@ -88,10 +92,27 @@
         static const char *const Databases[] = {"latest", "bounded", "session"};
         Caller caller;
         caller.database = Databases[this->pick(3)];
-        caller.number = this->fixture.open(caller.database);
+        this->open(caller);
         this->callers.push_back(caller);
     }
 
+    void open(Caller &caller)
+    {
+        if (this->table.hasTeams)
+            caller.key.bytes[0] = static_cast<std::uint8_t>(this->pick(3));
+        caller.number = this->fixture.open(caller.database, caller.key);
+    }
+
+    // Gives each of three keys to one of three teams, which compete for four connections.
+    void changeTeams()
+    {
+        ++this->table.version;
+        this->table.groups[PoolerFixture::Group].maxConnections = 8;
+        for (std::uint8_t key = 0; key < 3; ++key)
+            this->table.teamsByKey[KeyDigest{{key}}] = TeamId(std::to_string(this->pick(3)));
+        this->fixture.pooler.routesReceived(this->table, this->fixture.now);
+    }
+
     void step()
     {
         const std::uint64_t action = this->pick(100);
@@ -107,6 +128,8 @@
             this->replaceCaller();
         else
             this->fixture.advance(milliseconds(this->pick(action > 97 ? 1500 : 40)));
+        if (this->table.hasTeams && this->pick(30) == 0)
+            this->changeTeams();
         if (this->pick(4) != 0)
             this->fixture.extendLease(milliseconds(300 + this->pick(3000)));
         this->fixture.openConnections();
@@ -222,7 +245,7 @@
         this->fixture.answers.erase(caller.number);
         caller = Caller();
         caller.database = "latest";
-        caller.number = this->fixture.open(caller.database);
+        this->open(caller);
     }
 
     Caller *callerOf(const std::string &id)
@@ -274,6 +297,9 @@
             this->fail("a statement without a waiting caller");
             return;
         }
+        if (this->table.hasTeams
+            && this->fixture.teamOf[each.connection] != this->table.teamsByKey[caller->key])
+            this->fail("a statement on a connection of another team");
         if (backend.values != caller->values)
             this->fail("a statement with the session values of another session");
         const bool inTransaction = caller->state == TransactionState::Open;
@@ -319,6 +345,7 @@
 
     std::mt19937_64 random;
     PoolerFixture fixture;
+    RouteTable table = PoolerFixture::routes(1);
     std::vector<Caller> callers;
     std::map<ConnectionId, Backend> backends;
     std::set<std::string> sentWrites;
@@ -327,12 +354,24 @@
 
 } // namespace
 
-Test(session_pooler_properties, random_faults,
-     .description = "The invariants hold for 1,000 seeds of random statements and faults")
+static void runSeeds(bool hasTeams)
 {
     for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
-        RandomRun run(seed);
+        RandomRun run(seed, hasTeams);
         const std::string fault = run.run();
         cr_assert(fault.empty(), "seed %lu: %s", static_cast<unsigned long>(seed), fault.c_str());
     }
 }
+
+Test(session_pooler_properties, random_faults,
+     .description = "The invariants hold for 1,000 seeds of random statements and faults")
+{
+    runSeeds(false);
+}
+
+Test(session_pooler_properties, random_faults_with_teams,
+     .description = "The invariants hold with teams whose keys move, and no statement uses a "
+                    "connection of another team")
+{
+    runSeeds(true);
+}
--- a/tests/unit/statement_order.tests.cpp
+++ b/tests/unit/statement_order.tests.cpp
@@ -5,31 +5,29 @@
 
 using namespace rhubarbweir;
 using namespace rhubarbweir::fakes;
+using std::chrono::seconds;
 
 namespace {
 
-using Kind = TextStatementKind;
-
 constexpr unsigned Seeds = 5;
-constexpr std::size_t Teams = 8;
 
 // Share of in-time answers of the teams from `first` on.
-double shareFrom(TeamLoad &load, std::size_t first)
+double shareFrom(const TeamLoad &load, std::size_t first)
 {
     LoadTally sum;
-    for (std::size_t team = first; team < Teams; ++team) {
-        sum.sent += load.byTeam[team].sent;
-        sum.inTime += load.byTeam[team].inTime;
+    for (std::size_t team = first; team < TeamLoad::Teams; ++team) {
+        sum.sent += load.byTeam.at(team).sent;
+        sum.inTime += load.byTeam.at(team).inTime;
     }
     return sum.inTimeShare();
 }
 
-void checkKinds(TeamLoad &load)
+void checkKinds(const TeamLoad &load)
 {
-    for (std::size_t kind = 1; kind < LoadKinds.size(); ++kind)
-        cr_assert(load.byKind[0].inTimeShare() >= load.byKind[kind].inTimeShare());
-    for (auto &[kind, tally] : load.byKind)
-        cr_assert_lt(tally.heldAndRefused, tally.sent * 0.03);
+    for (const LoadTally &kind : load.byKind) {
+        cr_assert_geq(load.byKind.at(0).inTimeShare(), kind.inTimeShare());
+        cr_assert_lt(kind.heldAndRefused, kind.sent * 0.03);
+    }
 }
 
 } // namespace
@@ -41,10 +39,10 @@
 {
     for (unsigned seed = 1; seed <= Seeds; ++seed) {
         for (const std::size_t greedy : {1, 3}) {
-            TeamLoad load(seed, Teams);
+            TeamLoad load(seed);
             std::fill_n(load.factors.begin(), greedy, greedy == 1 ? 7.5 : 4.5);
             load.burst = greedy == 1 ? 2 : 1.5;
-            load.run(std::chrono::seconds(6));
+            load.run(seconds(6));
             cr_assert_gt(shareFrom(load, greedy), 0.98);
             checkKinds(load);
         }
@@ -52,15 +50,15 @@
 }
 
 Test(statement_order, burst_with_lost_targets,
-     .description = "With one target left, a burst leaves uploads in time and does not starve "
-                    "browsing")
+     .description =
+         "A burst at the last of three targets neither delays uploads nor starves browsing")
 {
     for (unsigned seed = 1; seed <= Seeds; ++seed) {
-        TeamLoad load(seed, Teams);
+        TeamLoad load(seed);
         load.burst = 1.8;
-        load.stop(PoolerFixture::ReplicaA);
-        load.stop(PoolerFixture::ReplicaB);
-        load.run(std::chrono::seconds(6));
+        load.stop(PoolerFixture::ReplicaA, seconds(6));
+        load.stop(PoolerFixture::ReplicaB, seconds(6));
+        load.run(seconds(6));
         cr_assert_gt(load.byKind[0].inTimeShare(), 0.99);
         cr_assert_gt(load.byKind[2].inTimeShare(), 0.7);
         checkKinds(load);
@@ -73,10 +71,10 @@
 {
     for (unsigned seed = 1; seed <= Seeds; ++seed) {
         const auto share = [seed](bool hasTeams) {
-            TeamLoad load(seed, Teams, hasTeams);
+            TeamLoad load(seed, hasTeams);
             load.burst = 3;
             load.patienceDivisor = 2;
-            load.run(std::chrono::seconds(6));
+            load.run(seconds(6));
             checkKinds(load);
             return shareFrom(load, 0);
         };
@@ -88,14 +86,12 @@
      .description = "After two seconds without service, new statements go before the backlog")
 {
     for (unsigned seed = 1; seed <= Seeds; ++seed) {
-        TeamLoad load(seed, Teams);
-        const TimePoint until = load.fixture.now + std::chrono::seconds(2);
-        for (const TargetId &target :
+        TeamLoad load(seed);
+        for (const auto &target :
              {PoolerFixture::Primary, PoolerFixture::ReplicaA, PoolerFixture::ReplicaB})
-            load.stop(target, until);
-        load.run(std::chrono::seconds(2));
-        load.resetTallies();
-        load.run(std::chrono::seconds(2));
+            load.stop(target, seconds(2));
+        load.run(seconds(2));
+        load.run(seconds(2));
         cr_assert_gt(shareFrom(load, 0), 0.97);
     }
 }
@@ -107,19 +103,16 @@
     PoolerFixture fixture;
     RouteTable table = PoolerFixture::routes(2);
     table.hasTeams = true;
-    for (const std::uint8_t team : {1, 2}) {
-        KeyDigest key;
-        key.bytes[0] = team;
-        table.teamsByKey[key] = TeamId(std::string(1, char('a' + team)));
-    }
+    table.teamsByKey[KeyDigest{{1}}] = TeamId("a");
+    table.teamsByKey[KeyDigest{{2}}] = TeamId("b");
     fixture.pooler.routesReceived(table, fixture.now);
     // A share of two connections to each target.
-    fixture.pooler.leaseReceived(fixture.now + milliseconds(4000), 18, 0, fixture.now);
+    fixture.pooler.leaseReceived(fixture.now + seconds(4), 18, 0, fixture.now);
     fixture.openConnections();
     for (const auto &[key, team] : table.teamsByKey) {
         fixture.closedConnections.clear();
         for (const char *id : {"1", "2"})
-            fixture.submit(fixture.open("latest", key), Kind::Write, id);
+            fixture.submit(fixture.open("latest", key), TextStatementKind::Write, id);
         cr_assert_leq(fixture.closedConnections.size(), 1);
         fixture.answerAll();
     }
