Keep counting a statement as waiting while its prospects are examined

An examination took the statement out of the queue and added it again. If it was the only one, the queue forgot since when statements had been waiting, so a lone statement without service was held until its timeout and then refused, which is the worst outcome for its caller.

The new test failed before and passes now: a statement with a timeout of 800 ms is refused before it has waited for 550 ms.

--- a/src/rhubarbweir/coordination/sessions/statement_queue.cpp
+++ b/src/rhubarbweir/coordination/sessions/statement_queue.cpp
@@ -58,7 +58,7 @@
         // The statements wait already, so none is refused; expire() examines them at once.
         entry.isLate = false;
         entry.checkAt = now;
-        this->insert(entry, now);
+        this->insert(entry);
     }
 }
 
@@ -73,7 +73,8 @@
         if (const auto reason = this->place(entry, now, true))
             return {{statement.session, *reason}};
     }
-    this->insert(entry, now);
+    this->insert(entry);
+    this->countAdded(statement, now);
     this->entries.emplace(statement.session, std::move(entry));
     if (!this->byTeam)
         return {};
@@ -87,6 +88,7 @@
     if (found == this->entries.end())
         return false;
     this->erase(found->second);
+    this->countRemoved(found->second.statement);
     this->entries.erase(found);
     return true;
 }
@@ -262,9 +264,10 @@
         this->erase(found->second);
         if (const auto reason = this->place(found->second, now, false)) {
             refusals.push_back({found->first, *reason});
+            this->countRemoved(found->second.statement);
             this->entries.erase(found);
         } else {
-            this->insert(found->second, now);
+            this->insert(found->second);
         }
     }
     return refusals;
@@ -294,7 +297,7 @@
     return {this->byTeam ? entry.statement.objective : entry.statement.arrivedAt, entry.sequence};
 }
 
-void StatementQueue::insert(const Entry &entry, TimePoint now)
+void StatementQueue::insert(const Entry &entry)
 {
     const WaitingStatement &statement = entry.statement;
     const std::size_t lane = laneOf(statement);
@@ -309,12 +312,9 @@
         queue.byArrival.at(lane).emplace(Urgency(statement.arrivedAt, entry.sequence),
                                          statement.session);
     this->lateEntries += entry.isLate ? 1 : 0;
-    queue.paces.at(lane).added(now);
-    queue.teams[statement.team].paces.at(lane).added(now);
-    ++this->waitingByTeam[statement.team];
 }
 
-// Undoes insert().
+// Undoes insert(). The statement stays counted.
 void StatementQueue::erase(const Entry &entry)
 {
     const WaitingStatement &statement = entry.statement;
@@ -331,8 +331,21 @@
     this->arrivals.erase({statement.priority, this->urgencyOf(entry)});
     queue.byArrival.at(lane).erase(Urgency(statement.arrivedAt, entry.sequence));
     this->lateEntries -= entry.isLate ? 1 : 0;
-    --queue.paces.at(lane).waiting;
-    --queue.teams[statement.team].paces.at(lane).waiting;
+}
+
+void StatementQueue::countAdded(const WaitingStatement &statement, TimePoint now)
+{
+    GroupQueue &queue = this->groups[statement.group];
+    queue.paces.at(laneOf(statement)).added(now);
+    queue.teams[statement.team].paces.at(laneOf(statement)).added(now);
+    ++this->waitingByTeam[statement.team];
+}
+
+void StatementQueue::countRemoved(const WaitingStatement &statement)
+{
+    GroupQueue &queue = this->groups[statement.group];
+    --queue.paces.at(laneOf(statement)).waiting;
+    --queue.teams[statement.team].paces.at(laneOf(statement)).waiting;
     const auto count = this->waitingByTeam.find(statement.team);
     if (--count->second == 0)
         this->waitingByTeam.erase(count);
--- a/src/rhubarbweir/coordination/sessions/statement_queue.hpp
+++ b/src/rhubarbweir/coordination/sessions/statement_queue.hpp
@@ -219,8 +219,10 @@
     static std::size_t laneOf(const WaitingStatement &statement) { return statement.needsPrimary; }
     Rank rankOf(const Entry &entry) const;
     Urgency urgencyOf(const Entry &entry) const;
-    void insert(const Entry &entry, TimePoint now);
+    void insert(const Entry &entry);
     void erase(const Entry &entry);
+    void countAdded(const WaitingStatement &statement, TimePoint now);
+    void countRemoved(const WaitingStatement &statement);
     std::optional<QueueRefusalReason> place(Entry &entry, TimePoint now, bool isNew);
     std::optional<QueueRefusalReason> placeLate(Entry &entry, TimePoint now);
     Duration expectedWait(const Entry &entry) const;
--- a/tests/unit/statement_queue.tests.cpp
+++ b/tests/unit/statement_queue.tests.cpp
@@ -130,6 +130,21 @@
     cr_assert(fixture.send(9) == Sessions({3, 1}));
 }
 
+Test(statement_queue, without_service,
+     .description =
+         "A statement that waits alone while nothing is sent is refused while its caller "
+         "can go elsewhere, not at its timeout")
+{
+    QueueFixture fixture;
+    const TimePoint end = fixture.now + milliseconds(550);
+    fixture.add(1, "a");
+    while (fixture.queue.nextDeadline() < end) {
+        fixture.now = fixture.queue.nextDeadline();
+        fixture.queue.expire(fixture.now);
+    }
+    cr_assert(fixture.queue.empty());
+}
+
 Test(statement_queue, expected_wait,
      .description = "A statement that is expected to be late is refused when it arrives, not after "
                     "it has waited")
