Replace a connection elsewhere when one does not open soon

With teams and few connections, a statement waited for the connection that was being opened for it, up to the connect timeout (1 s), although a connection of another team to another replica was idle. After a tenth of the timeout, 100 ms, it now replaces one there. Without teams this did not occur.

team_sessions (replaced_elsewhere) failed before and passes.

--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -106,13 +106,14 @@
         }
     }
     const bool isOpening = std::any_of(targets.begin(), targets.end(), [&](const TargetId &id) {
-        return this->targetTracker.connectingCount(id, session.team) > 0;
+        return this->targetTracker.opensSoon(id, session.team, now);
     });
     if (isOpening)
         return;
     for (const TargetId &id : targets) {
         const PooledConnection *other = this->targetTracker.idleOfOtherTeam(id, session.team);
-        if (other == nullptr || now < this->targetTracker.find(id)->connectBlockedUntil)
+        if (other == nullptr || now < this->targetTracker.find(id)->connectBlockedUntil
+            || this->targetTracker.connectingCount(id, session.team) > 0)
             continue;
         this->dropConnection(other->id);
         this->openIfAllowed(id, session.team, now);
--- a/src/rhubarbweir/coordination/sessions/target_tracker.cpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.cpp
@@ -11,6 +11,9 @@
 // The newest measurement enters the moving average of the delay with a weight of 1 / this.
 constexpr int DelaySmoothing = 8;
 constexpr double WindowDecrease = 0.8;
+// A connection that takes longer to open than the timeout divided by this, 100 ms, takes unusually
+// long. A target in service takes some 12 ms.
+constexpr int UnusualConnectDivisor = 10;
 // More than the slots of a typical target.
 constexpr double MaxWindow = 12;
 
@@ -141,6 +144,21 @@
         }));
 }
 
+bool TargetTracker::opensSoon(const TargetId &target, const TeamId &team, TimePoint now) const
+{
+    const TargetRecord *record = this->find(target);
+    if (record == nullptr)
+        return false;
+    const Duration unusual =
+        this->settings.connectTimeout - this->settings.connectTimeout / UnusualConnectDivisor;
+    return std::any_of(
+        record->connections.begin(), record->connections.end(), [&](ConnectionId id) {
+            const PooledConnection &connection = this->open.at(id);
+            return connection.phase == ConnectionPhase::Connecting && connection.team == team
+                   && now < connection.connectDeadline - unusual;
+        });
+}
+
 void TargetTracker::commandSent(PooledConnection &connection, AwaitedAnswer answer)
 {
     connection.awaited.push_back(answer);
--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -115,6 +115,8 @@
     // The idle connection of another team that has been unused for longest; null if there is none.
     const PooledConnection *idleOfOtherTeam(const TargetId &target, const TeamId &team) const;
     std::size_t connectingCount(const TargetId &target, const TeamId &team) const;
+    // Whether a connection is being opened for the team and has not taken unusually long.
+    bool opensSoon(const TargetId &target, const TeamId &team, TimePoint now) const;
 
     void commandSent(PooledConnection &connection, AwaitedAnswer answer);
     // Removes and returns the entry of the answer; empty when no answer was awaited.
--- a/tests/unit/team_sessions.tests.cpp
+++ b/tests/unit/team_sessions.tests.cpp
@@ -618,3 +618,27 @@
     fixture.configure({{BlueKey, Blue}});
     cr_assert_eq(fixture.eventCounts["key_denied"], 2);
 }
+
+// Guards against a wait for one target that does not accept, while another could serve.
+Test(team_sessions, replaced_elsewhere,
+     .description = "A connection to another target is replaced when the first does not open soon")
+{
+    TeamFixture fixture;
+    fixture.makeConnectionsScarce();
+    fixture.submit(fixture.open("latest", RedKey), Kind::Write, "w");
+    fixture.answerAll();
+    // Leaves an idle connection of the red team to each target.
+    for (const std::string id : {"r1", "r2", "r3"})
+        fixture.submit(fixture.open("bounded", RedKey), Kind::Read, id);
+    fixture.answerAll();
+    const SessionNumber blue = fixture.open("bounded", BlueKey);
+    fixture.submit(blue, Kind::Read, "b");
+    fixture.advance(milliseconds(50));
+    cr_assert_eq(fixture.opening.size(), 1);
+    fixture.advance(milliseconds(100));
+    cr_assert_eq(fixture.opening.size(), 2);
+    fixture.opening.pop_front();
+    fixture.answerAll();
+    cr_assert_eq(fixture.answerCount(blue), 1);
+    cr_assert(!fixture.faultOf(blue));
+}
