--- a/src/rhubarbweir/coordination/sessions/target_tracker.hpp
+++ b/src/rhubarbweir/coordination/sessions/target_tracker.hpp
@@ -140,6 +140,8 @@
     const PooledConnection *idleOfOtherTeam(const TargetId &target, const TeamId &team) const;
     std::size_t connectingCount(const TargetId &target, const TeamId &team) const;
     std::size_t connectionCount(const TargetRecord &record, const TeamId &team) const;
+    // Whether a connection is being opened for the team and has not taken unusually long.
+    bool opensSoon(const TargetId &target, const TeamId &team, TimePoint now) const;
 
     // The target accepted the connection.
     void connectionOpened(const PooledConnection &connection, TimePoint now);
