Ignore a team that a malformed report lists twice

The former mend counted its tokens once but dropped those of the first grant. Reports list teams by increasing id; an entry out of order is ignored.

--- a/src/rhubarbweir/coordination/control/control_messages.hpp
+++ b/src/rhubarbweir/coordination/control/control_messages.hpp
@@ -124,6 +124,7 @@
     // TokenAnswer::epoch of the answer on this connection that the report continues. Teams that are
     // not listed are as after that answer. 0 for a whole report: teams not listed have no tokens.
     std::uint64_t epoch = 0;
+    // By increasing id.
     std::vector<TeamTokenUse> teams;
 };
 
--- a/src/rhubarbweir/coordination/fleet/budget_allocator.cpp
+++ b/src/rhubarbweir/coordination/fleet/budget_allocator.cpp
@@ -216,8 +216,7 @@
     this->refill(*bucket, now);
     Holding &holding = pooler.holdings[use.team];
     if (isFirstReport) {
-        // Granted by a former leader. A malformed report may list a team twice.
-        this->release(use.team, holding, now);
+        // Granted by a former leader.
         holding.tokens = std::min(use.held, this->largestHolding(*bucket, 1));
         holding.endsAt = this->endOfTokens(now);
         bucket->atPoolers += holding.tokens;
@@ -324,7 +323,12 @@
     this->recordEndOfFormerRuns(run, now);
     if (isWhole)
         this->releaseUnlisted(pooler, report, now);
+    const TeamTokenUse *previous = nullptr;
     for (const TeamTokenUse &use : report.teams) {
+        // Only a malformed report lists a team twice.
+        if (previous != nullptr && !(previous->team < use.team))
+            continue;
+        previous = &use;
         this->recordUse(pooler, isFirstReport, use, now);
         const TeamTokenGrant granted = this->grant(pooler, use, now);
         if (granted.tokens != 0 || granted.exhausted)
--- a/tests/unit/team_limits.tests.cpp
+++ b/tests/unit/team_limits.tests.cpp
@@ -241,6 +241,19 @@
               == TokenShortage::WithoutLeader);
 }
 
+// Guards against tokens that a malformed report makes count for ever, or not at all.
+Test(team_limits, team_listed_twice,
+     .description = "The second entry of a team in a report is ignored")
+{
+    LimitFixture fleet;
+    TokenReport report;
+    report.sequence = 1;
+    report.teams = {{Blue, 0, 2, 3, 0}, {Blue, 0, 2, 3, 0}};
+    const TokenAnswer answer = fleet.allocator.answer({InstanceId("p"), 1}, report, fleet.now);
+    cr_assert_eq(answer.grants.size(), 1);
+    cr_assert_eq(fleet.allocator.status().at(Blue).atPoolers, 5);
+}
+
 // Guards against a leader that takes the changes of a pooler as the whole.
 Test(team_limits, whole_report,
      .description = "A leader that does not know the pooler's former reports asks for a whole one")
