Keep the name of a target whose released connection may be closed

After a failed begin, the connection was released and its target read from it for the retry. With teams, the release can close it at once to make room for a connection of another team, so freed memory was read.

--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -142,9 +142,11 @@
         return;
     }
     connection.inTransaction = false;
+    // The released connection may be closed to make room for one of another team.
+    const TargetId target = connection.target;
     this->unpin(session, true, now);
     session.pending->lastFault = *answer.fault;
-    if (!this->retryElsewhere(session, *answer.fault, connection.target, now))
+    if (!this->retryElsewhere(session, *answer.fault, target, now))
         this->refuse(session, *answer.fault, "transaction not begun", now);
 }
 
