Return connections of former holders, and sessions to their holders

Idle connections of holders now end after 3 s in every deployment, idle sessions that another pooler should hold are closed in parts with each lease, and a new leader names peers after 1 s instead of 3 s.

--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -34,6 +34,8 @@
 // Part of the grace period that is reserved for the exit of the process.
 constexpr std::chrono::milliseconds ExitReserve{500};
 
+// Of the sessions that another pooler should hold, this part is looked at with each lease.
+constexpr std::size_t MisplacedPart = 4;
 // Other poolers of the failure domain, and operators who look at metrics.
 constexpr std::size_t MaxPeerConnections = 512;
 
@@ -141,6 +143,7 @@
     };
     hooks.closeSession = [this](SessionNumber session) {
         this->unbound.erase(session);
+        this->servedHere.erase(session);
         if (RelayHolder::isRelayed(session))
             this->relayHolder.sessionClosed(session);
         else
@@ -222,6 +225,7 @@
     };
     hooks.closed = [this](SessionNumber session) {
         this->unbound.erase(session);
+        this->servedHere.erase(session);
         if (this->relayEntry.holds(session))
             this->relayEntry.callerClosed(session);
         else
@@ -270,6 +274,8 @@
         this->unbound.erase(found);
         if (this->bindToHolder(session, opened.database, opened.key))
             this->pooler.sessionClosed(session, EventLoop::now());
+        else if (this->needsPeers())
+            this->servedHere[session] = opened;
     }
     if (this->relayEntry.holds(session))
         this->relayStatement(session, std::move(statement));
@@ -277,28 +283,64 @@
         this->pooler.statement(session, std::move(statement), EventLoop::now());
 }
 
-// Opens the session at the holder of its group and team. False if this pooler is to serve it.
-bool PoolerProgram::bindToHolder(SessionNumber session, const std::string &database,
-                                 const KeyDigest &key)
+// The pooler that is to serve sessions of the database and key; null for this one.
+const PoolerPeer *PoolerProgram::holderOf(const std::string &database, const KeyDigest &key) const
 {
     const AuthorityView &view = this->pooler.authorityView();
     const Route *route = view.route(database);
     if (route == nullptr)
-        return false;
+        return nullptr;
     TeamId team;
     if (const auto found = view.routes().teamsByKey.find(key);
         !route->isPublic && found != view.routes().teamsByKey.end())
         team = found->second;
-    const TimePoint now = EventLoop::now();
-    const PoolerPeer *holder =
-        this->holders.holder(view.routes(), route->group, team, view.connectionHolders(), now);
+    return this->holders.holder(view.routes(), route->group, team, view.connectionHolders(),
+                                EventLoop::now());
+}
+
+// Opens the session at the holder of its group and team. False if this pooler is to serve it.
+bool PoolerProgram::bindToHolder(SessionNumber session, const std::string &database,
+                                 const KeyDigest &key)
+{
+    const PoolerPeer *holder = this->holderOf(database, key);
     if (holder == nullptr)
         return false;
     this->metrics.count("relay_opened");
-    this->relayEntry.open({session, database, key}, *holder, now);
+    this->relayEntry.open({session, database, key}, *holder, EventLoop::now());
     return true;
 }
 
+bool PoolerProgram::needsPeers() const
+{
+    const AuthorityView &view = this->pooler.authorityView();
+    return this->holders.isScarce(view.routes(), view.connectionHolders());
+}
+
+// Closes idle sessions that began while their holder was not known or not reachable, a part of them
+// at a time. Otherwise they would keep connections away from the holder for as long as they last.
+void PoolerProgram::closeMisplacedSessions()
+{
+    if (!this->needsPeers())
+        return;
+    const TimePoint now = EventLoop::now();
+    std::vector<SessionNumber> misplaced;
+    for (const auto &[number, session] : this->servedHere) {
+        if (this->holderOf(session.database, session.key) != nullptr)
+            misplaced.push_back(number);
+    }
+    std::size_t remaining = misplaced.size() / MisplacedPart + 1;
+    for (const SessionNumber number : misplaced) {
+        if (remaining > 0 && this->pooler.closeIfIdle(number, now))
+            --remaining;
+    }
+    this->relayEntry.closeIdleSessions(
+        this->relayEntry.sessionCount() / MisplacedPart + 1,
+        [this](const RelayedSession &session, const PoolerPeer &holder) {
+            const PoolerPeer *current = this->holderOf(session.database, session.key);
+            return current == nullptr || current->instance != holder.instance;
+        });
+}
+
 void PoolerProgram::relayStatement(SessionNumber session, TextStatement statement)
 {
     const std::string *database = this->relayEntry.databaseOf(session);
@@ -448,8 +490,7 @@
     message.observations = this->pooler.observations();
     message.overloadedGroups = this->pooler.overloadedGroups(EventLoop::now());
     message.address = peerAddress(this->settings);
-    const AuthorityView &view = this->pooler.authorityView();
-    if (this->holders.isScarce(view.routes(), view.connectionHolders()))
+    if (this->needsPeers())
         message.peersVersion = this->holders.peersVersion();
     message.tokens = this->pooler.tokenReport(EventLoop::now());
     if (message.tokens)
@@ -475,6 +516,8 @@
             logEvent(LogLevel::Error, "configuration_unreadable",
                      {{"cause", table.status().ToString()}});
     }
+    if (sentAt)
+        this->closeMisplacedSessions();
     if (sentAt)
         this->pooler.configurationAnswered(lease.configurationVersion, *sentAt, now);
     const bool holdsView = this->pooler.authorityView().revision() >= lease.view.revision;
--- a/src/programs/pooler/pooler_program.hpp
+++ b/src/programs/pooler/pooler_program.hpp
@@ -38,7 +38,10 @@
     RelayHolderHooks holderHooks();
     bool peerMessage(const InstanceId &peer, const Message &message);
     void statementReceived(SessionNumber session, TextStatement statement);
+    const PoolerPeer *holderOf(const std::string &database, const KeyDigest &key) const;
     bool bindToHolder(SessionNumber session, const std::string &database, const KeyDigest &key);
+    void closeMisplacedSessions();
+    bool needsPeers() const;
     void bindElsewhere(const RelayedSession &session, std::vector<TextStatement> statements,
                        bool mayRelay);
     void relayStatement(SessionNumber session, TextStatement statement);
@@ -70,6 +73,8 @@
     // Callers' sessions that have sent no statement yet. With the first one they are bound to a
     // holder or to this pooler.
     std::map<SessionNumber, RelayedSession> unbound;
+    // Callers' sessions that this pooler serves itself, where connections are scarce.
+    std::map<SessionNumber, RelayedSession> servedHere;
     // Whether the answer to a renewal with a report of tokens is awaited.
     bool reportsTokens = false;
     // Times of a stop: when all sessions are closed, from when idle ones are closed, and from when
--- a/src/rhubarbweir/coordination/fleet/peer_directory.cpp
+++ b/src/rhubarbweir/coordination/fleet/peer_directory.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Poolers return to a new leader within this time.
-constexpr std::chrono::milliseconds ReturnTime{3000};
+// Most poolers return to a new leader within this time. Without peers, every pooler opens
+// connections of its own.
+constexpr std::chrono::milliseconds ReturnTime{1000};
 // Collects poolers that come and go together.
 constexpr std::chrono::milliseconds RebuildInterval{1000};
 
--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -296,8 +296,7 @@
 {
     if (const auto held = this->hooks.heldConnections(record.target.group, connection.team))
         return this->targetTracker.connectionCount(record, connection.team) > *held
-               || (this->view.routes().hasTeams
-                   && now >= connection.idleSince + this->settings.heldIdleTimeout);
+               || now >= connection.idleSince + this->settings.heldIdleTimeout;
     return now >= connection.idleSince + this->settings.surplusIdleTimeout
            && record.connections.size() > this->idleShare(record);
 }
--- a/src/rhubarbweir/coordination/sessions/relay_entry.cpp
+++ b/src/rhubarbweir/coordination/sessions/relay_entry.cpp
@@ -293,12 +293,18 @@
 }
 
 void RelayEntry::closeIdleSessions(std::size_t count)
+{
+    this->closeIdleSessions(count, [](const RelayedSession &, const PoolerPeer &) { return true; });
+}
+
+void RelayEntry::closeIdleSessions(std::size_t count, const Misplaced &isMisplaced)
 {
     std::vector<RelayId> idle;
     for (const auto &[id, relay] : this->relays) {
         if (idle.size() >= count)
             break;
-        if (relay.outstanding.empty() && relay.state == TransactionState::None)
+        if (relay.outstanding.empty() && relay.state == TransactionState::None
+            && isMisplaced(relay.session, relay.holder))
             idle.push_back(id);
     }
     for (const RelayId id : idle)
--- a/src/rhubarbweir/coordination/sessions/relay_entry.hpp
+++ b/src/rhubarbweir/coordination/sessions/relay_entry.hpp
@@ -73,6 +73,9 @@
     std::size_t sessionCount() const { return this->relays.size(); }
     // Closes up to `count` sessions without a statement or transaction.
     void closeIdleSessions(std::size_t count);
+    // The same for those that `isMisplaced` names, by session and holder.
+    using Misplaced = std::function<bool(const RelayedSession &, const PoolerPeer &)>;
+    void closeIdleSessions(std::size_t count, const Misplaced &isMisplaced);
     // Closes all sessions that wait for no answer.
     void closeWhenAnswered();
     // Answers all statements with a fault and closes all sessions.
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -644,6 +644,16 @@
         this->endSession(number, now);
 }
 
+bool SessionPooler::closeIfIdle(SessionNumber number, TimePoint now)
+{
+    const auto found = this->sessions.find(number);
+    if (found == this->sessions.end() || found->second.pending
+        || found->second.state != TransactionState::None || !found->second.backlog.empty())
+        return false;
+    this->endSession(number, now);
+    return true;
+}
+
 void SessionPooler::endSession(SessionNumber number, TimePoint now)
 {
     this->sessionClosed(number, now);
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -70,6 +70,8 @@
 
     // Closes up to `count` sessions that have no statement and no transaction.
     void closeIdleSessions(std::size_t count, TimePoint now);
+    // Closes the session if it has no statement and no transaction.
+    bool closeIfIdle(SessionNumber session, TimePoint now);
     // Closes the sessions without a pending statement; the others start no further one from their
     // backlog. Call again to close those that were answered meanwhile.
     void closeWhenAnswered(TimePoint now);
