Close no surplus connection that was put to use in the same pass

The end of another connection can let a queued statement start on a connection that was already marked for closing; it then got no answer before its time limit. Found by reading, no test.

--- a/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_answers.cpp
@@ -433,8 +433,12 @@
         this->hooks.closeTarget(id);
         this->targetClosed(id, failure, now);
     }
-    for (const ConnectionId id : surplus)
-        this->dropConnection(id);
+    // The end of another connection may have let a queued statement start on one of these.
+    for (const ConnectionId id : surplus) {
+        const PooledConnection *connection = this->targetTracker.connection(id);
+        if (connection != nullptr && connection->phase == ConnectionPhase::Idle)
+            this->dropConnection(id);
+    }
 }
 
 } // namespace rhubarbweir
