--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -150,7 +150,7 @@
     };
     return std::all_of(targets.begin(), targets.end(), [&](const TargetId &target) {
         const TargetRecord *record = this->targetTracker.find(target);
-        return record->connections.size() >= this->connectionShare(*record)
+        return !this->hasRoomFor(*record, session.team)
                && std::all_of(record->connections.begin(), record->connections.end(), isHeld);
     });
 }
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -42,6 +42,8 @@
     Duration maxBusyBackoff = std::chrono::milliseconds(120);
     // A connection above the idle share is closed after being unused for this long.
     Duration surplusIdleTimeout = std::chrono::milliseconds(1000);
+    // Any idle connection is closed after this where few poolers hold the connections of a group.
+    Duration heldIdleTimeout = std::chrono::milliseconds(3000);
     // Limit on the counted attempts of one statement; see SessionPooler::retryElsewhere.
     unsigned maxAttempts = 5;
     // Once a group has had no primary for this long, none is expected within the timeout of a
@@ -90,8 +92,6 @@
     Duration behindThreshold = std::chrono::milliseconds(300);
     // A key that was taken away stops within this time; empty if keys may stop later.
     std::optional<Duration> revokeWithin;
-    // The same where few poolers hold the connections of a group and serve the sessions of others.
-    Duration heldIdleTimeout = std::chrono::milliseconds(3000);
     // Whether the limits of teams are kept.
     bool limitsTeams = false;
     // An operation waits for a token for at most its latency objective divided by this.
