--- a/src/rhubarbweir/coordination/control/holder_assignment.cpp
+++ b/src/rhubarbweir/coordination/control/holder_assignment.cpp
@@ -1,7 +1,8 @@
 // See holder_assignment.hpp.
 #include "rhubarbweir/coordination/control/holder_assignment.hpp"
 
-#include "rhubarbweir/coordination/control/rendezvous_score.hpp"
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 #include <algorithm>
 
@@ -9,6 +10,12 @@
 
 namespace {
 
+std::uint64_t rendezvousScore(const GroupId &group, const InstanceId &proxy)
+{
+    const std::string text = group.value + '\n' + proxy.value;
+    return XXH3_64bits(text.data(), text.size());
+}
+
 const GrantHolder *findRun(const std::vector<GrantHolder> &holders, const GrantHolder &wanted)
 {
     const auto found = std::find_if(holders.begin(), holders.end(), [&](const GrantHolder &each) {
@@ -34,7 +41,7 @@
         if (findRun(chosen, candidate) != nullptr)
             continue;
         const bool isInNewDomain = !hasDomain(chosen, candidate.failureDomain);
-        const std::uint64_t score = rendezvousScore(group.value, candidate.proxy);
+        const std::uint64_t score = rendezvousScore(group, candidate.proxy);
         const bool isBetter =
             isInNewDomain != bestIsInNewDomain ? isInNewDomain : score > bestScore;
         if (best == nullptr || isBetter) {
--- a/src/rhubarbweir/coordination/sessions/holder_table.cpp
+++ b/src/rhubarbweir/coordination/sessions/holder_table.cpp
@@ -1,8 +1,6 @@
 // See holder_table.hpp.
 #include "rhubarbweir/coordination/sessions/holder_table.hpp"
 
-#include "rhubarbweir/coordination/control/rendezvous_score.hpp"
-
 #include <algorithm>
 #include <functional>
 #include <string>
@@ -33,6 +31,11 @@
     return total > 0 ? found->second.limit->operationsPerSecond / total : equalShare;
 }
 
+std::size_t rank(const InstanceId &instance, const std::string &key)
+{
+    return std::hash<std::string>()(instance.value + "/" + key);
+}
+
 } // namespace
 
 HolderTable::HolderTable(InstanceId selfId, std::uint32_t reservedConnections)
@@ -91,14 +94,14 @@
         return nullptr;
     const std::string key = group.value + "/" + team.value;
     // Null stands for this pooler.
-    std::vector<std::pair<std::uint64_t, const PoolerPeer *>> ranked;
-    ranked.emplace_back(rendezvousScore(key, this->self), nullptr);
+    std::vector<std::pair<std::size_t, const PoolerPeer *>> ranked;
+    ranked.emplace_back(rank(this->self, key), nullptr);
     for (const PoolerPeer &peer : this->peers.peers) {
         const auto unreachable = this->unreachableUntil.find(peer.instance);
         const bool isReachable =
             unreachable == this->unreachableUntil.end() || now >= unreachable->second;
         if (peer.instance != this->self && isReachable)
-            ranked.emplace_back(rendezvousScore(key, peer.instance), &peer);
+            ranked.emplace_back(rank(peer.instance, key), &peer);
     }
     const std::size_t count =
         std::min<std::size_t>(this->holdersPerDomain(routes, group), ranked.size());
@@ -110,7 +113,7 @@
     if (holdsItself)
         return nullptr;
     // The poolers of the domain spread over its holders.
-    return ranked[rendezvousScore(key + "/entry", this->self) % count].second;
+    return ranked[rank(this->self, key + "/entry") % count].second;
 }
 
 std::optional<std::uint32_t> HolderTable::connections(const RouteTable &routes,
