Keep HTTP connections whose request is still arriving

At its limit of connections the listener closed the one that had been without a request for longest, which could be one whose request was arriving. While hundreds of targets announced themselves, an operator's configuration of 400 KB never arrived completely. Such connections are now kept for 2 s. The new test fails before the change (3 of 6 body bytes are received).

--- a/src/rhubarbweir/transport/http.cpp
+++ b/src/rhubarbweir/transport/http.cpp
@@ -8,16 +8,20 @@
 #include <algorithm>
 #include <deque>
 #include <http_parser.h>
+#include <optional>
 #include <utility>
 
 namespace rhubarbweir {
 
 namespace {
 
-// Maximum size of a request body, in bytes. A configuration with 1,000 routes takes a quarter of
+// Maximum size of a request body, in bytes. A configuration with 1,000 routes takes a sixteenth of
 // it.
-constexpr std::size_t MaxBodyBytes = 1 << 20;
+constexpr std::size_t MaxBodyBytes = 4 << 20;
 constexpr std::size_t MaxTargetBytes = 4096;
+// A connection is not closed to make room for others while its request arrives, for at most this
+// long. A large configuration takes several round trips.
+constexpr std::chrono::seconds ReceiveTimeout{2};
 
 const char *reasonPhrase(int status)
 {
@@ -67,7 +71,12 @@
         this->parser.data = this;
     }
 
-    bool isIdle() const { return !this->isHandlingRequest && this->pendingRequests.empty(); }
+    bool isIdle() const
+    {
+        return !this->isHandlingRequest && this->pendingRequests.empty() && !this->isReceiving();
+    }
+    // Whether a part of a request has arrived, and the rest is not overdue.
+    bool isReceiving() const { return this->completeBy && EventLoop::now() < *this->completeBy; }
     // Whether the handler has a request that gives way, and none waits behind it.
     bool mayGiveWay() const
     {
@@ -130,6 +139,7 @@
         http_parser_settings_init(&callbacks);
         callbacks.on_message_begin = [](http_parser *raw) {
             connectionOf(raw).current = {};
+            connectionOf(raw).completeBy = EventLoop::now() + ReceiveTimeout;
             return 0;
         };
         callbacks.on_url = [](http_parser *raw, const char *at, std::size_t length) {
@@ -144,6 +154,7 @@
         };
         callbacks.on_message_complete = [](http_parser *raw) {
             HttpServerConnection &self = connectionOf(raw);
+            self.completeBy.reset();
             self.current.method = http_method_str(static_cast<http_method>(raw->method));
             self.pendingBytes += sizeOf(self.current);
             self.pendingRequests.emplace_back(std::move(self.current),
@@ -211,6 +222,8 @@
     // Size of the request that the handler has.
     std::size_t handledBytes = 0;
     TimePoint usedAt = EventLoop::now();
+    // While a request is being received.
+    std::optional<TimePoint> completeBy;
     bool isHandlingRequest = false;
     bool handledGivesWay = false;
     bool isInHandlingLoop = false;
@@ -331,7 +344,7 @@
         return longest;
     }
 
-    // False if every connection has a request that does not give way.
+    // False if the handler has a request of every connection that does not give way.
     bool makeRoom()
     {
         const auto idle =
@@ -342,9 +355,15 @@
         }
         const auto waiting =
             this->longestUnused([](const HttpServerConnection &each) { return each.mayGiveWay(); });
-        if (waiting)
+        if (waiting) {
             waiting->giveWay();
-        return waiting != nullptr;
+            return true;
+        }
+        const auto receiving = this->longestUnused(
+            [](const HttpServerConnection &each) { return each.isReceiving(); });
+        if (receiving)
+            receiving->close();
+        return receiving != nullptr;
     }
 };
 
--- a/src/rhubarbweir/transport/http.hpp
+++ b/src/rhubarbweir/transport/http.hpp
@@ -43,7 +43,7 @@
 
     // At `maxConnections` a new connection takes the place of the one that has been without a
     // request for longest, or else of the one that has waited longest with a request that gives
-    // way. It is refused if there is neither.
+    // way, or else of one whose request has not arrived completely. It is refused if there is none.
     HttpListener(EventLoop &loop, const std::string &address, std::size_t maxConnections,
                  Handler handler, GivesWay givesWay = {});
 
--- a/tests/unit/http_listener.tests.cpp
+++ b/tests/unit/http_listener.tests.cpp
@@ -104,3 +104,38 @@
     cr_assert_eq(announced.size(), 1);
     cr_assert_eq(announced.front(), 503);
 }
+
+Test(http_listener, partial_requests_are_kept,
+     .description = "Newer connections do not end a call whose body is still arriving")
+{
+    EventLoop loop;
+    const std::string address = freeAddress();
+    std::size_t received = 0;
+    HttpListener listener(loop, address, 4,
+                          [&received](const HttpRequest &request, const HttpResponder &respond) {
+                              received += request.body.size();
+                              HttpResponse response;
+                              response.status = 200;
+                              respond(response);
+                          });
+    cr_assert(listener.listen().ok());
+    std::vector<ByteStreamPtr> streams;
+    const auto connect = [&](const std::string &text) {
+        connectStream(loop, address, EventLoop::now() + std::chrono::seconds(2),
+                      [&streams, text](const absl::StatusOr<ByteStreamPtr> &stream) {
+                          (*stream)->send(text);
+                          streams.push_back(*stream);
+                      });
+    };
+    connect("POST / HTTP/1.1\r\nContent-Length: 6\r\n\r\nabc");
+    loop.schedule(EventLoop::now() + milliseconds(100), [&] {
+        for (int index = 0; index < 8; ++index)
+            connect("GET / HTTP/1.1\r\n\r\n");
+    });
+    loop.schedule(EventLoop::now() + milliseconds(300), [&] { streams.front()->send("def"); });
+    loop.schedule(EventLoop::now() + milliseconds(500), [&loop] { loop.stop(); });
+    loop.run();
+    cr_assert_eq(received, 6);
+    for (const ByteStreamPtr &stream : streams)
+        stream->abort();
+}
