Store large configuration documents compressed in the control log

With 593 groups a document has 415 KB. Its entry of the quorum log went to eleven control instances, which delayed the leader's heartbeats for longer than an election takes: each attempt to store it ended with another leader, and at 512 KB the log refused it with 503 for ever.

--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -476,6 +476,8 @@
 {
     if (outcome == FleetCallOutcome::Accepted)
         return accepted;
+    if (outcome == FleetCallOutcome::TooLarge)
+        return platform::encodeTooLarge();
     return outcome == FleetCallOutcome::NotLeader ? this->redirectOrUnavailable(target)
                                                   : platform::encodeUnavailable();
 }
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -7,6 +7,7 @@
 #include "programs/support/internal_addresses.hpp"
 #include "programs/support/start_sequence.hpp"
 #include "rhubarbweir/protocol/compression.hpp"
+#include "rhubarbweir/protocol/fleet_codec.hpp"
 #include "rhubarbweir/protocol/message_conversion.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -39,9 +40,6 @@
 // Other poolers of the failure domain, and operators who look at metrics.
 constexpr std::size_t MaxPeerConnections = 512;
 
-// Limit on a decompressed configuration document; operators cannot store a larger one.
-constexpr std::size_t MaxDocumentBytes = 1 << 20;
-
 std::uint64_t randomIncarnation()
 {
     std::random_device device;
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -190,8 +190,10 @@
     const auto index = this->hooks.propose(command);
     if (!index.ok()) {
         this->hooks.event("proposal_refused", {{"cause", index.status().ToString()}});
+        // The log refuses only a payload that is too large with this code.
+        const bool isTooLarge = absl::IsInvalidArgument(index.status());
         if (done)
-            done(FleetCallOutcome::Unavailable);
+            done(isTooLarge ? FleetCallOutcome::TooLarge : FleetCallOutcome::Unavailable);
         return;
     }
     if (done)
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -129,12 +129,15 @@
     // Another instance leads; the caller is redirected to it if its address is known.
     NotLeader,
     Unavailable,
+    // The content does not fit into the control log.
+    TooLarge,
 };
 
 template<>
 struct EnumNames<FleetCallOutcome>
 {
-    static constexpr std::string_view Names[] = {"accepted", "not_leader", "unavailable"};
+    static constexpr std::string_view Names[] = {"accepted", "not_leader", "unavailable",
+                                                 "too_large"};
 };
 
 using FleetReply = std::variant<FleetLease, FleetRedirect, TokenAnswer>;
--- a/src/rhubarbweir/protocol/fleet_codec.cpp
+++ b/src/rhubarbweir/protocol/fleet_codec.cpp
@@ -10,8 +10,58 @@
 
 namespace rhubarbweir {
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigurationDocument, version, document)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(StoreConfiguration, version, document)
+// Documents from this size on are stored compressed. An entry of the quorum log goes to every
+// control instance, and one of 400 KB delays the leader's heartbeats for longer than an election
+// takes.
+static constexpr std::size_t MinCompressedDocumentBytes = 16 << 10;
+
+template<typename Stored>
+static nlohmann::json encodeDocument(const Stored &stored)
+{
+    nlohmann::json to = {{"version", stored.version}};
+    if (stored.document.bytes.size() < MinCompressedDocumentBytes)
+        to["document"] = stored.document;
+    else
+        to["compressed"] = OpaqueBytes(compress(stored.document.bytes));
+    return to;
+}
+
+template<typename Stored>
+static void decodeDocument(const nlohmann::json &from, Stored &stored)
+{
+    from.at("version").get_to(stored.version);
+    const auto compressed = from.find("compressed");
+    if (compressed == from.end()) {
+        from.at("document").get_to(stored.document);
+        return;
+    }
+    auto document = decompress(compressed->get<OpaqueBytes>().bytes, MaxDocumentBytes);
+    if (!document.ok())
+        throw std::invalid_argument(document.status().ToString());
+    stored.document.bytes = *std::move(document);
+}
+
+// Found by nlohmann::json through argument-dependent lookup, as all of these.
+static void to_json(nlohmann::json &to, const ConfigurationDocument &stored)
+{
+    to = encodeDocument(stored);
+}
+
+static void from_json(const nlohmann::json &from, ConfigurationDocument &stored)
+{
+    decodeDocument(from, stored);
+}
+
+static void to_json(nlohmann::json &to, const StoreConfiguration &command)
+{
+    to = encodeDocument(command);
+}
+
+static void from_json(const nlohmann::json &from, StoreConfiguration &command)
+{
+    decodeDocument(from, command);
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordTarget, target)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RevokeAuthority, group, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ChooseCandidate, group, generation, candidate, chooser)
@@ -21,7 +71,6 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegisterObserver, address)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForgetObserver, address)
 
-// Found by nlohmann::json through argument-dependent lookup.
 static void to_json(nlohmann::json &to, const GrantAuthority &command)
 {
     to = {{"group", command.group},
--- a/src/rhubarbweir/protocol/fleet_codec.hpp
+++ b/src/rhubarbweir/protocol/fleet_codec.hpp
@@ -19,6 +19,9 @@
 // Errors: the same as for decodeFleetCommand().
 absl::StatusOr<FleetState::Snapshot> decodeFleetSnapshot(std::string_view bytes);
 
+// Limit on a configuration document. The documents of 5,000 groups and their routes are smaller.
+inline constexpr std::size_t MaxDocumentBytes = 4 << 20;
+
 // Encodes and compresses a view for FleetLease::packedView.
 OpaqueBytes packFleetView(const FleetView &view);
 // Errors: InvalidArgument for malformed bytes, ResourceExhausted beyond MaxUnpackedViewBytes.
