Keep the leader of a large fleet in touch with the other control instances

300 poolers and 1,800 targets (a trial): the leader sent each change of the view to all poolers every 30 ms, which took all of its processor time, and each document at once, which filled its link for a second. Its heartbeats were late and it was replaced, up to once a second. Messages to all poolers back off up to eight times while the view changes without a pause, documents have a pace, an instance can be told to wait longer for a silent leader, and a pooler keeps its connection to a leader whose lease has lapsed.

--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -262,7 +262,10 @@
         std::max<Duration>(LeaderlessRetryDelay, this->poolers * RetryDelayPerPooler);
     const auto polls = std::max<Duration::rep>(
         MinLeaderlessPolls, LeaderlessPolls * Duration(LeaderlessRetryDelay) / delay);
-    if (!isElsewhere && ++this->leaderlessPolls <= polls) {
+    // A leader that was busy answers so until its lease is renewed, and else steps down.
+    if (leader != this->address)
+        ++this->leaderlessPolls;
+    if (!isElsewhere && this->leaderlessPolls <= polls) {
         this->loop.schedule(EventLoop::now() + delay, [this, asked = this->connection] {
             if (this->connection == asked)
                 this->renewNow();
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -39,6 +39,9 @@
     Duration viewResendInterval = std::chrono::milliseconds(1000);
     // A pooler that has not reported a configuration document by then is sent it again.
     Duration documentResendInterval = std::chrono::milliseconds(3000);
+    // Configuration documents go to poolers at no more than this rate, so that the messages between
+    // control instances do not wait behind them on the link; 0 for any rate.
+    std::uint64_t documentBytesPerSecond = 0;
     // A draining primary keeps its authority for at most this long while a pooler is silent. Well
     // within the time for which targets serve after they were told to stop.
     Duration drainTimeout = std::chrono::milliseconds(3000);
--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -14,6 +14,11 @@
 // Limit on the remembered composed views. Most poolers hold one of the last few revisions.
 constexpr std::size_t MaxComposedViews = 32;
 
+// While the view changes without a pause, as during the start of a fleet, the interval between two
+// messages to all poolers grows up to this many times. Otherwise the leader of 300 poolers that
+// register 1,800 targets does nothing else.
+constexpr unsigned MaxPushBackoff = 8;
+
 std::size_t entriesOf(const FleetView &view)
 {
     return view.targets.size() + view.removedTargets.size() + view.authorities.size();
@@ -38,6 +43,7 @@
     , positions(positionTable)
     , ports(std::move(senderPorts))
     , peers(leaseTracker)
+    , documentPace(fleetSettings.documentBytesPerSecond)
 {
 }
 
@@ -84,7 +90,8 @@
 
 void ViewSender::viewChanged(bool isUrgent, TimePoint now)
 {
-    const TimePoint earliest = this->pushedAt + crowdInterval(this->state.livePoolers());
+    const TimePoint earliest =
+        this->pushedAt + crowdInterval(this->state.livePoolers()) * this->pushBackoff;
     const TimePoint due = isUrgent ? now : now + this->settings.viewCollectionTime;
     this->pushAt = std::min(this->pushAt, std::max(due, earliest));
     this->advance(now);
@@ -99,6 +106,9 @@
 void ViewSender::push(TimePoint now)
 {
     this->pushAt = TimePoint::max();
+    const Duration interval = crowdInterval(this->state.livePoolers()) * this->pushBackoff;
+    const bool isContinuous = now < this->pushedAt + 2 * interval;
+    this->pushBackoff = isContinuous ? std::min(2 * this->pushBackoff, MaxPushBackoff) : 1;
     this->pushedAt = now;
     this->forgetEvicted();
     for (auto &[run, lease] : this->leases.all()) {
@@ -235,6 +245,8 @@
     SentDocument &sent = record.document;
     if (sent.connection == lease.connection && sent.version == version && now < sent.resendAt)
         return false;
+    if (!this->documentPace.take(this->compressedDocument().bytes.size(), now))
+        return false;
     sent = {lease.connection, version, now + this->settings.documentResendInterval};
     return true;
 }
--- a/src/rhubarbweir/coordination/fleet/view_sender.hpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.hpp
@@ -12,6 +12,7 @@
 #include "rhubarbweir/coordination/fleet/peer_directory.hpp"
 #include "rhubarbweir/coordination/fleet/pooler_registry.hpp"
 #include "rhubarbweir/coordination/fleet/position_table.hpp"
+#include "rhubarbweir/coordination/fleet/send_pace.hpp"
 
 #include <functional>
 #include <map>
@@ -115,9 +116,12 @@
     PositionTable &positions;
     ViewSenderPorts ports;
     PeerDirectory peers;
+    SendPace documentPace;
     TimePoint pushAt = TimePoint::max();
     // When the last message to all poolers was sent.
     TimePoint pushedAt;
+    // Multiplies crowdInterval(); 1 after a pause.
+    unsigned pushBackoff = 1;
     // Only runs that the lease tracker knows, after each push.
     std::map<ProxyRun, PoolerRecord> records;
     // Addresses of the control instances; the version counts their changes.
--- a/src/rhubarbweir/coordination/quorum/quorum_election.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_election.cpp
@@ -36,8 +36,8 @@
     const auto spread = (this->settings.electionTimeoutMax - minimum).count();
     const auto extra =
         spread > 0 ? this->random() % static_cast<std::uint64_t>(spread) : std::uint64_t{0};
-    this->electionDeadline =
-        this->currentTime + minimum + Duration(static_cast<std::int64_t>(extra));
+    const Duration timeout = minimum + Duration(static_cast<std::int64_t>(extra));
+    this->electionDeadline = this->currentTime + timeout * this->electionPatience;
 }
 
 void QuorumLog::becomeFollower(std::uint64_t newTerm, const std::string &cause)
@@ -256,7 +256,8 @@
 void QuorumLog::checkQuorum()
 {
     const auto heard = this->majorityTime(&MemberProgress::lastAnswerAt, this->currentTime);
-    if (!heard || *heard + this->settings.electionTimeoutMax < this->currentTime)
+    const Duration timeout = this->settings.electionTimeoutMax * this->electionPatience;
+    if (!heard || *heard + timeout < this->currentTime)
         this->becomeFollower(this->term(), "no_majority_answered");
 }
 
--- a/src/rhubarbweir/coordination/quorum/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.hpp
@@ -103,6 +103,9 @@
     std::uint64_t incarnation() const { return this->hardState.incarnation; }
     // The leader known to this instance, if any.
     std::optional<QuorumPeer> leader() const;
+    // Multiplies the time after which this instance gives up a silent leader, or as the leader a
+    // silent majority. The leader's lease and the votes stay as they are, so members may differ.
+    void setElectionPatience(unsigned factor) { this->electionPatience = std::max(1U, factor); }
     // Whether a leader was heard within an election timeout before the last event.
     bool hasRecentLeader() const;
     std::uint64_t commitIndex() const { return this->committed; }
@@ -251,6 +254,8 @@
     void adoptCluster(std::uint64_t clusterId);
 
     QuorumSettings settings;
+    // See setElectionPatience(); at least 1.
+    unsigned electionPatience = 1;
     QuorumHooks hooks;
     std::mt19937_64 random;
 
