Take announcements at every control instance when there are many targets

Only the leader took announcements; the others redirected them. With 1,779 targets (a trial of 300 instances) that is 1,480 calls a second and as many redirections, at a leader with a third of a core and 256 connections: 17,031 of 24,010 calls failed, and no configuration was ever acknowledged. With more than 100 targets, each control instance answers repeated announcements, sends new and changed ones to the leader in batches, and targets are spread over all instances. 512 connections are accepted instead of 256.

--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -4,6 +4,7 @@
 #include "programs/fleet/run_record.hpp"
 #include "programs/support/buffer_limit.hpp"
 #include "programs/support/event_log.hpp"
+#include "programs/support/internal_addresses.hpp"
 #include "programs/support/start_sequence.hpp"
 #include "rhubarbweir/protocol/compression.hpp"
 #include "rhubarbweir/protocol/fleet_codec.hpp"
@@ -26,10 +27,15 @@
 // Teams beyond this number have no metrics.
 constexpr std::size_t MaxTeamMetrics = 256;
 constexpr std::uint32_t MaxInternalConnections = 1024;
-constexpr std::uint32_t MaxCallConnections = 256;
+constexpr std::uint32_t MaxCallConnections = 512;
 // Both are at most these parts of the file descriptors of the process.
 constexpr std::uint32_t InternalPart = 2;
 constexpr std::uint32_t CallPart = 8;
+// Part of the link for configuration documents.
+constexpr std::uint64_t DocumentLinkPart = 3;
+// In a fleet with many targets a leader that is not lost may be silent for longer than an election
+// timeout, for example while it sends each of 300 poolers a view of 1,800 targets.
+constexpr unsigned ManyTargetsPatience = 3;
 constexpr std::chrono::milliseconds PromotionTimeout{1000};
 // A pooler with more bytes waiting is sent no views and answers. Its link of 1.4 Mbit/s takes 0.75
 // s for them, and 300 such poolers take a quarter of the memory of an instance.
@@ -102,6 +108,7 @@
     fleet.lease.leaseFor = LeaseLength;
     fleet.heartbeatInterval = settings.heartbeatInterval;
     fleet.teamLimits = settings.teamLimits;
+    fleet.documentBytesPerSecond = settings.linkRate / DocumentLinkPart;
     return fleet;
 }
 
@@ -116,6 +123,7 @@
             [this] {
                 this->quorum.advance(EventLoop::now());
                 this->controller.advance(EventLoop::now());
+                this->relay.advance(EventLoop::now());
                 this->finishEvent();
             })
     , server(this->loop, this->self,
@@ -129,6 +137,10 @@
              })
     , controller(fleetSettings(this->settings), this->fleetHooks())
     , quorum(quorumSettings(this->settings), this->quorumHooks(), std::mt19937_64(randomSeed()))
+    , relay([this](const AnnouncementBatch &batch) {
+        if (const auto leader = this->quorum.leader())
+            this->links.send(leader->instance, batch);
+    })
     , calls(
           this->loop, this->settings.controlAddress,
           std::min(MaxCallConnections, this->settings.descriptorLimit / CallPart),
@@ -175,6 +187,8 @@
     this->links.onMessage = [this](const InstanceId &from, const Message &message) {
         if (const auto quorumMessage = messageAs<QuorumMessage>(message))
             this->quorum.receive(from, *quorumMessage, EventLoop::now());
+        else if (const auto *answers = std::get_if<AnnouncementAnswers>(&message))
+            this->relay.answered(*answers, EventLoop::now());
         this->finishEvent();
     };
     this->links.start();
@@ -361,6 +375,10 @@
         this->controller.tokensRequested(connection, *request, now);
         return;
     }
+    if (const auto *batch = std::get_if<AnnouncementBatch>(&message)) {
+        this->controller.announcementsRelayed(connection, *batch, now);
+        return;
+    }
     if (const auto *hello = std::get_if<PeerHello>(&message)) {
         this->peers[connection] = hello->instance;
         return;
@@ -433,9 +451,7 @@
         this->controller.configurationSent(replace->version, OpaqueBytes(replace->document),
                                            finish(platform::encodeAccepted()), now);
     } else if (const auto *announced = std::get_if<platform::AnnounceTarget>(&call)) {
-        this->controller.targetAnnounced(
-            announced->target, finish(platform::encodeAnnounced(this->settings.controlAddress)),
-            now);
+        this->announced(announced->target, request.target, respond);
     } else if (const auto *left = std::get_if<platform::TargetLeft>(&call)) {
         this->controller.targetLeft(left->target, finish(platform::encodeAccepted()), now);
     } else if (std::holds_alternative<platform::ReadConfiguration>(call)) {
@@ -450,6 +466,25 @@
     }
 }
 
+void FleetProgram::announced(const RegisteredTarget &target, const std::string &path,
+                             const HttpResponder &respond)
+{
+    const TimePoint now = EventLoop::now();
+    const bool isRelayed = !this->quorum.isLeader() && this->controller.relaysAnnouncements();
+    const std::string elsewhere =
+        isRelayed ? std::string() : this->controller.announceAddress(target.target);
+    const std::string &own = this->settings.controlAddress;
+    const HttpResponse accepted =
+        platform::encodeAnnounced(elsewhere.empty() ? own : withPortOf(elsewhere, own));
+    const auto done = [this, respond, path, accepted](FleetCallOutcome outcome) {
+        respond(this->outcomeOf(outcome, path, accepted));
+    };
+    if (isRelayed)
+        this->relay.announced(target, done, now);
+    else
+        this->controller.targetAnnounced(target, done, now);
+}
+
 // Gauges of the teams with a limit; 0 while this instance does not lead.
 void FleetProgram::setTeamMetrics()
 {
@@ -500,9 +535,14 @@
                     {{"term", absl::StrCat(this->quorum.term())}});
         this->controller.leadershipChanged(EventLoop::now());
     }
+    this->controller.sendAnnouncementAnswers();
+    this->quorum.setElectionPatience(this->controller.relaysAnnouncements() ? ManyTargetsPatience
+                                                                            : 1);
+    const auto leader = this->quorum.leader();
+    this->relay.setLeader(leader && !this->wasLeader ? leader->address : std::string());
     const TimePoint deadline =
-        std::min(this->quorum.nextDeadline(),
-                 this->wasLeader ? this->controller.nextDeadline() : TimePoint::max());
+        std::min({this->quorum.nextDeadline(), this->relay.nextDeadline(),
+                  this->wasLeader ? this->controller.nextDeadline() : TimePoint::max()});
     this->timer.wakeAt(deadline);
     if (this->quorum.hasLeft() && !std::exchange(this->ending, true))
         this->loop.schedule(EventLoop::now() + FlushTime, [this] { this->loop.stop(); });
--- a/src/programs/fleet/fleet_program.hpp
+++ b/src/programs/fleet/fleet_program.hpp
@@ -12,6 +12,7 @@
 #include "programs/support/event_sampler.hpp"
 #include "programs/support/metrics_registry.hpp"
 #include "programs/support/seed_reader.hpp"
+#include "rhubarbweir/coordination/fleet/announcement_relay.hpp"
 #include "rhubarbweir/coordination/fleet/fleet_controller.hpp"
 #include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
@@ -43,6 +44,8 @@
     void exitAfterDiskFailure();
     void promote(const PromotionRequest &request);
     void handleRequest(const HttpRequest &request, const HttpResponder &respond);
+    void announced(const RegisteredTarget &target, const std::string &path,
+                   const HttpResponder &respond);
     void setTeamMetrics();
     HttpResponse outcomeOf(FleetCallOutcome outcome, const std::string &target,
                            const HttpResponse &accepted) const;
@@ -66,6 +69,8 @@
     TargetProbes probes;
     FleetController controller;
     QuorumLog quorum;
+    // Used while another instance leads.
+    AnnouncementRelay relay;
     HttpListener calls;
     SeedReader seeds;
     // Other control instances, by the connection that they opened.
--- a/src/programs/fleet/observer_program.cpp
+++ b/src/programs/fleet/observer_program.cpp
@@ -20,7 +20,7 @@
 // Time for sending queued messages before the process ends.
 constexpr std::chrono::milliseconds FlushTime{100};
 constexpr std::uint32_t MaxInternalConnections = 512;
-constexpr std::uint32_t MaxCallConnections = 256;
+constexpr std::uint32_t MaxCallConnections = 512;
 // Both are at most these parts of the file descriptors of the process.
 constexpr std::uint32_t InternalPart = 2;
 constexpr std::uint32_t CallPart = 8;
@@ -36,11 +36,16 @@
              std::min(MaxInternalConnections, this->settings.descriptorLimit / InternalPart),
              this->serverHooks())
     , link(this->loop, internalAddresses(this->settings), this->linkHooks())
-    , calls(this->loop, this->settings.controlAddress,
-            std::min(MaxCallConnections, this->settings.descriptorLimit / CallPart),
-            [this](const HttpRequest &request, const HttpResponder &respond) {
-                respond(this->answer(request));
-            })
+    , relay([this](const AnnouncementBatch &batch) { this->link.sendAnnouncements(batch); })
+    , timer(this->loop, [this] { this->updateRelay(); })
+    , calls(
+          this->loop, this->settings.controlAddress,
+          std::min(MaxCallConnections, this->settings.descriptorLimit / CallPart),
+          [this](const HttpRequest &request, const HttpResponder &respond) {
+              this->answer(request, respond);
+              this->updateRelay();
+          },
+          platform::isAnnouncement)
     , seeds(this->loop, this->settings, std::move(path), this->link.seedHooks())
 {
 }
@@ -94,6 +99,12 @@
     hooks.received = [this](const FleetLease &lease, std::optional<TimePoint>) {
         if (!lease.view.controls.empty())
             this->link.setControls(lease.view.controls);
+        this->relaysAnnouncements = lease.relaysAnnouncements;
+        this->updateRelay();
+    };
+    hooks.announcementsAnswered = [this](const AnnouncementAnswers &answers) {
+        this->relay.answered(answers, EventLoop::now());
+        this->updateRelay();
     };
     return hooks;
 }
@@ -110,10 +121,42 @@
     }
 }
 
-HttpResponse ObserverProgram::answer(const HttpRequest &request)
+void ObserverProgram::answer(const HttpRequest &request, const HttpResponder &respond)
+{
+    if (request.method == "GET" && request.target == MetricsPath) {
+        respond(metricsResponse(this->metrics));
+        return;
+    }
+    if (!this->relaysAnnouncements || this->link.leader().empty()) {
+        respond(this->redirection(request));
+        return;
+    }
+    const platform::FleetCall call = platform::decodeCall(request);
+    const auto *announced = std::get_if<platform::AnnounceTarget>(&call);
+    if (announced == nullptr) {
+        respond(this->redirection(request));
+        return;
+    }
+    this->relay.setLeader(this->link.leader());
+    this->relay.announced(
+        announced->target,
+        [this, respond](FleetCallOutcome outcome) {
+            respond(outcome == FleetCallOutcome::Accepted
+                        ? platform::encodeAnnounced(this->settings.controlAddress)
+                        : platform::encodeUnavailable());
+        },
+        EventLoop::now());
+}
+
+void ObserverProgram::updateRelay()
+{
+    this->relay.setLeader(this->link.leader());
+    this->relay.advance(EventLoop::now());
+    this->timer.wakeAt(this->relay.nextDeadline());
+}
+
+HttpResponse ObserverProgram::redirection(const HttpRequest &request) const
 {
-    if (request.method == "GET" && request.target == MetricsPath)
-        return metricsResponse(this->metrics);
     const std::string leader = this->link.leader();
     if (leader.empty())
         return platform::encodeUnavailable();
--- a/src/programs/fleet/observer_program.hpp
+++ b/src/programs/fleet/observer_program.hpp
@@ -9,8 +9,10 @@
 #include "programs/support/event_sampler.hpp"
 #include "programs/support/metrics_registry.hpp"
 #include "programs/support/seed_reader.hpp"
+#include "rhubarbweir/coordination/fleet/announcement_relay.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 #include "rhubarbweir/transport/http.hpp"
+#include "rhubarbweir/transport/wake_timer.hpp"
 
 namespace rhubarbweir {
 
@@ -27,7 +29,10 @@
     ControlServerHooks serverHooks();
     FleetLinkHooks linkHooks();
     void received(ConnectionId connection, const Message &message);
-    HttpResponse answer(const HttpRequest &request);
+    void answer(const HttpRequest &request, const HttpResponder &respond);
+    HttpResponse redirection(const HttpRequest &request) const;
+    // Called after each event that the relay may depend on.
+    void updateRelay();
 
     platform::ProcessSettings settings;
     // This instance's internal address.
@@ -37,6 +42,10 @@
     MetricsRegistry metrics;
     ControlServer server;
     FleetLink link;
+    // Used once the leader says so.
+    AnnouncementRelay relay;
+    bool relaysAnnouncements = false;
+    WakeTimer timer;
     HttpListener calls;
     SeedReader seeds;
 };
--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -212,6 +212,9 @@
     } else if (const auto *tokens = std::get_if<TokenAnswer>(&message)) {
         if (this->hooks.tokensAnswered)
             this->hooks.tokensAnswered(*tokens);
+    } else if (const auto *answers = std::get_if<AnnouncementAnswers>(&message)) {
+        if (this->hooks.announcementsAnswered)
+            this->hooks.announcementsAnswered(*answers);
     } else if (const auto *redirection = std::get_if<FleetRedirect>(&message)) {
         this->redirect(redirection->leader);
     }
@@ -247,6 +250,12 @@
         this->connection->send(*request);
 }
 
+void FleetLink::sendAnnouncements(const AnnouncementBatch &batch)
+{
+    if (this->connection && this->isAnswered)
+        this->connection->send(batch);
+}
+
 void FleetLink::forgetTokenReports()
 {
     if (this->hooks.tokensUnanswered)
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -30,6 +30,8 @@
     std::function<void(const TokenAnswer &)> tokensAnswered;
     // Reports of tokens so far will not be answered; the next one goes to another instance.
     std::function<void()> tokensUnanswered;
+    // May be empty.
+    std::function<void(const AnnouncementAnswers &)> announcementsAnswered;
     // An observer gets answers without a lease.
     bool isObserver = false;
 };
@@ -51,6 +53,8 @@
     void renewNow();
     // Sends FleetLinkHooks::tokenRequest() if connected to a leader.
     void requestTokens();
+    // Sends the batch if connected to a leader.
+    void sendAnnouncements(const AnnouncementBatch &batch);
     // Connects to the leader at the internal address, unless it is the connected instance.
     void follow(const std::string &leader);
     // Internal address of the connected instance while it answers as the leader; else empty.
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds SupervisionInterval{100};
 // The same while a primary change runs.
 constexpr std::chrono::milliseconds ChangeInterval{10};
+// With more targets, all control instances take announcements. 100 targets make 80 calls a second
+// and as many redirections, a tenth of what a leader with a third of a core handles.
+constexpr std::size_t MaxDirectTargets = 100;
 // Interval of probes of a suspected primary.
 constexpr std::chrono::milliseconds SuspectProbeInterval{300};
 
@@ -283,6 +286,66 @@
     this->propose(RecordTarget{target}, std::move(done), now);
 }
 
+bool FleetController::relaysAnnouncements() const
+{
+    return this->fleet.targets().size() > MaxDirectTargets;
+}
+
+std::string FleetController::announceAddress(const TargetId &target) const
+{
+    if (!this->relaysAnnouncements())
+        return {};
+    std::vector<std::string> relays = this->hooks.controlAddresses();
+    const std::string self = this->hooks.leaderAddress();
+    relays.erase(std::remove(relays.begin(), relays.end(), self), relays.end());
+    const auto &observerAddresses = this->fleet.observers();
+    relays.insert(relays.end(), observerAddresses.begin(), observerAddresses.end());
+    if (relays.empty())
+        return {};
+    return relays[std::hash<std::string>{}(target.value) % relays.size()];
+}
+
+void FleetController::announcementsRelayed(ConnectionId connection, const AnnouncementBatch &batch,
+                                           TimePoint now)
+{
+    AnnouncementAnswers answers;
+    answers.number = batch.number;
+    if (!this->canDecide(now)) {
+        for (const RegisteredTarget &target : batch.announcements)
+            answers.answers.push_back({target.target, target.sequence, false});
+        for (const TargetHeartbeat &heartbeat : batch.heartbeats)
+            answers.unknown.push_back(heartbeat.target);
+        this->hooks.sendToPooler(connection, answers);
+        return;
+    }
+    for (const TargetHeartbeat &heartbeat : batch.heartbeats) {
+        const auto known = this->lastAnnouncements.find(heartbeat.target);
+        if (known == this->lastAnnouncements.end()) {
+            answers.unknown.push_back(heartbeat.target);
+            continue;
+        }
+        RegisteredTarget repeated = known->second;
+        repeated.sequence = heartbeat.sequence;
+        this->targetAnnounced(
+            repeated, [](FleetCallOutcome) {}, now);
+    }
+    this->hooks.sendToPooler(connection, answers);
+    for (const RegisteredTarget &target : batch.announcements) {
+        const auto done = [this, connection, id = target.target,
+                           sequence = target.sequence](FleetCallOutcome outcome) {
+            this->announcementAnswers[connection].answers.push_back(
+                {id, sequence, outcome == FleetCallOutcome::Accepted});
+        };
+        this->targetAnnounced(target, done, now);
+    }
+}
+
+void FleetController::sendAnnouncementAnswers()
+{
+    for (const auto &[connection, answers] : std::exchange(this->announcementAnswers, {}))
+        this->hooks.sendToPooler(connection, answers);
+}
+
 // A former primary that could not be reached while its group moved on learns that when it announces
 // itself again.
 void FleetController::deposeFormerPrimary(const RegisteredTarget &target)
@@ -379,6 +442,7 @@
     FleetLease answer;
     answer.sequence = message.sequence;
     answer.view.controls = this->hooks.controlAddresses();
+    answer.relaysAnnouncements = this->relaysAnnouncements();
     this->hooks.sendToPooler(connection, answer);
 }
 
@@ -493,6 +557,7 @@
     this->leases.connectionClosed(connection);
     this->positions.connectionClosed(connection);
     this->questions.erase(connection);
+    this->announcementAnswers.erase(connection);
 }
 
 // Primaries.
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -49,6 +49,16 @@
     // A target announced itself. `done` may be called before the function returns.
     void targetAnnounced(const RegisteredTarget &target, FleetCallDone done, TimePoint now);
     void targetLeft(const TargetId &target, FleetCallDone done, TimePoint now);
+    // Another control instance took announcements.
+    void announcementsRelayed(ConnectionId connection, const AnnouncementBatch &batch,
+                              TimePoint now);
+    // Sends the answers that are due to instances that took announcements.
+    void sendAnnouncementAnswers();
+    // Whether there are so many targets that all control instances take announcements.
+    bool relaysAnnouncements() const;
+    // Internal address of the instance to which the target should announce itself; empty for this
+    // one.
+    std::string announceAddress(const TargetId &target) const;
     // An operator sent a valid configuration document.
     void configurationSent(std::uint64_t version, OpaqueBytes document, FleetCallDone done,
                            TimePoint now);
@@ -135,6 +145,8 @@
     // Latest announcement of each target, also if it changed nothing.
     std::map<TargetId, RegisteredTarget> lastAnnouncements;
     std::map<std::uint64_t, std::vector<PendingCall>> calls;
+    // By connection of the instance that took the announcements.
+    std::map<ConnectionId, AnnouncementAnswers> announcementAnswers;
     // Asked once on a connection, so that renewals that cross a question raise no further ones.
     std::map<ConnectionId, Question> questions;
     // No promotion is requested before this, because another instance requested some.
--- a/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
@@ -124,6 +124,43 @@
     OpaqueBytes packedView;
     // Answer to RenewLease::tokens.
     std::optional<TokenAnswer> tokens;
+    // Only to observers: announcements are taken for the leader and not redirected to it.
+    bool relaysAnnouncements = false;
+};
+
+struct TargetHeartbeat
+{
+    TargetId target;
+    std::uint64_t sequence = 0;
+};
+
+// Announcements of targets that a control instance took for the leader.
+struct AnnouncementBatch
+{
+    // Counts the batches of the sender, from 1.
+    std::uint64_t number = 0;
+    // New or changed announcements. Each is answered.
+    std::vector<RegisteredTarget> announcements;
+    // Targets that repeated the last announcement that the sender had from them, which the leader
+    // accepted.
+    std::vector<TargetHeartbeat> heartbeats;
+};
+
+struct AnnouncementAnswer
+{
+    TargetId target;
+    std::uint64_t sequence = 0;
+    // False if the target has to announce itself again.
+    bool isAccepted = false;
+};
+
+struct AnnouncementAnswers
+{
+    // Number of the batch if the message is the immediate answer to one; 0 otherwise.
+    std::uint64_t number = 0;
+    std::vector<AnnouncementAnswer> answers;
+    // Targets with a heartbeat from which this leader has had no announcement.
+    std::vector<TargetId> unknown;
 };
 
 // Answer of a control instance that does not lead.
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -143,7 +143,7 @@
                                                  "too_large"};
 };
 
-using FleetReply = std::variant<FleetLease, FleetRedirect, TokenAnswer>;
+using FleetReply = std::variant<FleetLease, FleetRedirect, TokenAnswer, AnnouncementAnswers>;
 using FleetCallDone = std::function<void(FleetCallOutcome)>;
 using FleetEventFields = std::vector<std::pair<std::string, std::string>>;
 
--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -83,6 +83,8 @@
     "relay_ping",
     "token_request",
     "token_answer",
+    "announcement_batch",
+    "announcement_answers",
 };
 static_assert(std::size(TypeNames) == std::variant_size_v<Message>);
 
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -271,6 +271,8 @@
         to["peers"] = *lease.peers;
     if (lease.tokens)
         to["tokens"] = *lease.tokens;
+    if (lease.relaysAnnouncements)
+        to["relaysAnnouncements"] = true;
 }
 inline void from_json(const nlohmann::json &from, FleetLease &lease)
 {
@@ -291,8 +293,22 @@
     lease.tokens.reset();
     if (const auto found = from.find("tokens"); found != from.end())
         lease.tokens = found->get<TokenAnswer>();
+    lease.relaysAnnouncements = from.value("relaysAnnouncements", false);
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetRedirect, leader)
+// A list, because a batch holds one for each target of the sender.
+inline void to_json(nlohmann::json &to, const TargetHeartbeat &heartbeat)
+{
+    to = nlohmann::json::array({heartbeat.target, heartbeat.sequence});
+}
+inline void from_json(const nlohmann::json &from, TargetHeartbeat &heartbeat)
+{
+    from.at(0).get_to(heartbeat.target);
+    from.at(1).get_to(heartbeat.sequence);
+}
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnnouncementBatch, number, announcements, heartbeats)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnnouncementAnswer, target, sequence, isAccepted)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnnouncementAnswers, number, answers, unknown)
 
 // relay_messages.hpp. Lists, because these are sent for each statement.
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RelayOpen, relay, database, key)
--- a/src/rhubarbweir/protocol/message.hpp
+++ b/src/rhubarbweir/protocol/message.hpp
@@ -25,6 +25,7 @@
     QuorumJoin, QuorumVoteRequest, QuorumVoteAnswer, QuorumAppend, QuorumAppendAnswer,
     QuorumSnapshotChunk, QuorumSnapshotAnswer, QuorumTimeoutNow, FleetLease, FleetRedirect,
     PositionReport, QuorumJoinRedirect, QuorumLeave, QuorumLeaveAnswer, RelayOpen, RelayStatement,
-    RelayAnswer, RelayClose, RelayEnded, RelayPing, TokenRequest, TokenAnswer>;
+    RelayAnswer, RelayClose, RelayEnded, RelayPing, TokenRequest, TokenAnswer, AnnouncementBatch,
+    AnnouncementAnswers>;
 
 } // namespace rhubarbweir
