Move the rendezvous score to the shared state types

The fleet's table of holders ranks poolers by std::hash, which need not be the same in all builds. It is to use the score of the first product's holder assignment, which moves to a place that both can include. The value for a group and an instance is unchanged.

--- a/src/rhubarbweir/coordination/control/holder_assignment.cpp
+++ b/src/rhubarbweir/coordination/control/holder_assignment.cpp
@@ -1,8 +1,7 @@
 // See holder_assignment.hpp.
 #include "rhubarbweir/coordination/control/holder_assignment.hpp"
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
+#include "rhubarbweir/state/rendezvous_score.hpp"
 
 #include <algorithm>
 
@@ -10,12 +9,6 @@
 
 namespace {
 
-std::uint64_t rendezvousScore(const GroupId &group, const InstanceId &proxy)
-{
-    const std::string text = group.value + '\n' + proxy.value;
-    return XXH3_64bits(text.data(), text.size());
-}
-
 const GrantHolder *findRun(const std::vector<GrantHolder> &holders, const GrantHolder &wanted)
 {
     const auto found = std::find_if(holders.begin(), holders.end(), [&](const GrantHolder &each) {
@@ -41,7 +34,7 @@
         if (findRun(chosen, candidate) != nullptr)
             continue;
         const bool isInNewDomain = !hasDomain(chosen, candidate.failureDomain);
-        const std::uint64_t score = rendezvousScore(group, candidate.proxy);
+        const std::uint64_t score = rendezvousScore(group.value, candidate.proxy);
         const bool isBetter =
             isInNewDomain != bestIsInNewDomain ? isInNewDomain : score > bestScore;
         if (best == nullptr || isBetter) {
