Move relayed sessions out of the pooler program

The links between poolers, the table of holders and both sides of relayed sessions move to SessionRelay, which reaches callers, metrics and the state of a stop through hooks. Behaviour is unchanged.

--- a/src/programs/pooler/pooler_program.hpp
+++ b/src/programs/pooler/pooler_program.hpp
@@ -5,14 +5,11 @@
 #include "platform/process_settings.hpp"
 #include "programs/pooler/caller_streams.hpp"
 #include "programs/pooler/fleet_link.hpp"
+#include "programs/pooler/session_relay.hpp"
 #include "programs/pooler/target_streams.hpp"
 #include "programs/support/event_sampler.hpp"
 #include "programs/support/metrics_registry.hpp"
-#include "programs/support/peer_links.hpp"
 #include "programs/support/seed_reader.hpp"
-#include "rhubarbweir/coordination/sessions/holder_table.hpp"
-#include "rhubarbweir/coordination/sessions/relay_entry.hpp"
-#include "rhubarbweir/coordination/sessions/relay_holder.hpp"
 #include "rhubarbweir/transport/event_loop.hpp"
 #include "rhubarbweir/transport/http.hpp"
 #include "rhubarbweir/transport/wake_timer.hpp"
@@ -33,18 +30,7 @@
     TargetStreamHooks targetHooks();
     CallerStreamHooks callerHooks();
     FleetLinkHooks linkHooks();
-    PeerLinksHooks peerHooks();
-    RelayEntryHooks entryHooks();
-    RelayHolderHooks holderHooks();
-    bool peerMessage(const InstanceId &peer, const Message &message);
-    void statementReceived(SessionNumber session, TextStatement statement);
-    const PoolerPeer *holderOf(const std::string &database, const KeyDigest &key);
-    bool bindToHolder(SessionNumber session, const std::string &database, const KeyDigest &key);
-    void closeMisplacedSessions();
-    bool needsPeers() const;
-    void bindElsewhere(const RelayedSession &session, std::vector<TextStatement> statements,
-                       bool mayRelay);
-    void relayStatement(SessionNumber session, TextStatement statement);
+    SessionRelayHooks relayHooks();
     void handleRequest(const HttpRequest &request, const HttpResponder &respond);
     void leaseReceived(const FleetLease &lease, std::optional<TimePoint> sentAt);
     void tokensReceived(const std::optional<TokenAnswer> &tokens, bool isAnswer);
@@ -65,16 +51,7 @@
     HttpListener readiness;
     FleetLink link;
     SeedReader seeds;
-    HolderTable holders;
-    PeerLinks peers;
-    RelayEntry relayEntry;
-    RelayHolder relayHolder;
-    WebSocketServer peerServer;
-    // Callers' sessions that have sent no statement yet. With the first one they are bound to a
-    // holder or to this pooler.
-    std::map<SessionNumber, RelayedSession> unbound;
-    // Callers' sessions that this pooler serves itself, where connections are scarce.
-    std::map<SessionNumber, RelayedSession> servedHere;
+    SessionRelay relay;
     // Whether the answer to a renewal with a report of tokens is awaited.
     bool reportsTokens = false;
     // Times of a stop: when all sessions are closed, from when idle ones are closed, and from when
