Send poolers the difference to the configuration that they hold

A change of one route went to every pooler as the whole document: at 300 poolers and 593 groups 13 MB, which at the pace of the leader's link takes 3.4 s. Poolers that hold a known version are now sent the difference, compared object by object. As they keep the document for this, they get digests in place of the teams' keys.

--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -7,6 +7,7 @@
 #include "programs/support/internal_addresses.hpp"
 #include "programs/support/start_sequence.hpp"
 #include "rhubarbweir/protocol/compression.hpp"
+#include "rhubarbweir/protocol/document_delta.hpp"
 #include "rhubarbweir/protocol/fleet_codec.hpp"
 #include "rhubarbweir/protocol/message_conversion.hpp"
 
@@ -233,6 +234,12 @@
     hooks.compress = [](const OpaqueBytes &document) {
         return OpaqueBytes(compress(document.bytes));
     };
+    hooks.documentForPoolers = [](const OpaqueBytes &document) {
+        return OpaqueBytes(platform::withoutKeys(document.bytes));
+    };
+    hooks.documentDelta = [](const OpaqueBytes &base, const OpaqueBytes &document) {
+        return encodeDocumentDelta(base.bytes, document.bytes);
+    };
     hooks.packView = packFleetView;
     hooks.isBacklogged = [this](ConnectionId connection) {
         const bool isBacklogged = this->server.queuedBytes(connection) > MaxBacklogBytes;
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -7,6 +7,7 @@
 #include "programs/support/internal_addresses.hpp"
 #include "programs/support/start_sequence.hpp"
 #include "rhubarbweir/protocol/compression.hpp"
+#include "rhubarbweir/protocol/document_delta.hpp"
 #include "rhubarbweir/protocol/fleet_codec.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -50,14 +51,6 @@
     return pooler;
 }
 
-absl::StatusOr<RouteTable> decodeConfiguration(const OpaqueBytes &compressed)
-{
-    const auto document = decompress(compressed.bytes, MaxDocumentBytes);
-    if (!document.ok())
-        return document.status();
-    return platform::decodeRouteTable(*document);
-}
-
 } // namespace
 
 PoolerProgram::PoolerProgram(EventLoop &eventLoop, platform::ProcessSettings processSettings,
@@ -291,12 +284,9 @@
     if (!lease.view.controls.empty())
         this->link.setControls(lease.view.controls);
     if (!lease.configuration.bytes.empty()) {
-        auto table = decodeConfiguration(lease.configuration);
-        if (table.ok())
-            this->pooler.routesReceived(*std::move(table), now);
-        else
-            logEvent(LogLevel::Error, "configuration_unreadable",
-                     {{"cause", table.status().ToString()}});
+        const absl::Status applied = this->configurationReceived(lease, now);
+        if (!applied.ok())
+            logEvent(LogLevel::Error, "configuration_unreadable", {{"cause", applied.ToString()}});
     }
     if (sentAt)
         this->relay.closeMisplacedSessions();
@@ -320,6 +310,25 @@
     this->scheduleAdvance();
 }
 
+// Errors: those of decompress() and applyDocumentDelta(), InvalidArgument for an invalid document.
+absl::Status PoolerProgram::configurationReceived(const FleetLease &lease, TimePoint now)
+{
+    const bool isWhole = lease.configurationBase == 0;
+    if (!isWhole && lease.configurationBase != this->document.version)
+        return absl::DataLossError("the delta is for another document");
+    auto received = isWhole ? decompress(lease.configuration.bytes, MaxDocumentBytes)
+                            : applyDocumentDelta(this->document.document.bytes, lease.configuration,
+                                                 MaxDocumentBytes);
+    if (!received.ok())
+        return received.status();
+    auto table = platform::decodeRouteTable(*received);
+    if (!table.ok())
+        return table.status();
+    this->document = {lease.configurationVersion, OpaqueBytes(*std::move(received))};
+    this->pooler.routesReceived(*std::move(table), now);
+    return absl::OkStatus();
+}
+
 // An instance that grants a lease to a start that it has just registered, or of a version without
 // team limits, answers a renewal but not the report in it.
 void PoolerProgram::tokensReceived(const std::optional<TokenAnswer> &tokens, bool isAnswer)
--- a/src/programs/pooler/pooler_program.hpp
+++ b/src/programs/pooler/pooler_program.hpp
@@ -33,6 +33,7 @@
     SessionRelayHooks relayHooks();
     void handleRequest(const HttpRequest &request, const HttpResponder &respond);
     void leaseReceived(const FleetLease &lease, std::optional<TimePoint> sentAt);
+    absl::Status configurationReceived(const FleetLease &lease, TimePoint now);
     void tokensReceived(const std::optional<TokenAnswer> &tokens, bool isAnswer);
     RenewLease renewal();
     void scheduleAdvance();
@@ -52,6 +53,8 @@
     FleetLink link;
     SeedReader seeds;
     SessionRelay relay;
+    // The document of the routes in use.
+    ConfigurationDocument document;
     // Whether the answer to a renewal with a report of tokens is awaited.
     bool reportsTokens = false;
     // Times of a stop: when all sessions are closed, from when idle ones are closed, and from when
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -734,6 +734,8 @@
     ports.send = this->hooks.sendToPooler;
     ports.controlAddresses = this->hooks.controlAddresses;
     ports.compress = this->hooks.compress;
+    ports.documentForPoolers = this->hooks.documentForPoolers;
+    ports.documentDelta = this->hooks.documentDelta;
     ports.packView = this->hooks.packView;
     ports.isBacklogged = this->hooks.isBacklogged;
     return ports;
--- a/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
@@ -119,6 +119,9 @@
     std::uint64_t configurationVersion = 0;
     // Compressed. Empty if the pooler already has this version or was sent it before.
     OpaqueBytes configuration;
+    // Version from which `configuration` holds the difference (FleetHooks::documentDelta); 0 for a
+    // whole document.
+    std::uint64_t configurationBase = 0;
     // A view with many entries, packed by FleetHooks::packView; `view` then holds only its
     // revisions and the addresses. Empty otherwise.
     OpaqueBytes packedView;
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -160,6 +160,11 @@
     std::function<void(ConnectionId, const FleetReply &)> sendToPooler;
     // Compresses a configuration document for poolers.
     std::function<OpaqueBytes(const OpaqueBytes &)> compress;
+    // A document without what poolers must not hold. May be empty.
+    std::function<OpaqueBytes(const OpaqueBytes &)> documentForPoolers;
+    // Compressed difference of a document to an earlier one. May be empty; poolers are then sent
+    // whole documents.
+    std::function<OpaqueBytes(const OpaqueBytes &base, const OpaqueBytes &document)> documentDelta;
     // Encodes and compresses a view with many entries, once for all poolers. May be empty; views
     // are then sent unpacked.
     std::function<OpaqueBytes(const FleetView &)> packView;
--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -11,6 +11,8 @@
 
 // A view with at least this many entries is packed. Below, packing saves little.
 constexpr std::size_t MinPackedEntries = 16;
+// Documents that a pooler in touch may still hold.
+constexpr std::size_t MaxFormerDocuments = 4;
 // Limit on the remembered composed views. Most poolers hold one of the last few revisions.
 constexpr std::size_t MaxComposedViews = 32;
 
@@ -148,9 +150,7 @@
     }
     this->addView(message, baseRevision);
     this->addControls(message.view, lease);
-    message.configurationVersion = this->state.configuration().version;
-    if (this->needsDocument(lease, now))
-        message.configuration = this->compressedDocument();
+    this->addDocument(message, lease, now);
     lease.sentRevision = message.view.revision;
     this->ports.send(lease.connection, message);
 }
@@ -236,29 +236,60 @@
 
 // A document takes seconds on a slow link, so it is not sent again with every message until the
 // pooler reports it.
-bool ViewSender::needsDocument(const ProxyLease &lease, TimePoint now)
+void ViewSender::addDocument(FleetLease &message, const ProxyLease &lease, TimePoint now)
 {
     const std::uint64_t version = this->state.configuration().version;
+    message.configurationVersion = version;
     PoolerRecord &record = this->records[lease.run];
     if (record.reportedVersion >= version)
-        return false;
+        return;
     SentDocument &sent = record.document;
-    if (sent.connection == lease.connection && sent.version == version && now < sent.resendAt)
-        return false;
-    if (!this->documentPace.take(this->compressedDocument().bytes.size(), now))
-        return false;
+    const bool wasSentHere = sent.connection == lease.connection;
+    if (wasSentHere && sent.version == version && now < sent.resendAt)
+        return;
+    this->encodeNewDocument();
+    // What was sent before on the connection arrives first. A second attempt is not a difference,
+    // as the first may have been for a document that the pooler does not have.
+    std::uint64_t base =
+        wasSentHere ? std::max(sent.version, record.reportedVersion) : record.reportedVersion;
+    if (base == version)
+        base = 0;
+    const OpaqueBytes &encoded = this->documentSince(base);
+    if (!this->documentPace.take(encoded.bytes.size(), now))
+        return;
+    message.configuration = encoded;
+    message.configurationBase = this->encodedDocuments.count(base) != 0 ? base : 0;
     sent = {lease.connection, version, now + this->settings.documentResendInterval};
-    return true;
 }
 
-const OpaqueBytes &ViewSender::compressedDocument()
+void ViewSender::encodeNewDocument()
 {
     const ConfigurationDocument &stored = this->state.configuration();
-    if (this->compressedVersion != stored.version) {
-        this->compressed = this->ports.compress(stored.document);
-        this->compressedVersion = stored.version;
+    if (this->document.version == stored.version)
+        return;
+    if (this->document.version != 0)
+        this->formerDocuments.push_back(std::move(this->document));
+    if (this->formerDocuments.size() > MaxFormerDocuments)
+        this->formerDocuments.pop_front();
+    this->document = stored;
+    if (this->ports.documentForPoolers)
+        this->document.document = this->ports.documentForPoolers(stored.document);
+    this->encodedDocuments.clear();
+    this->encodedDocuments[0] = this->ports.compress(this->document.document);
+}
+
+// The whole document if the version is not known.
+const OpaqueBytes &ViewSender::documentSince(std::uint64_t version)
+{
+    const auto encoded = this->encodedDocuments.find(version);
+    if (encoded != this->encodedDocuments.end())
+        return encoded->second;
+    for (const ConfigurationDocument &former : this->formerDocuments) {
+        if (former.version == version && this->ports.documentDelta)
+            return this->encodedDocuments[version] =
+                       this->ports.documentDelta(former.document, this->document.document);
     }
-    return this->compressed;
+    return this->encodedDocuments[0];
 }
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/coordination/fleet/view_sender.hpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.hpp
@@ -14,6 +14,7 @@
 #include "rhubarbweir/coordination/fleet/position_table.hpp"
 #include "rhubarbweir/coordination/fleet/send_pace.hpp"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -28,7 +29,9 @@
     std::function<std::vector<std::string>()> controlAddresses;
     // Compresses a configuration document for poolers.
     std::function<OpaqueBytes(const OpaqueBytes &)> compress;
-    // See FleetHooks; both may be empty.
+    // See FleetHooks; all may be empty.
+    std::function<OpaqueBytes(const OpaqueBytes &)> documentForPoolers;
+    std::function<OpaqueBytes(const OpaqueBytes &base, const OpaqueBytes &document)> documentDelta;
     std::function<OpaqueBytes(const FleetView &)> packView;
     std::function<bool(ConnectionId)> isBacklogged;
 };
@@ -106,8 +109,9 @@
     void addView(FleetLease &message, std::uint64_t baseRevision);
     FleetView viewAfter(std::uint64_t baseRevision) const;
     FleetView wholeView() const;
-    bool needsDocument(const ProxyLease &lease, TimePoint now);
-    const OpaqueBytes &compressedDocument();
+    void addDocument(FleetLease &message, const ProxyLease &lease, TimePoint now);
+    void encodeNewDocument();
+    const OpaqueBytes &documentSince(std::uint64_t version);
 
     const FleetSettings &settings;
     const FleetState &state;
@@ -130,8 +134,11 @@
     // Views of the newest revision, by their base revision.
     std::map<std::uint64_t, ComposedView> composed;
     std::uint64_t composedRevision = 0;
-    std::uint64_t compressedVersion = 0;
-    OpaqueBytes compressed;
+    // The newest document as poolers get it, the ones before it, and its encodings by the version
+    // that they start from; 0 for the whole document.
+    ConfigurationDocument document;
+    std::deque<ConfigurationDocument> formerDocuments;
+    std::map<std::uint64_t, OpaqueBytes> encodedDocuments;
 };
 
 } // namespace rhubarbweir
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -271,6 +271,8 @@
         to["peers"] = *lease.peers;
     if (lease.tokens)
         to["tokens"] = *lease.tokens;
+    if (lease.configurationBase != 0)
+        to["configurationBase"] = lease.configurationBase;
     if (lease.relaysAnnouncements)
         to["relaysAnnouncements"] = true;
 }
@@ -293,6 +295,7 @@
     lease.tokens.reset();
     if (const auto found = from.find("tokens"); found != from.end())
         lease.tokens = found->get<TokenAnswer>();
+    lease.configurationBase = from.value("configurationBase", std::uint64_t{0});
     lease.relaysAnnouncements = from.value("relaysAnnouncements", false);
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(FleetRedirect, leader)
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -291,6 +291,9 @@
         hooks.compress = [](const OpaqueBytes &document) {
             return document;
         };
+        hooks.documentDelta = [](const OpaqueBytes &base, const OpaqueBytes &document) {
+            return OpaqueBytes(base.bytes + ">" + document.bytes);
+        };
         hooks.packView = [this](const FleetView &view) {
             ++this->packedViews;
             return OpaqueBytes(std::to_string(view.targets.size()));
--- a/tests/unit/codec.tests.cpp
+++ b/tests/unit/codec.tests.cpp
@@ -1,6 +1,7 @@
 // Tests of message encoding and decoding.
 #include "rhubarbweir/protocol/codec.hpp"
 
+#include "rhubarbweir/protocol/document_delta.hpp"
 #include "rhubarbweir/protocol/fleet_codec.hpp"
 
 #include <criterion/criterion.h>
@@ -142,3 +143,44 @@
     for (const char *member : {"\"address\"", "\"draining\"", "\"groups\"", "\"overloadedGroups\""})
         cr_assert(text.find(member) != std::string::npos, "%s is missing", member);
 }
+
+namespace {
+
+std::string documentOf(int groups, int timeout, int newRoutes = 0)
+{
+    std::string document = "{\"version\":1,\"routes\":[";
+    for (int index = 0; index < groups + newRoutes; ++index)
+        document += (index == 0 ? "" : ",") + std::string("{\"name\":\"r-")
+                    + std::to_string(index * 7919 % 100003) + "\",\"timeout_ms\":"
+                    + std::to_string(index == groups / 2 ? timeout : 800) + "}";
+    return document + "]}";
+}
+
+} // namespace
+
+Test(document_delta, small_changes,
+     .description = "A changed and a new route cost poolers no more bytes in a large configuration")
+{
+    const std::string base = documentOf(2000, 800);
+    for (const std::string &document :
+         {documentOf(2000, 900), documentOf(2000, 800, 3), documentOf(1900, 800), base}) {
+        const OpaqueBytes delta = encodeDocumentDelta(base, document);
+        cr_assert_lt(delta.bytes.size(), 300);
+        const auto applied = applyDocumentDelta(base, delta, 1 << 20);
+        cr_assert(applied.ok());
+        cr_assert_eq(*applied, document);
+    }
+}
+
+Test(
+    document_delta, other_base,
+    .description = "A pooler with another document than the leader assumes does not use the result")
+{
+    const OpaqueBytes delta = encodeDocumentDelta(documentOf(50, 800), documentOf(50, 900));
+    std::string other = documentOf(50, 800);
+    other.replace(other.find("800"), 3, "801");
+    cr_assert(absl::IsDataLoss(applyDocumentDelta(other, delta, 1 << 20).status()));
+    cr_assert(absl::IsDataLoss(applyDocumentDelta("{}", delta, 1 << 20).status()));
+    cr_assert_not(applyDocumentDelta(documentOf(50, 800), delta, 100).ok());
+    cr_assert_not(applyDocumentDelta(documentOf(50, 800), OpaqueBytes("x"), 1 << 20).ok());
+}
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -1133,3 +1133,28 @@
     cr_assert_eq(fleet.lastLease("p1")->view.baseRevision, before);
     cr_assert_eq(fleet.lastLease("p1")->view.targets.size(), 1);
 }
+
+Test(fleet_controller, documents_as_differences,
+     .description = "A pooler with the former configuration is not sent the whole next one")
+{
+    FleetFixture fleet;
+    fleet.waitForGracePeriod();
+    fleet.configure(1, "one");
+    fleet.renew("p1", 0);
+    cr_assert_eq(fleet.lastLease("p1")->configuration.bytes, "one");
+    cr_assert_eq(fleet.lastLease("p1")->configurationBase, 0);
+    // The pooler has not reported the first one, which arrives before the second.
+    fleet.configure(2, "two");
+    cr_assert_eq(fleet.lastLease("p1")->configuration.bytes, "one>two");
+    cr_assert_eq(fleet.lastLease("p1")->configurationBase, 1);
+    fleet.renew("p1", 0);
+    cr_assert(fleet.lastLease("p1")->configuration.bytes.empty());
+    // It could not use the difference.
+    fleet.advance(std::chrono::seconds(4));
+    fleet.renew("p1", 0);
+    cr_assert_eq(fleet.lastLease("p1")->configuration.bytes, "two");
+    cr_assert_eq(fleet.lastLease("p1")->configurationBase, 0);
+    // Unknown here.
+    fleet.renew("p2", 0);
+    cr_assert_eq(fleet.lastLease("p2")->configuration.bytes, "two");
+}
--- a/tests/unit/platform.tests.cpp
+++ b/tests/unit/platform.tests.cpp
@@ -112,6 +112,23 @@
     cr_assert_eq(digestOfKey("abc").bytes[31], 0xad);
 }
 
+Test(platform, documents_for_poolers,
+     .description = "Poolers get no key of a caller, and still tell the teams by them")
+{
+    const std::string document = withoutKeys(withTeams(Teams));
+    cr_assert_eq(document.find("secret"), std::string::npos);
+    const auto sent = decodeRouteTable(withTeams(Teams));
+    const auto received = decodeRouteTable(document);
+    cr_assert(received.ok(), "%s", received.status().ToString().c_str());
+    cr_assert(received->teamsByKey == sent->teamsByKey);
+    cr_assert_eq(received->teamsByKey.size(), 3);
+    cr_assert_eq(received->routes.size(), sent->routes.size());
+    cr_assert_eq(withoutKeys(withTeams("")), withTeams(""));
+    cr_assert_not(decodeRouteTable(withTeams(R"("tenants":[{"name":"red","api_keys":[],)"
+                                             R"("api_key_digests":["12"]}],)"))
+                      .ok());
+}
+
 Test(platform, no_teams,
      .description = "Without a list of teams no key is needed; an empty list admits no key")
 {
