Do not count an interruption as a long queue of statements

Statements had been waiting since the targets stopped, 2.1 s earlier, so the queue took the group for overloaded: it then admits only what is expected to be sent within a quarter of its objective, and refuses the rest at once.

Change: the time for which statements have been waiting starts anew with the first statement that leaves after an interruption, which is a gap of more than 0.2 s and the time of one statement.

--- a/src/rhubarbweir/coordination/sessions/statement_queue.cpp
+++ b/src/rhubarbweir/coordination/sessions/statement_queue.cpp
@@ -117,9 +117,12 @@
 
 void StatementQueue::Pace::taken(TimePoint now)
 {
-    const auto elapsed =
-        std::min<Duration>(std::chrono::duration_cast<Duration>(now - this->movedAt), MaxInterval);
-    this->interval += (elapsed - this->interval) / Smoothing;
+    const auto elapsed = std::chrono::duration_cast<Duration>(now - this->movedAt);
+    // A group in service answers a statement, and sends the next, within `work`. A longer gap is an
+    // interruption, and the time before its end does not show that the group is overloaded.
+    if (elapsed > MaxInterval + this->work)
+        this->waitingSince = now;
+    this->interval += (std::min<Duration>(elapsed, MaxInterval) - this->interval) / Smoothing;
     this->movedAt = now;
 }
 
--- a/src/rhubarbweir/coordination/sessions/statement_queue.hpp
+++ b/src/rhubarbweir/coordination/sessions/statement_queue.hpp
@@ -151,7 +151,8 @@
         Duration interval{0};
         Duration work{0};
         std::size_t waiting = 0;
-        // When the first one was added to the empty queue.
+        // When the first one was added to the empty queue, or when the first one left after an
+        // interruption, if that is later.
         TimePoint waitingSince;
         // When the last one left the queue, or `waitingSince` if that is later.
         TimePoint movedAt;
--- a/tests/unit/statement_queue.tests.cpp
+++ b/tests/unit/statement_queue.tests.cpp
@@ -145,6 +145,22 @@
     cr_assert(fixture.queue.empty());
 }
 
+Test(statement_queue, after_interruption,
+     .description = "Once service resumes after an interruption, the time without service does not "
+                    "count as a long queue, and a statement that can be in time is not refused")
+{
+    QueueFixture fixture;
+    fixture.add(1, "a", 0, milliseconds(5000));
+    fixture.now += milliseconds(1000);
+    fixture.queue.expire(fixture.now);
+    for (SessionNumber session = 2; session <= 8; ++session)
+        fixture.add(session, "a");
+    cr_assert(fixture.send(1) == Sessions({2}));
+    // Six statements wait before it, for about half of its objective.
+    cr_assert(fixture.add(9, "a").empty());
+    cr_assert(fixture.send(9) == Sessions({3, 4, 5, 6, 7, 8, 9, 1}));
+}
+
 Test(statement_queue, expected_wait,
      .description = "A statement that is expected to be late is refused when it arrives, not after "
                     "it has waited")
