Let late statements of patient callers wait, also without teams

Cause: without teams, a statement is refused at its objective, and its caller comes back at once. A pooler knows when an attempt arrived, not when the operation began, so it serves retries as new statements. After an interruption each caller of the backlog takes part in every objective's length, and most new statements are late.

Change: where the timeout of a route is at least 8 objectives, a statement waits past its objective, behind all that are not late, oldest first. It is refused at an objective, as before, if nothing has left the queue since it arrived or was last examined. Late statements make room when the queue is full.

--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -304,8 +304,8 @@
         this->sendOnPinned(session, now);
         return;
     }
-    // With teams, the queue chooses which statement is refused.
-    if (!this->queue.isByTeam() && this->queue.size() >= this->settings.queueLimit) {
+    // With teams, or if any is late, the queue chooses which statement is refused.
+    if (!this->queue.isByTeam() && this->queue.isFull()) {
         this->refuse(session, StatementFault::Busy, "queue is full", now);
         return;
     }
@@ -349,8 +349,9 @@
     pending.isFirst = session.pinned == 0;
     pending.deadline = now + pending.route.timeout;
     pending.queueDeadline = now + std::min(pending.route.timeout, pending.route.latencyObjective);
-    // With teams, the queue refuses earlier what cannot be answered in time.
-    if (this->queue.isByTeam())
+    // The queue refuses earlier what cannot be answered in time, or may be served elsewhere.
+    if (this->queue.isByTeam()
+        || StatementQueue::waitsWhenLate(pending.route.latencyObjective, pending.route.timeout))
         pending.queueDeadline = pending.deadline;
     pending.statement = std::move(statement);
     this->groupsInUse[pending.route.group] = now;
--- a/src/rhubarbweir/coordination/sessions/statement_queue.cpp
+++ b/src/rhubarbweir/coordination/sessions/statement_queue.cpp
@@ -24,6 +24,10 @@
 constexpr unsigned OldestShare = 8;
 // A late answer has value where the deadline is at least this many objectives after the arrival.
 constexpr int LateValueFactor = 2;
+// Without teams, a late statement waits here where the timeout is at least this many objectives. In
+// simulations of a return after 3 s, shorter timeouts end for a tenth of the backlog or more while
+// it waits behind new statements.
+constexpr int LateWaitFactor = 8;
 // While statements have been waiting for longer than the objective of a new one, that one is to be
 // sent within its objective divided by this. A longer queue would not serve more, and some callers
 // give up at half of their objective.
@@ -69,14 +73,13 @@
     Entry entry;
     entry.statement = statement;
     entry.sequence = ++this->lastSequence;
-    if (this->byTeam) {
-        if (const auto reason = this->place(entry, now, true))
-            return {{statement.session, *reason}};
-    }
+    entry.examinedAt = statement.arrivedAt;
+    if (const auto reason = this->place(entry, now, true))
+        return {{statement.session, *reason}};
     this->insert(entry);
     this->countAdded(statement, now);
     this->entries.emplace(statement.session, std::move(entry));
-    if (!this->byTeam)
+    if (!this->byTeam && this->lateEntries == 0)
         return {};
     const std::optional<QueueRefusal> shed = this->shed(statement.team);
     return shed ? std::vector<QueueRefusal>{*shed} : std::vector<QueueRefusal>{};
@@ -191,6 +194,8 @@
 // Decides whether the entry can be in time. Returns a reason if it is to be refused.
 std::optional<QueueRefusalReason> StatementQueue::place(Entry &entry, TimePoint now, bool isNew)
 {
+    if (!this->byTeam)
+        return this->placeWithoutTeams(entry, now);
     const WaitingStatement &statement = entry.statement;
     const GroupQueue &queue = this->groups[statement.group];
     if (entry.isLate)
@@ -207,6 +212,33 @@
     return std::nullopt;
 }
 
+// The newest goes first, so a statement counts as in time until its objective. A late one waits
+// only while the group is served here: otherwise another pooler may serve it.
+std::optional<QueueRefusalReason> StatementQueue::placeWithoutTeams(Entry &entry, TimePoint now)
+{
+    const WaitingStatement &statement = entry.statement;
+    const auto allowed =
+        std::chrono::duration_cast<Duration>(statement.objective - statement.arrivedAt);
+    entry.checkAt = TimePoint::max();
+    if (!waitsWhenLate(allowed, std::chrono::duration_cast<Duration>(statement.deadline
+                                                                     - statement.arrivedAt)))
+        return std::nullopt;
+    entry.checkAt = statement.objective;
+    if (now < statement.objective)
+        return std::nullopt;
+    if (this->groups[statement.group].paceOf(statement).movedAt <= entry.examinedAt)
+        return QueueRefusalReason::NotByDeadline;
+    entry.examinedAt = now;
+    const std::optional<QueueRefusalReason> reason = this->placeLate(entry, now);
+    entry.checkAt = std::min<TimePoint>(entry.checkAt, now + allowed);
+    return reason;
+}
+
+bool StatementQueue::waitsWhenLate(Duration objective, Duration timeout)
+{
+    return timeout >= LateWaitFactor * objective;
+}
+
 std::optional<QueueRefusalReason> StatementQueue::placeLate(Entry &entry, TimePoint now)
 {
     const WaitingStatement &statement = entry.statement;
@@ -233,7 +265,7 @@
 {
     TeamId team = newcomer;
     QueueRefusalReason reason = QueueRefusalReason::TeamLimit;
-    if (this->waitingByTeam[newcomer] <= this->settings.teamQueueLimit) {
+    if (!this->byTeam || this->waitingByTeam[newcomer] <= this->settings.teamQueueLimit) {
         if (this->entries.size() <= this->settings.queueLimit)
             return std::nullopt;
         reason = QueueRefusalReason::QueueLimit;
@@ -307,9 +339,9 @@
     GroupQueue &queue = this->groups[statement.group];
     queue.ranks[this->rankOf(entry)][this->byTeam ? statement.team : TeamId()].at(lane).emplace(
         this->urgencyOf(entry), statement.session);
-    if (this->byTeam)
+    if (entry.checkAt != TimePoint::max())
         this->checks.emplace(entry.checkAt, statement.session);
-    else
+    if (!this->byTeam && !entry.isLate)
         this->arrivals.emplace(statement.priority, this->urgencyOf(entry));
     if (this->byTeam && !entry.isLate)
         queue.byArrival.at(lane).emplace(Urgency(statement.arrivedAt, entry.sequence),
@@ -433,7 +465,7 @@
     using Place = std::tuple<double, Urgency, SessionNumber>;
     for (const auto &[rank, teams] : queue.ranks) {
         const bool newestFirst =
-            !this->byTeam && this->takesNewestFirst(rank.priority, decided, now);
+            !this->byTeam && !rank.isLate && this->takesNewestFirst(rank.priority, decided, now);
         std::vector<Place> places;
         for (const auto &[team, lines] : teams) {
             if (const auto candidate = first(rank, team, lines, pass, newestFirst))
--- a/src/rhubarbweir/coordination/sessions/statement_queue.hpp
+++ b/src/rhubarbweir/coordination/sessions/statement_queue.hpp
@@ -1,11 +1,12 @@
 // Order of the statements that wait for a connection to a target.
 //
 // Without teams, statements are ordered by route priority and arrival, and the newest of a priority
-// goes first once its oldest has waited too long (adaptive LIFO). With teams, the order is: route
-// priority, team priority, the team that was given the least work recently, earliest objective.
-// Statements that cannot be in time come after all others. A statement whose caller could not use
-// the answer is refused as soon as that is expected, so that the caller can go elsewhere.
-// Statements of a transaction that has a connection do not wait here.
+// goes first once its oldest has waited too long (adaptive LIFO). Where callers wait for many times
+// the objective, a statement that is past it waits behind all others. With teams, the order is:
+// route priority, team priority, the team that was given the least work recently, earliest
+// objective. Statements that cannot be in time come after all others. A statement whose caller
+// could not use the answer is refused as soon as that is expected, so that the caller can go
+// elsewhere. Statements of a transaction that has a connection do not wait here.
 #pragma once
 
 #include "rhubarbweir/coordination/sessions/pooler_settings.hpp"
@@ -106,6 +107,14 @@
     TimePoint nextDeadline() const;
 
     bool isByTeam() const { return this->byTeam; }
+    // Whether a statement without a team may wait past its objective, because its caller awaits the
+    // answer for much longer. Both times count from its arrival.
+    static bool waitsWhenLate(Duration objective, Duration timeout);
+    // Whether the limit on all is reached without the late statements, which make room for others.
+    bool isFull() const
+    {
+        return this->entries.size() - this->lateEntries >= this->settings.queueLimit;
+    }
     bool contains(SessionNumber session) const { return this->entries.count(session) != 0; }
     bool isWaited(const GroupId &group, bool needsPrimary) const;
     std::size_t size() const { return this->entries.size(); }
@@ -138,8 +147,11 @@
         WaitingStatement statement;
         std::uint64_t sequence = 0;
         bool isLate = false;
-        // When its prospects are examined again.
+        // When its prospects are examined again; never without teams if it may not wait past its
+        // objective.
         TimePoint checkAt;
+        // When its prospects were last examined, or its arrival.
+        TimePoint examinedAt;
     };
 
     // Learned about the statements of a group, or of one team in it, that need the primary, or
@@ -225,6 +237,7 @@
     void countAdded(const WaitingStatement &statement, TimePoint now);
     void countRemoved(const WaitingStatement &statement);
     std::optional<QueueRefusalReason> place(Entry &entry, TimePoint now, bool isNew);
+    std::optional<QueueRefusalReason> placeWithoutTeams(Entry &entry, TimePoint now);
     std::optional<QueueRefusalReason> placeLate(Entry &entry, TimePoint now);
     Duration expectedWait(const Entry &entry) const;
     Ahead ahead(const Entry &entry) const;
@@ -251,9 +264,9 @@
     std::map<GroupId, GroupQueue> groups;
     // Only teams with waiting statements.
     std::map<TeamId, std::size_t> waitingByTeam;
-    // Without teams: route priority and urgency of every statement.
+    // Without teams: route priority and urgency of every statement that is not late.
     std::set<std::pair<unsigned, Urgency>> arrivals;
-    // With teams: when each statement is examined.
+    // When each statement is examined.
     std::set<std::pair<TimePoint, SessionNumber>> checks;
 };
 
--- a/tests/fakes/team_load.hpp
+++ b/tests/fakes/team_load.hpp
@@ -5,6 +5,7 @@
 #include "fakes/pooler_fixture.hpp"
 
 #include <array>
+#include <utility>
 
 namespace rhubarbweir::fakes {
 
@@ -29,11 +30,22 @@
      milliseconds(1000), milliseconds(2000), 27},
 }};
 
+// Callers that wait for long, and use 70 % of the primary.
+inline constexpr std::array<LoadKind, 3> PatientKinds = {{
+    {"upload", TextStatementKind::Write, RouteConsistency::Primary, milliseconds(12),
+     milliseconds(800), milliseconds(12000), 20},
+    {"curate", TextStatementKind::Read, RouteConsistency::Primary, milliseconds(36),
+     milliseconds(800), milliseconds(12000), 50},
+    {"browse", TextStatementKind::Read, RouteConsistency::Primary, milliseconds(60),
+     milliseconds(1500), milliseconds(12000), 12.5},
+}};
+
 // What callers got.
 struct LoadTally
 {
     int sent = 0;
     int inTime = 0;
+    int answered = 0;
     // Refused in the second half of the timeout.
     int heldAndRefused = 0;
 
@@ -46,15 +58,17 @@
     static constexpr std::size_t Teams = 8;
 
     // Begins after two seconds of the usual load.
-    explicit TeamLoad(unsigned seed, bool hasTeams = true)
-        : random(seed)
+    explicit TeamLoad(unsigned seed, bool hasTeams = true,
+                      const std::array<LoadKind, 3> &loadKinds = LoadKinds)
+        : kinds(loadKinds)
+        , random(seed)
     {
         RouteTable table;
         table.version = 2;
         table.hasTeams = hasTeams;
         table.groups[PoolerFixture::Group].maxConnections = 200;
-        for (unsigned kind = 0; kind < LoadKinds.size(); ++kind) {
-            const LoadKind &of = LoadKinds.at(kind);
+        for (unsigned kind = 0; kind < this->kinds.size(); ++kind) {
+            const LoadKind &of = this->kinds.at(kind);
             table.routes[of.route] = {of.route,   PoolerFixture::Group, of.consistency,
                                       of.timeout, of.objective,         milliseconds(2000),
                                       kind};
@@ -67,15 +81,17 @@
         this->run(std::chrono::seconds(2));
     }
 
-    // Counts only operations that begin during this run.
-    void run(Duration time)
+    // Counts only operations that begin during this run, and their answers until `tail` after it.
+    void run(Duration time, Duration tail = Duration::zero())
     {
         this->byTeam.fill({});
         this->byKind.fill({});
         this->countedFrom = this->fixture.now;
-        while (this->fixture.now < this->countedFrom + time) {
+        this->countedUntil = this->countedFrom + time;
+        while (this->fixture.now < this->countedUntil + tail) {
             this->fixture.now += milliseconds(1);
             this->arrive();
+            this->submitAll();
             this->openConnections();
             this->runTargets();
             this->fixture.pooler.advance(this->fixture.now);
@@ -102,6 +118,10 @@
     double burst = 1;
     // Callers give up after their objective divided by this, if it is not 0.
     int patienceDivisor = 0;
+    // Callers try again at once after a refusal, until their timeout.
+    bool retries = false;
+    // Callers cannot reach the pooler, and wait.
+    bool isOff = false;
 
 private:
     static constexpr std::size_t Slots = 4;
@@ -122,16 +142,25 @@
 
     void arrive()
     {
-        for (std::size_t each = 0; each < Teams * LoadKinds.size(); ++each) {
-            const std::size_t team = each / LoadKinds.size();
-            const std::size_t kind = each % LoadKinds.size();
-            const LoadKind &of = LoadKinds.at(kind);
+        for (std::size_t each = 0; each < Teams * this->kinds.size(); ++each) {
+            const std::size_t team = each / this->kinds.size();
+            const std::size_t kind = each % this->kinds.size();
+            const LoadKind &of = this->kinds.at(kind);
             const double mean = of.rate / 1000 / Teams * this->factors.at(team) * this->burst;
-            for (int n = std::poisson_distribution<int>(mean)(this->random); n > 0; --n) {
-                const SessionNumber session = this->fixture.open(of.route, keyOf(team));
-                this->calls[session] = {team, kind, this->fixture.now};
-                this->fixture.submit(session, of.statement, absl::StrCat(kind, "-", session));
-            }
+            for (int n = std::poisson_distribution<int>(mean)(this->random); n > 0; --n)
+                this->unsubmitted.push_back({team, kind, this->fixture.now});
+        }
+    }
+
+    void submitAll()
+    {
+        if (this->isOff)
+            return;
+        for (const Call &call : std::exchange(this->unsubmitted, {})) {
+            const LoadKind &of = this->kinds.at(call.kind);
+            const SessionNumber session = this->fixture.open(of.route, keyOf(call.team));
+            this->calls[session] = call;
+            this->fixture.submit(session, of.statement, absl::StrCat(call.kind, "-", session));
         }
     }
 
@@ -158,7 +187,7 @@
                 continue;
             const auto kind = static_cast<std::size_t>(each.command.id.front() - '0');
             const auto began = this->beganAt.emplace(each.command.id, this->fixture.now).first;
-            if (this->fixture.now < began->second + LoadKinds.at(kind).work)
+            if (this->fixture.now < began->second + this->kinds.at(kind).work)
                 continue;
             auto &unanswered = this->fixture.unanswered;
             unanswered.erase(
@@ -173,7 +202,7 @@
     {
         for (auto entry = this->calls.begin(); entry != this->calls.end();) {
             const auto &[session, call] = *entry;
-            const LoadKind &of = LoadKinds.at(call.kind);
+            const LoadKind &of = this->kinds.at(call.kind);
             const bool isAnswered = this->fixture.answerCount(session) != 0;
             const auto age = this->fixture.now - call.at;
             const bool givesUp =
@@ -183,11 +212,15 @@
                 continue;
             }
             const bool isFault = isAnswered && this->fixture.lastAnswer(session).fault;
+            const bool triesAgain = isFault && this->retries && age < of.timeout;
+            if (triesAgain)
+                this->unsubmitted.push_back(call);
             for (LoadTally *tally : {&this->byTeam.at(call.team), &this->byKind.at(call.kind)}) {
-                if (call.at < this->countedFrom)
+                if (triesAgain || call.at < this->countedFrom || call.at > this->countedUntil)
                     continue;
                 ++tally->sent;
                 tally->inTime += isAnswered && !isFault && age <= of.objective ? 1 : 0;
+                tally->answered += isAnswered && !isFault ? 1 : 0;
                 tally->heldAndRefused += isFault && age * 2 > of.timeout ? 1 : 0;
             }
             this->fixture.pooler.sessionClosed(session, this->fixture.now);
@@ -196,10 +229,13 @@
         }
     }
 
+    std::array<LoadKind, 3> kinds;
     std::map<SessionNumber, Call> calls;
+    std::vector<Call> unsubmitted;
     std::map<std::string, TimePoint> beganAt;
     std::map<TargetId, TimePoint> stoppedUntil;
     TimePoint countedFrom;
+    TimePoint countedUntil;
     std::mt19937 random;
 };
 
--- a/tests/unit/session_pooler_properties.tests.cpp
+++ b/tests/unit/session_pooler_properties.tests.cpp
@@ -46,10 +46,18 @@
 class RandomRun
 {
 public:
-    explicit RandomRun(std::uint64_t seed, bool hasTeams)
+    explicit RandomRun(std::uint64_t seed, bool hasTeams, bool arePatient)
         : random(seed)
     {
         this->table.hasTeams = hasTeams;
+        if (arePatient) {
+            // Statements wait past their objective, for the few connections of a target.
+            for (auto &[database, route] : this->table.routes)
+                route.latencyObjective = route.timeout / 20;
+            this->table.groups[PoolerFixture::Group].maxConnections = 6;
+            ++this->table.version;
+            this->fixture.pooler.routesReceived(this->table, this->fixture.now);
+        }
         this->fixture.onSent = [this](const SentCommand &each) {
             this->check(each);
         };
@@ -354,10 +362,10 @@
 
 } // namespace
 
-static void runSeeds(bool hasTeams)
+static void runSeeds(bool hasTeams, bool arePatient = false)
 {
     for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
-        RandomRun run(seed, hasTeams);
+        RandomRun run(seed, hasTeams, arePatient);
         const std::string fault = run.run();
         cr_assert(fault.empty(), "seed %lu: %s", static_cast<unsigned long>(seed), fault.c_str());
     }
@@ -375,3 +383,9 @@
 {
     runSeeds(true);
 }
+
+Test(session_pooler_properties, random_faults_with_patient_callers,
+     .description = "The invariants hold without teams where late statements wait")
+{
+    runSeeds(false, true);
+}
--- a/tests/unit/statement_order.tests.cpp
+++ b/tests/unit/statement_order.tests.cpp
@@ -96,6 +96,28 @@
     }
 }
 
+Test(statement_order, patient_callers,
+     .description = "Without teams, callers that wait for 15 objectives and come back after 3 s "
+                    "without service do not displace new statements with their retries")
+{
+    for (unsigned seed = 1; seed <= Seeds; ++seed) {
+        // The callers could not reach the pooler, or the pooler had no primary.
+        for (const bool isOff : {true, false}) {
+            TeamLoad load(seed, false, PatientKinds);
+            load.retries = true;
+            load.isOff = isOff;
+            load.fixture.changeAuthority(2, TargetId());
+            load.run(seconds(3));
+            load.isOff = false;
+            load.fixture.changeAuthority(3, PoolerFixture::Primary);
+            load.run(seconds(2), seconds(13));
+            cr_assert_gt(shareFrom(load, 0), isOff ? 0.97 : 0.9);
+            for (const LoadTally &kind : load.byKind)
+                cr_assert_eq(kind.answered, kind.sent);
+        }
+    }
+}
+
 Test(statement_order, one_connection_is_replaced,
      .description = "Statements of a team that wait for the same new connection close one idle "
                     "connection of another team, not one each")
--- a/tests/unit/statement_queue.tests.cpp
+++ b/tests/unit/statement_queue.tests.cpp
@@ -130,6 +130,32 @@
     cr_assert(fixture.send(9) == Sessions({3, 1}));
 }
 
+Test(statement_queue, late_without_teams,
+     .description = "Without teams, a late statement of a patient caller waits behind all others, "
+                    "makes room for them, and is refused once nothing leaves the queue")
+{
+    QueueFixture fixture(false);
+    fixture.settings.queueLimit = 3;
+    fixture.add(1, "", 0, milliseconds(2000));
+    fixture.add(2, "", 0, milliseconds(2000));
+    fixture.add(3, "", 0, milliseconds(1999));
+    fixture.now += milliseconds(100);
+    cr_assert(fixture.send(1) == Sessions({3}));
+    fixture.now += milliseconds(150);
+    cr_assert(fixture.queue.expire(fixture.now).empty());
+    cr_assert_eq(fixture.queue.lateCount(), 2);
+    cr_assert(fixture.add(4, "", 7).empty());
+    cr_assert_eq(fixture.add(5, "", 7).at(0).session, 2, "the newest of the late ones");
+    cr_assert(fixture.send(1) == Sessions({4}));
+    cr_assert(fixture.send(2) == Sessions({5, 1}));
+
+    fixture.add(6, "", 0, milliseconds(2000));
+    fixture.add(7, "", 0, milliseconds(1999));
+    fixture.now += milliseconds(250);
+    cr_assert_eq(fixture.queue.expire(fixture.now).at(0).session, 6, "another pooler may serve it");
+    cr_assert_eq(fixture.queue.size(), 1, "the pooler limits the wait of an impatient caller");
+}
+
 Test(statement_queue, without_service,
      .description =
          "A statement that waits alone while nothing is sent is refused while its caller "
