--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -483,7 +483,10 @@
     const std::string &own = this->settings.controlAddress;
     const HttpResponse accepted =
         platform::encodeAnnounced(elsewhere.empty() ? own : withPortOf(elsewhere, own));
-    const auto done = [this, respond, path, accepted](FleetCallOutcome outcome) {
+    const auto done = [this, respond, path, accepted, isRelayed](FleetCallOutcome outcome) {
+        if (isRelayed)
+            this->metrics.count(outcome == FleetCallOutcome::Accepted ? "announcement_relayed"
+                                                                      : "announcement_unanswered");
         respond(this->outcomeOf(outcome, path, accepted));
     };
     if (isRelayed)
@@ -543,8 +546,13 @@
         this->controller.leadershipChanged(EventLoop::now());
     }
     this->controller.sendAnnouncementAnswers();
-    this->quorum.setElectionPatience(this->controller.relaysAnnouncements() ? ManyTargetsPatience
-                                                                            : 1);
+    if (this->controller.relaysAnnouncements() != this->hasManyTargets) {
+        this->hasManyTargets = !this->hasManyTargets;
+        this->quorum.setElectionPatience(this->hasManyTargets ? ManyTargetsPatience : 1);
+        this->event(this->hasManyTargets ? "announcement_relay_started"
+                                         : "announcement_relay_ended",
+                    {{"targets", absl::StrCat(this->controller.state().targets().size())}});
+    }
     const auto leader = this->quorum.leader();
     this->relay.setLeader(leader && !this->wasLeader ? leader->address : std::string());
     const TimePoint deadline =
--- a/src/programs/fleet/fleet_program.hpp
+++ b/src/programs/fleet/fleet_program.hpp
@@ -80,6 +80,8 @@
     // Until then neither the quorum log nor the controller may be used.
     bool isStarted = false;
     bool wasLeader = false;
+    // FleetController::relaysAnnouncements() after the last event.
+    bool hasManyTargets = false;
     bool stopping = false;
     // The process has left the quorum and ends after its last messages are sent.
     bool ending = false;
--- a/src/programs/fleet/observer_program.cpp
+++ b/src/programs/fleet/observer_program.cpp
@@ -99,6 +99,11 @@
     hooks.received = [this](const FleetLease &lease, std::optional<TimePoint>) {
         if (!lease.view.controls.empty())
             this->link.setControls(lease.view.controls);
+        if (lease.relaysAnnouncements != this->relaysAnnouncements)
+            logEvent(LogLevel::Info,
+                     lease.relaysAnnouncements ? "announcement_relay_started"
+                                               : "announcement_relay_ended",
+                     {});
         this->relaysAnnouncements = lease.relaysAnnouncements;
         this->updateRelay();
     };
@@ -141,9 +146,10 @@
     this->relay.announced(
         announced->target,
         [this, respond](FleetCallOutcome outcome) {
-            respond(outcome == FleetCallOutcome::Accepted
-                        ? platform::encodeAnnounced(this->settings.controlAddress)
-                        : platform::encodeUnavailable());
+            const bool isAccepted = outcome == FleetCallOutcome::Accepted;
+            this->metrics.count(isAccepted ? "announcement_relayed" : "announcement_unanswered");
+            respond(isAccepted ? platform::encodeAnnounced(this->settings.controlAddress)
+                               : platform::encodeUnavailable());
         },
         EventLoop::now());
 }
