Spread teams by score alone where placing them takes too long

Placing 593 groups and 77 teams on 100 poolers anew with each change of the peers compares 4.5 million pairs, by the time measured for 184,800 pairs (8 ms) about 0.2 s of a whole core. Above 100,000 pairs each team is served by the pooler with the highest score, which no longer leaves poolers without work at that number.

--- a/src/rhubarbweir/coordination/sessions/holder_table.cpp
+++ b/src/rhubarbweir/coordination/sessions/holder_table.cpp
@@ -16,6 +16,10 @@
 constexpr std::uint32_t ConnectionsPerHolder = 4;
 // A team needs one connection for a transaction and one for other statements.
 constexpr std::uint32_t MinTeamConnections = 2;
+// Placing more pairs of a key and a pooler takes a pooler with a tenth of a core more than 0.1 s,
+// with each change of the peers. So many keys are spread evenly without it: each is then served by
+// the pooler with the highest score.
+constexpr std::size_t MaxPlacementScores = 100'000;
 // Fine enough for teams with a thousandth of the load.
 constexpr double WeightOfWholeLoad = 1e6;
 
@@ -147,7 +151,11 @@
     instances.reserve(this->peers.peers.size());
     for (const PoolerPeer &peer : this->peers.peers)
         instances.push_back(peer.instance);
-    this->placement.emplace(this->demands(routes, scarce), std::move(instances));
+    const std::size_t teams = routes.hasTeams ? std::max<std::size_t>(1, routes.teams.size()) : 1;
+    const bool isTooLarge = scarce.size() * teams * instances.size() > MaxPlacementScores;
+    this->placement.emplace(isTooLarge ? std::vector<HolderDemand>()
+                                       : this->demands(routes, scarce),
+                            std::move(instances));
     known.routesVersion = routes.version;
     known.scarceGroups = std::move(scarce);
 }
--- a/tests/unit/session_relay.tests.cpp
+++ b/tests/unit/session_relay.tests.cpp
@@ -208,6 +208,27 @@
     cr_assert_geq(allHolders.size(), 25);
 }
 
+// Guards against a placement of all teams in a fleet where it would take seconds: teams are then
+// spread by score alone, on which all poolers agree as well.
+Test(session_relay, teams_of_a_large_fleet_are_spread_by_score)
+{
+    RouteTable table = eightGroups(111, 200);
+    const PoolerPeers peers = peersOf(100, 3);
+    const Placement first = placementOf(InstanceId("p1"), table, peers, 300);
+    const Placement other = placementOf(InstanceId("p2"), table, peers, 300);
+    cr_assert(first == other);
+    std::map<std::string, std::size_t> pairs;
+    for (const auto &[pair, holder] : first)
+        ++pairs[holder];
+    cr_assert_eq(pairs.size(), 100);
+    for (const auto &[holder, count] : pairs)
+        cr_assert_leq(count, 2 * first.size() / 100);
+    std::size_t moved = 0;
+    for (const auto &[pair, holder] : placementOf(InstanceId("p1"), table, without(peers, 7), 300))
+        moved += holder != first.at(pair) && first.at(pair) != "p7" ? 1 : 0;
+    cr_assert_eq(moved, 0);
+}
+
 Test(session_relay, an_unreachable_holder_moves_no_other_sessions)
 {
     const RouteTable table = tableWith(111, 77);
