Play the loss of a leader in the property test of team limits

The test in virtual time had only changes of the leader that poolers notice at once. Now the leading instance freezes, an election takes 0.35 s, and poolers notice the loss as their links do.

--- a/tests/unit/team_limits_properties.tests.cpp
+++ b/tests/unit/team_limits_properties.tests.cpp
@@ -1,6 +1,6 @@
 // Property test of the fleet-wide limits of teams: under frozen, partitioned, killed and joining
 // poolers, changes of the leader and changed limits, no window sees more operations of a team than
-// its limit allows; and below the limit nearly nothing is refused.
+// its limit allows; and below the limit nearly nothing is refused, also while the leader is lost.
 #include "rhubarbweir/coordination/fleet/budget_allocator.hpp"
 #include "rhubarbweir/coordination/sessions/team_budget.hpp"
 
@@ -30,8 +30,15 @@
 constexpr milliseconds LongestInterval{1000};
 // Operations before this find buckets that are not full yet; they are not counted.
 constexpr milliseconds StartTime{2000};
-// A third of a usual objective.
-constexpr milliseconds TokenWait{83};
+// The leader is lost at this time in scenes with a lost leader; refusals are counted around it.
+constexpr milliseconds LossTime{8000};
+constexpr milliseconds LossCountFrom{6000};
+constexpr milliseconds LossCountUntil{16000};
+constexpr milliseconds ElectionTime{350};
+// Delays of a pooler's link to a frozen instance and to one that knows no leader.
+constexpr milliseconds SilenceTimeout{1200};
+constexpr milliseconds ConnectTimeout{250};
+constexpr milliseconds LeaderlessRetryDelay{40};
 
 struct Scene
 {
@@ -43,6 +50,11 @@
     // Bursts of all teams, as a time of their rates.
     double burstSeconds = 1;
     TeamLimitRules rules = {Window, 0.1, 20, milliseconds(3000)};
+    // The leading instance freezes at LossTime, and poolers notice it as their links do. Otherwise
+    // they learn of a new leader with their next renewal.
+    bool isLeaderLost = false;
+    // A third of a usual objective.
+    Duration tokenWait = milliseconds(83);
 };
 
 // A clock that deviates from the true time by up to 0.4 %.
@@ -80,6 +92,8 @@
     // The instance that it is connected to, and the leadership as which it knows it.
     int leader = -1;
     std::uint64_t term = 0;
+    Duration lastAnswerAt{0};
+    bool isConnecting = false;
     Duration frozenUntil{0};
     Duration partitionedUntil{0};
     bool isRunning = true;
@@ -113,6 +127,8 @@
     void run()
     {
         this->scheduleFaults();
+        if (this->scene.isLeaderLost)
+            this->after(LossTime, [this] { this->loseLeader(); });
         if (this->scene.hasFaults)
             this->changeLoad();
         while (!this->events.empty() && this->events.begin()->first < RunTime) {
@@ -236,18 +252,58 @@
     void renew(Pooler &pooler)
     {
         if (pooler.isRunning && this->now >= pooler.frozenUntil) {
-            if (this->leader >= 0 && pooler.term != this->term
-                && this->now >= pooler.partitionedUntil) {
-                pooler.leader = this->leader;
-                pooler.term = this->term;
-                pooler.budget.disconnected();
-            }
+            const bool mayNotice = !this->scene.isLeaderLost || pooler.term == 0;
+            if (mayNotice && this->leader >= 0 && pooler.term != this->term
+                && this->now >= pooler.partitionedUntil)
+                this->follow(pooler);
+            if (this->scene.isLeaderLost && !pooler.isConnecting
+                && this->now >= pooler.lastAnswerAt + SilenceTimeout)
+                this->connectNext(pooler);
             if (pooler.budget.mayReport(pooler.clock.at(this->now)))
                 this->send(pooler);
         }
         this->after(Renewal, [this, &pooler] { this->renew(pooler); });
     }
 
+    void follow(Pooler &pooler)
+    {
+        pooler.leader = this->leader;
+        pooler.term = this->term;
+        pooler.lastAnswerAt = this->now;
+        pooler.isConnecting = false;
+        pooler.budget.disconnected();
+    }
+
+    // The pooler gives up its connection and tries one of the instances.
+    void connectNext(Pooler &pooler)
+    {
+        pooler.isConnecting = true;
+        pooler.leader = -1;
+        pooler.budget.disconnected();
+        const int next = static_cast<int>(this->random() % this->instances.size());
+        if (next == this->frozenInstance)
+            this->after(ConnectTimeout + this->between(milliseconds(50), milliseconds(150)),
+                        [this, &pooler] { this->connectNext(pooler); });
+        else
+            this->after(this->latency() + this->latency(),
+                        [this, &pooler] { this->askForLeader(pooler); });
+    }
+
+    void askForLeader(Pooler &pooler)
+    {
+        const Duration roundTrip = this->latency() + this->latency();
+        if (this->leader < 0) {
+            this->after(LeaderlessRetryDelay + roundTrip,
+                        [this, &pooler] { this->askForLeader(pooler); });
+            return;
+        }
+        // Redirection, and the handshake with the leader.
+        this->after(roundTrip + this->latency() + this->latency(), [this, &pooler] {
+            this->follow(pooler);
+            this->send(pooler);
+        });
+    }
+
     void send(Pooler &pooler)
     {
         const TokenReport report = pooler.budget.report(pooler.clock.at(this->now));
@@ -278,6 +334,7 @@
         if (!this->acts(pooler, run,
                         [this, &pooler, run, answer] { this->takeAnswer(pooler, run, answer); }))
             return;
+        pooler.lastAnswerAt = this->now;
         for (const TeamId &team : pooler.budget.answered(answer, pooler.clock.at(this->now)))
             this->serveWaiting(pooler, team);
         this->requestIfDue(pooler);
@@ -316,7 +373,7 @@
     {
         if (!pooler.isRunning || this->now < pooler.frozenUntil)
             return;
-        if (this->now >= StartTime)
+        if (this->isCounted())
             ++this->arrivals[team];
         const TimePoint local = pooler.clock.at(this->now);
         pooler.budget.arrived(team);
@@ -330,15 +387,21 @@
         waiting.push_back(this->now);
         pooler.budget.setWaiting(team, waiting.size());
         this->requestIfDue(pooler);
-        this->after(TokenWait, [this, &pooler, team] { this->dropLate(pooler, team); });
+        this->after(this->scene.tokenWait, [this, &pooler, team] { this->dropLate(pooler, team); });
     }
 
     void refuse(const TeamId &team, std::size_t count)
     {
-        if (this->now >= StartTime)
+        if (this->isCounted())
             this->refused[team] += count;
     }
 
+    bool isCounted() const
+    {
+        return this->scene.isLeaderLost ? this->now >= LossCountFrom && this->now < LossCountUntil
+                                        : this->now >= StartTime;
+    }
+
     bool start(Pooler &pooler, const TeamId &team)
     {
         const auto token = pooler.budget.take(team, pooler.clock.at(this->now));
@@ -379,7 +442,7 @@
     void dropLate(Pooler &pooler, const TeamId &team)
     {
         auto &waiting = pooler.waiting[team];
-        while (!waiting.empty() && this->now >= waiting.front() + TokenWait) {
+        while (!waiting.empty() && this->now >= waiting.front() + this->scene.tokenWait) {
             waiting.pop_front();
             this->refuse(team, 1);
         }
@@ -516,6 +579,12 @@
         });
     }
 
+    void loseLeader()
+    {
+        this->frozenInstance = std::exchange(this->leader, -1);
+        this->after(ElectionTime, [this] { this->elect((this->frozenInstance + 1) % 3); });
+    }
+
     Scene scene;
     std::mt19937_64 random;
     Duration now{0};
@@ -526,6 +595,7 @@
     std::uint64_t incarnation = 0;
     // Index of the leading instance; -1 for none.
     int leader = -1;
+    int frozenInstance = -1;
     std::uint64_t term = 0;
     Duration leadsFrom{0};
     std::map<TeamId, TeamLimit> limits;
@@ -612,3 +682,59 @@
         }
     }
 }
+
+struct LossCounts
+{
+    std::map<TeamId, std::size_t> arrived;
+    std::map<TeamId, std::size_t> refused;
+};
+
+LossCounts loseLeaders(int poolers)
+{
+    LossCounts counts;
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        Scene scene{seed, poolers, false};
+        scene.isLeaderLost = true;
+        // A third of the shortest objective, that of uploads.
+        scene.tokenWait = milliseconds(50);
+        LimitModel model(scene);
+        model.run();
+        model.checkWindows();
+        for (const auto &[team, count] : model.arrivals) {
+            counts.arrived[team] += count;
+            counts.refused[team] += model.refused[team];
+        }
+    }
+    return counts;
+}
+
+// Guards against a frozen leader that makes poolers refuse operations of teams below their limits.
+Test(team_limits_properties, lost_leader,
+     .description = "Around the loss of the leader, less than 1 % of all operations are refused")
+{
+    for (const int poolers : {30, 100, 300}) {
+        std::size_t arrived = 0;
+        std::size_t refused = 0;
+        const LossCounts counts = loseLeaders(poolers);
+        for (const auto &[team, count] : counts.arrived) {
+            arrived += count;
+            refused += counts.refused.at(team);
+        }
+        cr_expect_lt(refused * 100, arrived, "%d poolers: %zu of %zu refused", poolers, refused,
+                     arrived);
+    }
+}
+
+// Guards against a reserve that only the largest teams have.
+Test(team_limits_properties, lost_leader_each_team,
+     .description = "Around the loss of the leader, less than 1 % of a team's operations are "
+                    "refused")
+{
+    for (const int poolers : {30, 100, 300}) {
+        const LossCounts counts = loseLeaders(poolers);
+        for (const auto &[team, count] : counts.arrived)
+            cr_expect_lt(counts.refused.at(team) * 100, count,
+                         "%d poolers: %zu of %zu of %s refused", poolers, counts.refused.at(team),
+                         count, team.value.c_str());
+    }
+}
