Leave a leader that does not answer reports of tokens

A pooler noticed a frozen leader after 1.2 s without a message, although an election takes 0.35 s. LeaderMonitor raises an alarm after 350 ms, or eight usual times of an answer, and FleetLink then connects to another instance. Alarms spread by 1 ms for each pooler of the fleet; if the same leader answers again, the next alarms are later, up to 1.2 s. Without reports of tokens nothing changes.

--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -111,6 +111,8 @@
     message.answered = this->answered;
     this->sentAt[message.sequence] = EventLoop::now();
     this->connection->send(message);
+    if (message.tokens)
+        this->tokensReported();
 }
 
 void FleetLink::connectNext()
@@ -189,6 +191,7 @@
             return;
         }
         this->lastMessageAt = EventLoop::now();
+        this->monitor.heard(this->address, this->lastMessageAt);
         this->leaderlessPolls = 0;
         this->isAnswered = true;
         this->failures = 0;
@@ -210,6 +213,7 @@
         if (asked && this->hooks.positions)
             this->reportPositions();
     } else if (const auto *tokens = std::get_if<TokenAnswer>(&message)) {
+        this->monitor.heard(this->address, EventLoop::now());
         if (this->hooks.tokensAnswered)
             this->hooks.tokensAnswered(*tokens);
     } else if (const auto *redirection = std::get_if<FleetRedirect>(&message)) {
@@ -243,12 +247,38 @@
 {
     if (!this->connection || !this->isAnswered || !this->hooks.tokenRequest)
         return;
-    if (const std::optional<TokenRequest> request = this->hooks.tokenRequest())
+    if (const std::optional<TokenRequest> request = this->hooks.tokenRequest()) {
         this->connection->send(*request);
+        this->tokensReported();
+    }
+}
+
+void FleetLink::tokensReported()
+{
+    std::uniform_real_distribution<double> jitter(0, 1);
+    this->monitor.reportSent(this->poolers, jitter(this->random), EventLoop::now());
+    if (!std::exchange(this->isWatching, true))
+        this->watchAnswers();
+}
+
+void FleetLink::watchAnswers()
+{
+    const TimePoint due = this->monitor.silentAt();
+    this->isWatching = due != TimePoint::max();
+    if (!this->isWatching)
+        return;
+    this->loop.schedule(due, [this] {
+        if (!this->connection)
+            this->monitor.reportsEnded();
+        else if (this->monitor.isSilent(this->address, EventLoop::now()))
+            this->drop("tokens unanswered");
+        this->watchAnswers();
+    });
 }
 
 void FleetLink::forgetTokenReports()
 {
+    this->monitor.reportsEnded();
     if (this->hooks.tokensUnanswered)
         this->hooks.tokensUnanswered();
 }
@@ -283,6 +313,7 @@
     logEvent(LogLevel::Warning, "control_lost", {{"control", this->address}, {"cause", cause}});
     const ConnectionPtr former = std::exchange(this->connection, nullptr);
     this->isAnswered = false;
+    this->monitor.reportsEnded();
     former->close(CloseReason::Normal);
     this->connectNext();
 }
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -4,6 +4,7 @@
 
 #include "programs/support/seed_reader.hpp"
 #include "rhubarbweir/coordination/fleet/fleet_messages.hpp"
+#include "rhubarbweir/coordination/sessions/leader_monitor.hpp"
 #include "rhubarbweir/transport/web_socket.hpp"
 
 #include <functional>
@@ -65,6 +66,8 @@
     void receivePacked(const FleetLease &lease);
     void reportPositions();
     void forgetTokenReports();
+    void tokensReported();
+    void watchAnswers();
     void redirect(const std::string &leader);
     void drop(const std::string &cause);
     void retryLater();
@@ -90,6 +93,9 @@
     // Send times of unanswered renewals, by sequence.
     std::map<std::uint64_t, TimePoint> sentAt;
     TimePoint lastMessageAt;
+    // Of answers to reports of tokens. Its alarm is checked by at most one timer.
+    LeaderMonitor monitor;
+    bool isWatching = false;
     // Poolers of the fleet, as the last answer told; 0 before.
     std::uint32_t poolers = 0;
     // Consecutive answers without the address of another instance that leads.
--- a/tests/unit/team_limits.tests.cpp
+++ b/tests/unit/team_limits.tests.cpp
@@ -3,11 +3,13 @@
 #include "fakes/fleet_fixture.hpp"
 #include "fakes/pooler_fixture.hpp"
 #include "rhubarbweir/coordination/fleet/budget_allocator.hpp"
+#include "rhubarbweir/coordination/sessions/leader_monitor.hpp"
 #include "rhubarbweir/coordination/sessions/team_budget.hpp"
 #include "rhubarbweir/protocol/codec.hpp"
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 
@@ -370,6 +372,69 @@
     cr_assert_eq(fixture.statements().size(), 1);
 }
 
+// Guards against a lost leader that poolers keep waiting for, and against a fleet that leaves a
+// leader which is only slow.
+Test(team_limits, silent_leader,
+     .description = "A leader that leaves a report unanswered for several usual times is silent")
+{
+    LeaderMonitor monitor;
+    TimePoint now;
+    cr_assert(monitor.silentAt() == TimePoint::max(), "no report was sent");
+    for (int answer = 0; answer < 50; ++answer) {
+        monitor.reportSent(30, 0.5, now);
+        now += milliseconds(60);
+        monitor.heard("leader", now);
+        cr_assert(monitor.silentAt() == TimePoint::max());
+    }
+    monitor.reportSent(30, 0, now);
+    const TimePoint alarm = monitor.silentAt();
+    cr_assert_gt(alarm - now, milliseconds(400));
+    cr_assert_lt(alarm - now, milliseconds(500));
+    monitor.reportSent(30, 0, now + milliseconds(200));
+    cr_assert(monitor.silentAt() == alarm, "a further report postponed the alarm");
+    cr_assert(!monitor.isSilent("leader", alarm - milliseconds(1)));
+    cr_assert(monitor.isSilent("leader", alarm));
+    monitor.reportsEnded();
+    cr_assert(monitor.silentAt() == TimePoint::max());
+}
+
+// Guards against a crowd of poolers that leaves a stalled leader at once, and again and again.
+Test(team_limits, false_alarm,
+     .description = "Alarms spread with the number of poolers, and are later after false ones")
+{
+    TimePoint now;
+    Duration limit{0};
+    LeaderMonitor monitor;
+    for (int alarm = 0; alarm < 5; ++alarm) {
+        monitor.reportSent(300, 0, now);
+        const auto next = std::chrono::duration_cast<Duration>(monitor.silentAt() - now);
+        cr_assert(next >= std::min<Duration>(limit * 2, milliseconds(1200)));
+        cr_assert(next <= milliseconds(1200));
+        limit = next;
+        now = monitor.silentAt();
+        cr_assert(monitor.isSilent("leader", now));
+        monitor.reportsEnded();
+        monitor.heard("leader", now);
+    }
+    LeaderMonitor first;
+    LeaderMonitor last;
+    first.reportSent(300, 0, now);
+    last.reportSent(300, 1, now);
+    cr_assert(last.silentAt() - first.silentAt() == milliseconds(300));
+}
+
+// Guards against a resumed pooler that leaves a leader whose answer it has not read yet.
+Test(team_limits, delayed_alarm,
+     .description = "An alarm that this process has delayed is repeated after a while")
+{
+    LeaderMonitor monitor;
+    monitor.reportSent(30, 0, TimePoint());
+    const TimePoint resumed = TimePoint() + milliseconds(5000);
+    cr_assert(!monitor.isSilent("leader", resumed));
+    cr_assert(monitor.silentAt() > resumed);
+    cr_assert(monitor.isSilent("leader", monitor.silentAt()));
+}
+
 // Guards against costs for deployments without limits.
 Test(team_limits, without_limits,
      .description = "Without limited teams nothing is reported, and operations need no token")
--- a/tests/unit/team_limits_properties.tests.cpp
+++ b/tests/unit/team_limits_properties.tests.cpp
@@ -2,6 +2,7 @@
 // poolers, changes of the leader and changed limits, no window sees more operations of a team than
 // its limit allows; and below the limit nearly nothing is refused, also while the leader is lost.
 #include "rhubarbweir/coordination/fleet/budget_allocator.hpp"
+#include "rhubarbweir/coordination/sessions/leader_monitor.hpp"
 #include "rhubarbweir/coordination/sessions/team_budget.hpp"
 
 #include <criterion/criterion.h>
@@ -89,6 +90,7 @@
     ProxyRun run;
     Clock clock;
     TeamBudget budget;
+    LeaderMonitor monitor;
     // The instance that it is connected to, and the leadership as which it knows it.
     int leader = -1;
     std::uint64_t term = 0;
@@ -278,6 +280,7 @@
     void connectNext(Pooler &pooler)
     {
         pooler.isConnecting = true;
+        pooler.monitor.reportsEnded();
         pooler.leader = -1;
         pooler.budget.disconnected();
         const int next = static_cast<int>(this->random() % this->instances.size());
@@ -309,11 +312,28 @@
         const TokenReport report = pooler.budget.report(pooler.clock.at(this->now));
         if (pooler.leader < 0 || this->now < pooler.partitionedUntil)
             return;
+        this->watch(pooler);
         this->after(this->latency(), [this, &pooler, run = pooler.run, report, to = pooler.leader] {
             this->receive(pooler, run, report, to);
         });
     }
 
+    void watch(Pooler &pooler)
+    {
+        if (!this->scene.isLeaderLost)
+            return;
+        const double jitter = static_cast<double>(this->random() % 1000) / 1000;
+        pooler.monitor.reportSent(this->poolers.size(), jitter, pooler.clock.at(this->now));
+        const auto delay = std::chrono::duration_cast<Duration>(pooler.monitor.silentAt()
+                                                                - pooler.clock.at(this->now));
+        this->after(delay + milliseconds(1), [this, &pooler] {
+            if (!pooler.isConnecting
+                && pooler.monitor.isSilent(std::to_string(pooler.leader),
+                                           pooler.clock.at(this->now)))
+                this->connectNext(pooler);
+        });
+    }
+
     void receive(Pooler &pooler, const ProxyRun &run, const TokenReport &report, int to)
     {
         if (to != this->leader || this->now < this->leadsFrom)
@@ -335,6 +355,7 @@
                         [this, &pooler, run, answer] { this->takeAnswer(pooler, run, answer); }))
             return;
         pooler.lastAnswerAt = this->now;
+        pooler.monitor.heard(std::to_string(pooler.leader), pooler.clock.at(this->now));
         for (const TeamId &team : pooler.budget.answered(answer, pooler.clock.at(this->now)))
             this->serveWaiting(pooler, team);
         this->requestIfDue(pooler);
