Try another instance first after a leader was silent

A third of the poolers that left a frozen leader tried the same instance again, and lost the 250 ms of a connection attempt and the delay before the next one. Only for the alarm of unanswered tokens.

--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -118,8 +118,12 @@
 void FleetLink::connectNext()
 {
     const std::vector<std::string> controls = this->knownControls();
-    if (!controls.empty())
-        this->connect(controls[this->nextControl++ % controls.size()]);
+    const std::string lost = std::exchange(this->lostControl, std::string());
+    if (controls.empty())
+        return;
+    if (controls.size() > 1 && controls[this->nextControl % controls.size()] == lost)
+        ++this->nextControl;
+    this->connect(controls[this->nextControl++ % controls.size()]);
 }
 
 void FleetLink::connect(const std::string &target)
@@ -268,10 +272,12 @@
     if (!this->isWatching)
         return;
     this->loop.schedule(due, [this] {
-        if (!this->connection)
+        if (!this->connection) {
             this->monitor.reportsEnded();
-        else if (this->monitor.isSilent(this->address, EventLoop::now()))
+        } else if (this->monitor.isSilent(this->address, EventLoop::now())) {
+            this->lostControl = this->address;
             this->drop("tokens unanswered");
+        }
         this->watchAnswers();
     });
 }
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -81,6 +81,8 @@
     ConnectionPtr connection;
     std::string address;
     std::size_t nextControl = 0;
+    // Left for its silence; the next attempt passes over it. Empty otherwise.
+    std::string lostControl;
     bool isConnecting = false;
     // Whether the connected instance has answered a renewal.
     bool isAnswered = false;
--- a/tests/unit/team_limits_properties.tests.cpp
+++ b/tests/unit/team_limits_properties.tests.cpp
@@ -281,9 +281,11 @@
     {
         pooler.isConnecting = true;
         pooler.monitor.reportsEnded();
-        pooler.leader = -1;
+        const int former = std::exchange(pooler.leader, -1);
         pooler.budget.disconnected();
-        const int next = static_cast<int>(this->random() % this->instances.size());
+        int next = static_cast<int>(this->random() % this->instances.size());
+        if (next == former)
+            next = (next + 1) % static_cast<int>(this->instances.size());
         if (next == this->frozenInstance)
             this->after(ConnectTimeout + this->between(milliseconds(50), milliseconds(150)),
                         [this, &pooler] { this->connectNext(pooler); });
