Let a new leader grant what first reports prove to have been spent

A new leader counted 8 x D / poolers for each pooler that had not reported. With more than an eighth of them missing this exceeded D, so it granted nothing until nearly all had reconnected. All poolers together held at most D when the former leader ended, so those that are missing hold at most what is left beside what the others prove: the tokens that they hold, and those that they have spent since the last report that a leader may have counted.

The property test also checks that bucket and poolers together hold at most D after the start of a leader.

--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -282,16 +282,16 @@
     });
 }
 
-void FleetLink::forgetTokenReports()
+void FleetLink::forgetTokenReports(bool isRefused)
 {
     this->monitor.reportsEnded();
     if (this->hooks.tokensUnanswered)
-        this->hooks.tokensUnanswered();
+        this->hooks.tokensUnanswered(isRefused);
 }
 
 void FleetLink::redirect(const std::string &leader)
 {
-    this->forgetTokenReports();
+    this->forgetTokenReports(true);
     this->isAnswered = false;
     const bool isElsewhere = !leader.empty() && leader != this->address;
     const Duration delay =
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -30,7 +30,8 @@
     std::function<std::optional<TokenRequest>()> tokenRequest;
     std::function<void(const TokenAnswer &)> tokensAnswered;
     // Reports of tokens so far will not be answered; the next one goes to another instance.
-    std::function<void()> tokensUnanswered;
+    // `isRefused` if the instance does not lead, and has counted none.
+    std::function<void(bool isRefused)> tokensUnanswered;
     // An observer gets answers without a lease.
     bool isObserver = false;
 };
@@ -65,7 +66,7 @@
     void receive(const Message &message);
     void receivePacked(const FleetLease &lease);
     void reportPositions();
-    void forgetTokenReports();
+    void forgetTokenReports(bool isRefused = false);
     void tokensReported();
     void watchAnswers();
     void redirect(const std::string &leader);
--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -257,9 +257,9 @@
         this->pooler.tokensAnswered(answer, EventLoop::now());
         this->scheduleAdvance();
     };
-    hooks.tokensUnanswered = [this] {
+    hooks.tokensUnanswered = [this](bool isRefused) {
         this->reportsTokens = false;
-        this->pooler.tokensUnanswered();
+        this->pooler.tokensUnanswered(isRefused);
     };
     return hooks;
 }
@@ -547,7 +547,7 @@
     if (tokens)
         this->pooler.tokensAnswered(*tokens, EventLoop::now());
     else if (this->reportsTokens)
-        this->pooler.tokensUnanswered();
+        this->pooler.tokensUnanswered(false);
     this->reportsTokens = false;
 }
 
--- a/src/rhubarbweir/coordination/control/control_messages.hpp
+++ b/src/rhubarbweir/coordination/control/control_messages.hpp
@@ -112,6 +112,9 @@
     std::uint32_t waiting = 0;
     // Further tokens for operations that are expected soon.
     std::uint32_t wanted = 0;
+    // Only in a whole report: tokens that have not reached their deadlines, and were spent after
+    // the last report that a leader may have counted. That leader counts them as held.
+    std::uint32_t spentUncounted = 0;
 };
 
 // A session pooler's tokens and its requests for more. A pooler awaits one answer at a time: with
--- a/src/rhubarbweir/coordination/fleet/budget_allocator.cpp
+++ b/src/rhubarbweir/coordination/fleet/budget_allocator.cpp
@@ -110,7 +110,9 @@
     if (now >= this->unreportedUntil || this->unreported.empty())
         return 0;
     const std::uint32_t each = this->largestHolding(bucket, this->unreportedAmong);
-    return static_cast<double>(this->unreported.size()) * each;
+    const double rest =
+        std::max(0.0, bucket.capacity - static_cast<double>(bucket.formerlyAtReported));
+    return std::min(rest, static_cast<double>(this->unreported.size()) * each);
 }
 
 BudgetAllocator::Bucket *BudgetAllocator::bucketOf(const TeamId &team)
@@ -220,6 +222,8 @@
         holding.tokens = std::min(use.held, this->largestHolding(*bucket, 1));
         holding.endsAt = this->endOfTokens(now);
         bucket->atPoolers += holding.tokens;
+        if (now < this->unreportedUntil)
+            bucket->formerlyAtReported += std::uint64_t{holding.tokens} + use.spentUncounted;
     } else {
         this->expire(use.team, holding, now);
         const std::uint64_t spent = use.spent - std::min(use.spent, holding.spent);
--- a/src/rhubarbweir/coordination/fleet/budget_allocator.hpp
+++ b/src/rhubarbweir/coordination/fleet/budget_allocator.hpp
@@ -6,7 +6,8 @@
 // the window refills. A token that a pooler holds counts until the pooler reports it as spent or
 // unspent or its lifetime has passed; only tokens that are known to be unspent return to the
 // bucket. A new leader does not know the tokens that its predecessor granted. For each registered
-// pooler that has not reported yet, it assumes the most that one pooler may hold.
+// pooler that has not reported yet, it assumes the most that one pooler may hold, and for all of
+// them together no more than what the predecessor can have granted beside what others report.
 #pragma once
 
 #include "rhubarbweir/coordination/control/lease_tracker.hpp"
@@ -89,6 +90,9 @@
         double tokens = 0;
         // Sum over all holdings of the team.
         std::uint64_t atPoolers = 0;
+        // What first reports prove to have been at their poolers when the former leader ended. No
+        // more than the rest of the capacity was at the poolers that have not reported.
+        std::uint64_t formerlyAtReported = 0;
         TimePoint refilledAt;
         TimePoint nextLogAt;
     };
--- a/src/rhubarbweir/coordination/sessions/internal/session_tokens.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_tokens.cpp
@@ -168,6 +168,14 @@
     this->requestTokensIfDue(now);
 }
 
+void SessionPooler::tokensUnanswered(bool isRefused)
+{
+    if (isRefused)
+        this->budget.refused();
+    else
+        this->budget.disconnected();
+}
+
 void SessionPooler::requestTokensIfDue(TimePoint now)
 {
     if (now < this->budget.requestDueAt())
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -62,7 +62,8 @@
     std::optional<TokenReport> tokenReport(TimePoint now);
     void tokensAnswered(const TokenAnswer &answer, TimePoint now);
     // The answer to the last report will not come, or the next one goes to another instance.
-    void tokensUnanswered() { this->budget.disconnected(); }
+    // `isRefused` if the instance does not lead, and has not counted the report.
+    void tokensUnanswered(bool isRefused);
 
     void advance(TimePoint now);
     // When advance() is due.
--- a/src/rhubarbweir/coordination/sessions/team_budget.cpp
+++ b/src/rhubarbweir/coordination/sessions/team_budget.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <utility>
 
 namespace rhubarbweir {
 
@@ -106,10 +107,12 @@
             continue;
         --slot.taken;
         ++account.changes;
-        if (hasRun)
+        if (hasRun) {
             ++account.spent;
-        else
+            ++slot.spent;
+        } else {
             ++slot.free;
+        }
         return;
     }
 }
@@ -153,15 +156,19 @@
         use.held = heldBy(account);
         use.waiting = account.waiting;
         std::uint32_t free = 0;
-        for (const Slot &slot : account.slots)
+        for (Slot &slot : account.slots) {
             free += slot.free;
+            if (this->epoch == 0)
+                use.spentUncounted += slot.spent;
+            slot.spentInFlight = std::exchange(slot.spent, 0);
+        }
         const auto expected =
             account.rate < MinRate
                 ? 0U
                 : static_cast<std::uint32_t>(std::ceil(account.rate * ExpectedSeconds));
         use.wanted = expected - std::min(expected, free);
         const bool isNews = account.changes != account.known || use.waiting != 0 || use.wanted != 0
-                            || (this->epoch == 0 && use.held != 0);
+                            || (this->epoch == 0 && (use.held != 0 || use.spentUncounted != 0));
         if (isNews) {
             // Until the answer arrives, the leader may have granted what is not known here.
             account.reported = ++account.changes;
@@ -213,7 +220,7 @@
             if (!account.slots.empty() && deadline < account.slots.back().deadline + SlotLength)
                 account.slots.back().free += grant.tokens;
             else
-                account.slots.push_back({deadline, grant.tokens, 0});
+                account.slots.push_back({deadline, grant.tokens});
         } else if (grant.tokens != 0) {
             ++account.changes;
         }
@@ -227,8 +234,21 @@
     return affected;
 }
 
+void TeamBudget::refused()
+{
+    for (auto &[team, account] : this->accounts) {
+        for (Slot &slot : account.slots)
+            slot.spent += std::exchange(slot.spentInFlight, 0);
+    }
+    this->disconnected();
+}
+
 void TeamBudget::disconnected()
 {
+    for (auto &[team, account] : this->accounts) {
+        for (Slot &slot : account.slots)
+            slot.spentInFlight = 0;
+    }
     this->sentAt.reset();
     this->epoch = 0;
     this->isSupported = false;
--- a/src/rhubarbweir/coordination/sessions/team_budget.hpp
+++ b/src/rhubarbweir/coordination/sessions/team_budget.hpp
@@ -58,6 +58,9 @@
     // The report in flight will not be answered, and the next one is for an instance that knows
     // none of the former ones.
     void disconnected();
+    // As disconnected(), but the report in flight is known not to have been counted: the instance
+    // does not lead.
+    void refused();
 
     std::uint32_t held(const TeamId &team, TimePoint now);
 
@@ -69,6 +72,9 @@
         std::uint32_t free = 0;
         // Taken by operations that have neither run nor been refused.
         std::uint32_t taken = 0;
+        // Spent since the last report, and before the report in flight since the one before it.
+        std::uint32_t spent = 0;
+        std::uint32_t spentInFlight = 0;
     };
 
     struct Account
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -78,6 +78,8 @@
 inline void to_json(nlohmann::json &to, const TeamTokenUse &use)
 {
     to = nlohmann::json::array({use.team, use.spent, use.held, use.waiting, use.wanted});
+    if (use.spentUncounted != 0)
+        to.push_back(use.spentUncounted);
 }
 inline void from_json(const nlohmann::json &from, TeamTokenUse &use)
 {
@@ -86,6 +88,7 @@
     from.at(2).get_to(use.held);
     from.at(3).get_to(use.waiting);
     from.at(4).get_to(use.wanted);
+    use.spentUncounted = from.size() > 5 ? from.at(5).get<std::uint32_t>() : 0;
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TokenReport, sequence, epoch, teams)
 inline void to_json(nlohmann::json &to, const RenewLease &renewal)
--- a/tests/unit/team_limits.tests.cpp
+++ b/tests/unit/team_limits.tests.cpp
@@ -205,6 +205,59 @@
     cr_assert_gt(tokensIn(fleet.exchange(budget, "p", 30)), 5);
 }
 
+// Guards against a new leader that grants nothing until the last pooler has reported, and against
+// one that grants more than the unreported pooler leaves.
+Test(team_limits, reported_use,
+     .description = "A new leader grants what first reports prove to have been spent")
+{
+    LimitFixture fleet;
+    fleet.allocator.beginLeadership();
+    fleet.allocator.start({{InstanceId("silent"), 1}, {InstanceId("p"), 1}}, fleet.now);
+    fleet.allocator.setLimits({{Blue, {10, 10}}}, fleet.now);
+    TokenReport report;
+    report.sequence = 1;
+    report.teams = {{Blue, 20, 0, 0, 0, 20}};
+    const ProxyRun run{InstanceId("p"), 1};
+    cr_assert_eq(tokensIn(fleet.allocator.answer(run, report, fleet.now)), 0);
+    std::uint32_t granted = 0;
+    for (report.sequence = 2; report.sequence < 10; ++report.sequence) {
+        fleet.now += milliseconds(350);
+        // Reports after the first prove nothing further.
+        report.teams = {{Blue, 20, granted, 30, 0, 20}};
+        granted += tokensIn(fleet.allocator.answer(run, report, fleet.now));
+        cr_assert_leq(granted, 3.5 * static_cast<double>(report.sequence - 1));
+    }
+    cr_assert_eq(granted, 20);
+}
+
+// Guards against operations that prove room at two leaders.
+Test(team_limits, uncounted_use,
+     .description = "A whole report tells what was spent since a leader may have counted a report")
+{
+    LimitFixture fleet;
+    TeamBudget budget;
+    fleet.exchange(budget, "p", 20);
+    const auto spend = [&fleet, &budget](int count) {
+        for (int operation = 0; operation < count; ++operation)
+            budget.settle(Blue, *budget.take(Blue, fleet.now), true, fleet.now);
+    };
+    spend(3);
+    budget.disconnected();
+    cr_assert_eq(fleet.reportOf(budget, 0).teams.at(0).spentUncounted, 3);
+    spend(2);
+    budget.refused();
+    cr_assert_eq(fleet.reportOf(budget, 0).teams.at(0).spentUncounted, 5);
+    budget.disconnected();
+    spend(1);
+    const TeamTokenUse use = fleet.reportOf(budget, 0).teams.at(0);
+    cr_assert_eq(use.spentUncounted, 1);
+    cr_assert_eq(use.held, 14);
+    budget.refused();
+    fleet.now += milliseconds(3000);
+    const TeamTokenUse ended = fleet.reportOf(budget, 1).teams.at(0);
+    cr_assert_eq(ended.spentUncounted, 0, "ended tokens were not counted at the former leader");
+}
+
 // Guards against tokens of a lost pooler that count twice.
 Test(team_limits, lost_pooler,
      .description = "Tokens of a lost pooler count as spent, and their room is refilled only after "
@@ -490,6 +543,10 @@
     renewal.tokens = TokenReport{7, 3, {{Blue, 5, 4, 3, 2}}};
     const auto report = std::get<RenewLease>(*decode(encode(renewal))).tokens;
     cr_assert(report && report->epoch == 3 && report->teams.at(0).waiting == 3);
+    cr_assert(encode(renewal, Encoding::Json).find("[\"team\",5,4,3,2]") != std::string::npos);
+    renewal.tokens->teams[0].spentUncounted = 1;
+    const auto whole = std::get<RenewLease>(*decode(encode(renewal))).tokens;
+    cr_assert_eq(whole->teams.at(0).spentUncounted, 1);
     FleetLease lease;
     cr_assert_eq(encode(lease, Encoding::Json).find("tokens"), std::string::npos);
     lease.tokens = TokenAnswer{7, 3, false, milliseconds(3000), {{Blue, 2, true}}};
--- a/tests/unit/team_limits_properties.tests.cpp
+++ b/tests/unit/team_limits_properties.tests.cpp
@@ -36,6 +36,7 @@
 constexpr milliseconds LossCountFrom{6000};
 constexpr milliseconds LossCountUntil{16000};
 constexpr milliseconds ElectionTime{350};
+constexpr milliseconds HeldCheckInterval{100};
 // Delays of a pooler's link to a frozen instance and to one that knows no leader.
 constexpr milliseconds SilenceTimeout{1200};
 constexpr milliseconds ConnectTimeout{250};
@@ -133,6 +134,7 @@
             this->after(LossTime, [this] { this->loseLeader(); });
         if (this->scene.hasFaults)
             this->changeLoad();
+        this->after(HeldCheckInterval, [this] { this->checkHeld(); });
         while (!this->events.empty() && this->events.begin()->first < RunTime) {
             const auto event = this->events.begin();
             this->now = event->first;
@@ -602,6 +604,29 @@
         });
     }
 
+    // After the start of a leader, what its bucket and all poolers together hold would show tokens
+    // that it granted too many before operations do. Not for a while after changed limits.
+    void checkHeld()
+    {
+        this->after(HeldCheckInterval, [this] { this->checkHeld(); });
+        const bool isSettled =
+            this->now >= this->history.rbegin()->first + 2 * Window || this->history.size() == 1;
+        if (this->leader < 0 || !isSettled || this->now >= this->leadsFrom + Window)
+            return;
+        const BudgetAllocator &allocator =
+            this->instances[static_cast<std::size_t>(this->leader)]->allocator;
+        for (const auto &[team, status] : allocator.status()) {
+            double held = status.bucket;
+            for (const auto &pooler : this->poolers) {
+                if (pooler->isRunning)
+                    held += pooler->budget.held(team, pooler->clock.at(this->now));
+            }
+            cr_assert_leq(held, status.capacity + 0.001, "seed %u, %d poolers: %g of %g at %lld us",
+                          this->scene.seed, this->scene.poolers, held, status.capacity,
+                          static_cast<long long>(this->now.count()));
+        }
+    }
+
     void loseLeader()
     {
         this->frozenInstance = std::exchange(this->leader, -1);
@@ -743,6 +768,7 @@
             arrived += count;
             refused += counts.refused.at(team);
         }
+        cr_log_info("%d poolers: %zu of %zu refused", poolers, refused, arrived);
         cr_expect_lt(refused * 100, arrived, "%d poolers: %zu of %zu refused", poolers, refused,
                      arrived);
     }
