Keep a token for a team that is used rarely, and return idle tokens before they end

A pooler kept a token for a team at 0.15 operations per second and more, smoothed over 1.5 s, so for 2 s after an operation of a small team. It now keeps one for 10 s. Idle tokens used to end at poolers, which counts as spent; a report now gives them up up to 600 ms before and asks for new ones.

--- a/src/rhubarbweir/coordination/sessions/team_budget.cpp
+++ b/src/rhubarbweir/coordination/sessions/team_budget.cpp
@@ -26,8 +26,10 @@
 // With 0.8 s, a change refused about three times as many operations of a large team at 100 poolers;
 // more than 1.2 s did not help further, as the tokens at poolers then keep the bucket from filling.
 constexpr double ExpectedSeconds = 1.2;
-// A team with a lower rate keeps no token for its next operation.
-constexpr double MinRate = 0.15;
+// A team of which no operation arrived for this long keeps no token for its next operation.
+constexpr std::chrono::seconds KeepTime{10};
+// Idle tokens that end before the next renewal, or soon after it, are exchanged for new ones.
+constexpr std::chrono::milliseconds ExchangeTime{600};
 // Tokens whose deadlines are closer than this share the earlier one.
 constexpr std::chrono::milliseconds SlotLength{250};
 
@@ -135,12 +137,26 @@
     const double elapsed = std::chrono::duration<double>(now - this->ratesUpdatedAt).count();
     const double kept = std::exp(-std::max(0.0, elapsed) / RateSeconds);
     for (auto &[team, account] : this->accounts) {
+        if (account.arrivals != 0)
+            account.arrivedAt = now;
         account.rate = account.rate * kept + account.arrivals / RateSeconds;
         account.arrivals = 0;
     }
     this->ratesUpdatedAt = now;
 }
 
+// Gives up idle tokens that end soon. The leader takes them for unspent, whereas tokens that have
+// ended count as spent. A leader that does not know them could not return them to the bucket.
+void TeamBudget::returnIdle(Account &account, TimePoint now) const
+{
+    for (Slot &slot : account.slots) {
+        if (this->epoch == 0 || now < slot.deadline - ExchangeTime || slot.free == 0)
+            continue;
+        slot.free = 0;
+        ++account.changes;
+    }
+}
+
 TokenReport TeamBudget::report(TimePoint now)
 {
     this->updateRates(now);
@@ -150,6 +166,7 @@
     for (auto entry = this->accounts.begin(); entry != this->accounts.end();) {
         Account &account = entry->second;
         expire(account, now);
+        this->returnIdle(account, now);
         TeamTokenUse use;
         use.team = entry->first;
         use.spent = account.spent;
@@ -162,10 +179,9 @@
                 use.spentUncounted += slot.spent;
             slot.spentInFlight = std::exchange(slot.spent, 0);
         }
+        const bool isUsed = now < account.arrivedAt + KeepTime;
         const auto expected =
-            account.rate < MinRate
-                ? 0U
-                : static_cast<std::uint32_t>(std::ceil(account.rate * ExpectedSeconds));
+            isUsed ? static_cast<std::uint32_t>(std::ceil(account.rate * ExpectedSeconds)) : 0U;
         use.wanted = expected - std::min(expected, free);
         const bool isNews = account.changes != account.known || use.waiting != 0 || use.wanted != 0
                             || (this->epoch == 0 && (use.held != 0 || use.spentUncounted != 0));
@@ -173,7 +189,7 @@
             // Until the answer arrives, the leader may have granted what is not known here.
             account.reported = ++account.changes;
             report.teams.push_back(use);
-        } else if (use.held == 0 && account.rate < MinRate && now >= account.exhaustedUntil) {
+        } else if (use.held == 0 && !isUsed && now >= account.exhaustedUntil) {
             this->largestSpent = std::max(this->largestSpent, account.spent);
             entry = this->accounts.erase(entry);
             continue;
--- a/src/rhubarbweir/coordination/sessions/team_budget.hpp
+++ b/src/rhubarbweir/coordination/sessions/team_budget.hpp
@@ -86,6 +86,8 @@
         // Operations that arrived since the rate was updated, and their smoothed rate per second.
         std::uint32_t arrivals = 0;
         double rate = 0;
+        // When the rate was last updated with arrivals; far in the past before.
+        TimePoint arrivedAt = TimePoint::min();
         TimePoint exhaustedUntil;
         // Counts changes; those that the report in flight holds, and those that the leader knows.
         std::uint64_t changes = 0;
@@ -96,6 +98,7 @@
     Account &accountOf(const TeamId &team);
     static void expire(Account &account, TimePoint now);
     static std::uint32_t heldBy(const Account &account);
+    void returnIdle(Account &account, TimePoint now) const;
     void updateRates(TimePoint now);
 
     // Teams of which operations arrived lately or tokens are held.
--- a/tests/unit/team_limits.tests.cpp
+++ b/tests/unit/team_limits.tests.cpp
@@ -258,6 +258,29 @@
     cr_assert_eq(ended.spentUncounted, 0, "ended tokens were not counted at the former leader");
 }
 
+// Guards against a small team whose tokens end unused at poolers.
+Test(team_limits, idle_tokens,
+     .description = "Idle tokens that end soon return to the bucket, and new ones are asked for")
+{
+    LimitFixture fleet;
+    TeamBudget budget;
+    fleet.exchange(budget, "p", 2);
+    budget.arrived(Blue);
+    fleet.exchange(budget, "p", 0);
+    fleet.now += milliseconds(2500);
+    const TokenReport report = fleet.reportOf(budget, 0);
+    cr_assert_eq(report.teams.at(0).held, 0);
+    cr_assert_eq(report.teams.at(0).spent, 0);
+    cr_assert_eq(report.teams.at(0).wanted, 1);
+    cr_assert_eq(budget.held(Blue, fleet.now), 0);
+    budget.answered(fleet.allocator.answer({InstanceId("p"), 1}, report, fleet.now), fleet.now);
+    cr_assert_eq(fleet.allocator.status().at(Blue).atPoolers, 1);
+    cr_assert_eq(budget.held(Blue, fleet.now + milliseconds(2900)), 1);
+    budget.disconnected();
+    fleet.now += milliseconds(2500);
+    cr_assert_eq(fleet.reportOf(budget, 0).teams.at(0).held, 1, "a new leader cannot return them");
+}
+
 // Guards against tokens of a lost pooler that count twice.
 Test(team_limits, lost_pooler,
      .description = "Tokens of a lost pooler count as spent, and their room is refilled only after "
