--- a/tests/unit/team_limits_properties.tests.cpp
+++ b/tests/unit/team_limits_properties.tests.cpp
@@ -44,6 +44,21 @@
 constexpr milliseconds ConnectTimeout{250};
 constexpr milliseconds LeaderlessRetryDelay{40};
 
+// Operations of ckaa-photos-grown: uploads, curation and browsing.
+struct OperationKind
+{
+    unsigned percent;
+    Duration objective;
+    Duration work;
+};
+constexpr std::array<OperationKind, 3> Kinds = {{
+    {13, milliseconds(150), milliseconds(6)},
+    {63, milliseconds(250), milliseconds(18)},
+    {24, milliseconds(1000), milliseconds(30)},
+}};
+// A third of a usual objective, in scenes without a lost leader.
+constexpr milliseconds TokenWait{83};
+
 struct Scene
 {
     unsigned seed = 1;
@@ -57,8 +72,6 @@
     // The leading instance freezes at LossTime, and poolers notice it as their links do. Otherwise
     // they learn of a new leader with their next renewal.
     bool isLeaderLost = false;
-    // A third of a usual objective.
-    Duration tokenWait = milliseconds(83);
 };
 
 // A clock that deviates from the true time by up to 0.4 %.
@@ -102,7 +115,7 @@
     Duration frozenUntil{0};
     Duration partitionedUntil{0};
     bool isRunning = true;
-    // Arrival times of operations that wait for a token.
+    // When operations that wait for a token give up.
     std::map<TeamId, std::deque<Duration>> waiting;
     // The pooler's part of each team's load.
     std::map<TeamId, double> share;
@@ -412,10 +425,22 @@
             return;
         }
         auto &waiting = pooler.waiting[team];
-        waiting.push_back(this->now);
+        const Duration wait = this->tokenWait();
+        waiting.push_back(this->now + wait);
         pooler.budget.setWaiting(team, waiting.size());
         this->requestIfDue(pooler);
-        this->after(this->scene.tokenWait, [this, &pooler, team] { this->dropLate(pooler, team); });
+        this->after(wait, [this, &pooler, team] { this->dropLate(pooler, team); });
+    }
+
+    Duration tokenWait()
+    {
+        if (!this->scene.isLeaderLost)
+            return TokenWait;
+        unsigned percentile = static_cast<unsigned>(this->random() % 100);
+        std::size_t kind = 0;
+        while (percentile >= Kinds.at(kind).percent)
+            percentile -= Kinds.at(kind++).percent;
+        return Kinds.at(kind).objective / 3;
     }
 
     void refuse(const TeamId &team, std::size_t count)
@@ -470,10 +495,10 @@
     void dropLate(Pooler &pooler, const TeamId &team)
     {
         auto &waiting = pooler.waiting[team];
-        while (!waiting.empty() && this->now >= waiting.front() + this->scene.tokenWait) {
-            waiting.pop_front();
-            this->refuse(team, 1);
-        }
+        const auto late = std::remove_if(waiting.begin(), waiting.end(),
+                                         [this](Duration end) { return this->now >= end; });
+        this->refuse(team, static_cast<std::size_t>(waiting.end() - late));
+        waiting.erase(late, waiting.end());
         pooler.budget.setWaiting(team, waiting.size());
     }
 
@@ -746,8 +771,6 @@
     for (unsigned seed = 1; seed <= 10; ++seed) {
         Scene scene{seed, poolers, false};
         scene.isLeaderLost = true;
-        // A third of the shortest objective, that of uploads.
-        scene.tokenWait = milliseconds(50);
         LimitModel model(scene);
         model.run();
         model.checkWindows();
