Let an operation wait for a token for as long as it can be in time

An operation without a token was refused after a third of its objective: 50 ms of 150 ms, although an election takes 200 to 350 ms. It now waits until its objective less twice the usual work of its group is over; a third where the work is not known. A leader that has not answered for 1.5 s still counts as lost, and a team at its limit is still refused at once.

--- a/src/rhubarbweir/coordination/sessions/internal/session_tokens.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_tokens.cpp
@@ -53,8 +53,11 @@
         return;
     }
     pending.stage = StatementStage::AwaitingToken;
+    const Duration objective = std::min(pending.route.timeout, pending.route.latencyObjective);
     pending.resumeAt =
-        pending.arrivedAt + pending.route.latencyObjective / this->settings.tokenWaitDivisor;
+        pending.arrivedAt
+        + TeamBudget::longestWait(objective,
+                                  this->queue.usualWork(pending.route.group, pending.needsPrimary));
     waiting.push_back(session.number);
     this->budget.setWaiting(session.team, waiting.size());
     this->requestTokensIfDue(now);
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -94,8 +94,6 @@
     std::optional<Duration> revokeWithin;
     // Whether the limits of teams are kept.
     bool limitsTeams = false;
-    // An operation waits for a token for at most its latency objective divided by this.
-    unsigned tokenWaitDivisor = 3;
     // Limit on queued statements over all groups; further ones are refused.
     std::size_t queueLimit = 512;
     // Limit on the queued statements of one team over all groups. A quarter of the limit on all, so
--- a/src/rhubarbweir/coordination/sessions/statement_queue.cpp
+++ b/src/rhubarbweir/coordination/sessions/statement_queue.cpp
@@ -142,6 +142,13 @@
     work = work == Duration::zero() ? took : work + (took - work) / Smoothing;
 }
 
+Duration StatementQueue::usualWork(const GroupId &group, bool needsPrimary) const
+{
+    const auto found = this->groups.find(group);
+    return found == this->groups.end() ? Duration::zero()
+                                       : found->second.paces.at(needsPrimary).work;
+}
+
 double StatementQueue::givenWork(const GroupQueue &queue, const TeamId &team, TimePoint now)
 {
     const auto found = queue.teams.find(team);
--- a/src/rhubarbweir/coordination/sessions/statement_queue.hpp
+++ b/src/rhubarbweir/coordination/sessions/statement_queue.hpp
@@ -99,6 +99,9 @@
     // A statement was answered after `took`.
     void answered(const GroupId &group, bool needsPrimary, Duration took);
 
+    // From sending a statement to its answer, smoothed; 0 while unknown.
+    Duration usualWork(const GroupId &group, bool needsPrimary) const;
+
     // Moves the statements that can no longer be in time behind the others, and returns those that
     // are to be refused.
     std::vector<QueueRefusal> expire(TimePoint now);
--- a/src/rhubarbweir/coordination/sessions/team_budget.cpp
+++ b/src/rhubarbweir/coordination/sessions/team_budget.cpp
@@ -20,6 +20,11 @@
 constexpr std::chrono::milliseconds AnswerTimeout{1000};
 // A leader that has not answered for this long is lost. About three renewals.
 constexpr std::chrono::milliseconds LeaderTimeout{1500};
+// An operation without a token leaves this many times its usual work of its objective, as it may
+// still have to wait for a connection.
+constexpr int WorkTimes = 2;
+// Where the work is not known, or long, an operation waits for this part of its objective.
+constexpr int ObjectiveDivisor = 3;
 // Time constant of the smoothed rates. With 1.5 s, a change of the leader refused 2.0 % instead of
 // 1.7 % of the operations at 300 poolers, of which most get about one operation per second.
 constexpr double RateSeconds = 3;
@@ -101,6 +106,12 @@
                : TokenShortage::Awaited;
 }
 
+Duration TeamBudget::longestWait(Duration objective, Duration work)
+{
+    const Duration least = objective / ObjectiveDivisor;
+    return work == Duration::zero() ? least : std::max(least, objective - WorkTimes * work);
+}
+
 void TeamBudget::settle(const TeamId &team, TimePoint token, bool hasRun, TimePoint now)
 {
     Account &account = this->accountOf(team);
--- a/src/rhubarbweir/coordination/sessions/team_budget.hpp
+++ b/src/rhubarbweir/coordination/sessions/team_budget.hpp
@@ -38,6 +38,9 @@
     // Takes a token. Returns its deadline, by which settle() finds it, or nothing if there is none.
     std::optional<TimePoint> take(const TeamId &team, TimePoint now);
     TokenShortage shortage(const TeamId &team, TimePoint now) const;
+    // How long after its arrival an operation that usually takes `work` to run may wait for a
+    // token, with a latency objective. `work` is 0 if it is not known.
+    static Duration longestWait(Duration objective, Duration work);
     // The operation that took the token has run, or was refused without having run.
     void settle(const TeamId &team, TimePoint token, bool hasRun, TimePoint now);
     // The number of operations that wait for a token.
--- a/tests/unit/team_limits.tests.cpp
+++ b/tests/unit/team_limits.tests.cpp
@@ -410,6 +410,24 @@
     cr_assert(fixture.statements().empty());
 }
 
+// Guards against refusals during an election that an operation could outlast.
+Test(team_limits, wait_for_new_leader,
+     .description = "An operation whose work is known waits for as long as it can be in time")
+{
+    LimitedPooler fixture;
+    const SessionNumber session = fixture.open("latest", keyOf(1));
+    fixture.submit(session, Kind::Read, "r1");
+    fixture.grant(Blue, 1);
+    fixture.openConnections();
+    fixture.serve();
+    cr_assert_eq(fixture.answerCount(session), 1);
+    fixture.submit(session, Kind::Read, "r2");
+    fixture.advance(milliseconds(360));
+    cr_assert_eq(fixture.answerCount(session), 1);
+    fixture.advance(milliseconds(40));
+    cr_assert_eq(fixture.lastAnswer(session).fault, StatementFault::Busy);
+}
+
 // Guards against a charge for what did not run, and a refund of what may have run.
 Test(team_limits, refund,
      .description = "A refused operation returns its token, one that may have run does not")
--- a/tests/unit/team_limits_properties.tests.cpp
+++ b/tests/unit/team_limits_properties.tests.cpp
@@ -440,7 +440,7 @@
         std::size_t kind = 0;
         while (percentile >= Kinds.at(kind).percent)
             percentile -= Kinds.at(kind++).percent;
-        return Kinds.at(kind).objective / 3;
+        return TeamBudget::longestWait(Kinds.at(kind).objective, Kinds.at(kind).work);
     }
 
     void refuse(const TeamId &team, std::size_t count)
