Poll before following a redirection to a leader that was left for its silence

Until their election begins, the other instances still name the frozen leader. A pooler that followed them lost 250 ms, at 300 poolers 600 ms, with a connection attempt and then waited for the next one. It now asks twice more, 40 ms apart (150 ms at 300 poolers). Not measured with processes. Without an alarm of unanswered tokens nothing changes.

--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -39,6 +39,9 @@
 // others.
 constexpr std::chrono::microseconds RetryDelayPerPooler{500};
 constexpr std::chrono::milliseconds ConnectTimePerPooler{2};
+// Until the election begins, the other instances name a leader that has been left for its silence.
+// They are asked this many times more, for about the rest of an election, before it is tried again.
+constexpr unsigned DoubtfulPolls = 2;
 // At least this many polls before an instance without a leader is replaced.
 constexpr unsigned MinLeaderlessPolls = 2;
 
@@ -118,10 +121,11 @@
 void FleetLink::connectNext()
 {
     const std::vector<std::string> controls = this->knownControls();
-    const std::string lost = std::exchange(this->lostControl, std::string());
     if (controls.empty())
         return;
-    if (controls.size() > 1 && controls[this->nextControl % controls.size()] == lost)
+    // Only the first attempt: the others may all be gone.
+    if (this->failures == 0 && controls.size() > 1
+        && controls[this->nextControl % controls.size()] == this->lostControl)
         ++this->nextControl;
     this->connect(controls[this->nextControl++ % controls.size()]);
 }
@@ -198,6 +202,7 @@
         this->monitor.heard(this->address, this->lastMessageAt);
         this->leaderlessPolls = 0;
         this->isAnswered = true;
+        this->lostControl.clear();
         this->failures = 0;
         this->answered = std::max(this->answered, lease->sequence);
         this->poolers = lease->poolers;
@@ -293,7 +298,8 @@
 {
     this->forgetTokenReports(true);
     this->isAnswered = false;
-    const bool isElsewhere = !leader.empty() && leader != this->address;
+    const bool isDoubtful = leader == this->lostControl && this->leaderlessPolls < DoubtfulPolls;
+    const bool isElsewhere = !leader.empty() && leader != this->address && !isDoubtful;
     const Duration delay =
         std::max<Duration>(LeaderlessRetryDelay, this->poolers * RetryDelayPerPooler);
     const auto polls = std::max<Duration::rep>(
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -82,7 +82,8 @@
     ConnectionPtr connection;
     std::string address;
     std::size_t nextControl = 0;
-    // Left for its silence; the next attempt passes over it. Empty otherwise.
+    // Left for its silence, until a leader has answered; empty otherwise. The next attempt passes
+    // over it, and redirections to it are followed only after a few polls.
     std::string lostControl;
     bool isConnecting = false;
     // Whether the connected instance has answered a renewal.
