--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -281,7 +281,7 @@
             this->monitor.reportsEnded();
         } else if (this->monitor.isSilent(this->address, EventLoop::now())) {
             this->lostControl = this->address;
-            this->drop("tokens unanswered");
+            this->drop("tokens_unanswered");
         }
         this->watchAnswers();
     });
