Tell starts of a target apart in relayed announcements

A relayed heartbeat named a target and a sequence, and sequences begin anew with each start. A heartbeat of a former start that arrived late raised the sequence of the next start at the leader, which then confirmed that start's drain without storing it. After the leader had lost and regained its lead, a heartbeat could also repeat an announcement from before the one it stood for, which reverted a stored drain. The answer to a former start confirmed the next one if the sequences were equal. Heartbeats now name the start and the accepted announcement, and answers the start. The three new tests fail before the change.

--- a/src/rhubarbweir/coordination/fleet/announcement_relay.cpp
+++ b/src/rhubarbweir/coordination/fleet/announcement_relay.cpp
@@ -55,9 +55,10 @@
     }
     const bool isSilentLeader = this->isSilent(now);
     const auto known = this->accepted.find(target.target);
-    if (!isSilentLeader && known != this->accepted.end() && repeats(target, known->second)) {
-        known->second.sequence = target.sequence;
-        this->next.heartbeats.push_back({target.target, target.sequence});
+    if (!isSilentLeader && known != this->accepted.end() && repeats(target, known->second.target)) {
+        known->second.target.sequence = target.sequence;
+        this->next.heartbeats.push_back(
+            {target.target, target.born, known->second.since, target.sequence});
         this->sendAt = std::min(this->sendAt, now + HeartbeatDelay);
         done(FleetCallOutcome::Accepted);
         return;
@@ -86,10 +87,11 @@
     }
     for (const AnnouncementAnswer &answer : answers.answers) {
         const auto call = this->calls.find(answer.target);
-        if (call == this->calls.end() || call->second.target.sequence != answer.sequence)
+        if (call == this->calls.end() || call->second.target.born != answer.born
+            || call->second.target.sequence != answer.sequence)
             continue;
         if (answer.isAccepted && this->accepted.size() < MaxAcceptedTargets)
-            this->accepted[answer.target] = call->second.target;
+            this->accepted[answer.target] = {call->second.target, answer.sequence};
         this->finish(call, answer.isAccepted ? FleetCallOutcome::Accepted
                                              : FleetCallOutcome::Unavailable);
     }
--- a/src/rhubarbweir/coordination/fleet/announcement_relay.hpp
+++ b/src/rhubarbweir/coordination/fleet/announcement_relay.hpp
@@ -46,15 +46,22 @@
         TimePoint deadline;
     };
 
+    struct AcceptedTarget
+    {
+        // With the sequence of its last repetition.
+        RegisteredTarget target;
+        // Its sequence when the leader accepted it.
+        std::uint64_t since = 0;
+    };
+
     bool isSilent(TimePoint now) const;
     void finish(std::map<TargetId, Call>::iterator call, FleetCallOutcome outcome);
     void sendBatch(TimePoint now);
 
     Send send;
     std::string leader;
-    // The last announcement of each target that the leader accepted, with the sequence of its last
-    // repetition.
-    std::map<TargetId, RegisteredTarget> accepted;
+    // The last announcement of each target that the leader accepted.
+    std::map<TargetId, AcceptedTarget> accepted;
     // Calls that wait for the leader's answer; at most one for each target.
     std::map<TargetId, Call> calls;
     // What the next batch holds, and when it is sent.
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -312,7 +312,7 @@
     answers.number = batch.number;
     if (!this->canDecide(now)) {
         for (const RegisteredTarget &target : batch.announcements)
-            answers.answers.push_back({target.target, target.sequence, false});
+            answers.answers.push_back({target.target, target.born, target.sequence, false});
         for (const TargetHeartbeat &heartbeat : batch.heartbeats)
             answers.unknown.push_back(heartbeat.target);
         this->hooks.sendToPooler(connection, answers);
@@ -320,7 +320,10 @@
     }
     for (const TargetHeartbeat &heartbeat : batch.heartbeats) {
         const auto known = this->lastAnnouncements.find(heartbeat.target);
-        if (known == this->lastAnnouncements.end()) {
+        const bool isKnown = known != this->lastAnnouncements.end()
+                             && known->second.born == heartbeat.born
+                             && known->second.sequence >= heartbeat.since;
+        if (!isKnown) {
             answers.unknown.push_back(heartbeat.target);
             continue;
         }
@@ -331,10 +334,10 @@
     }
     this->hooks.sendToPooler(connection, answers);
     for (const RegisteredTarget &target : batch.announcements) {
-        const auto done = [this, connection, id = target.target,
+        const auto done = [this, connection, id = target.target, born = target.born,
                            sequence = target.sequence](FleetCallOutcome outcome) {
             this->announcementAnswers[connection].answers.push_back(
-                {id, sequence, outcome == FleetCallOutcome::Accepted});
+                {id, born, sequence, outcome == FleetCallOutcome::Accepted});
         };
         this->targetAnnounced(target, done, now);
     }
--- a/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
@@ -134,6 +134,10 @@
 struct TargetHeartbeat
 {
     TargetId target;
+    // RegisteredTarget::born of the start that announced itself.
+    std::int64_t born = 0;
+    // Sequence of the accepted announcement that was repeated with every sequence since.
+    std::uint64_t since = 0;
     std::uint64_t sequence = 0;
 };
 
@@ -152,6 +156,8 @@
 struct AnnouncementAnswer
 {
     TargetId target;
+    // RegisteredTarget::born; a later start may use the same sequence.
+    std::int64_t born = 0;
     std::uint64_t sequence = 0;
     // False if the target has to announce itself again.
     bool isAccepted = false;
@@ -162,7 +168,7 @@
     // Number of the batch if the message is the immediate answer to one; 0 otherwise.
     std::uint64_t number = 0;
     std::vector<AnnouncementAnswer> answers;
-    // Targets with a heartbeat from which this leader has had no announcement.
+    // Targets with a heartbeat whose accepted announcement this leader has not had.
     std::vector<TargetId> unknown;
 };
 
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -302,15 +302,18 @@
 // A list, because a batch holds one for each target of the sender.
 inline void to_json(nlohmann::json &to, const TargetHeartbeat &heartbeat)
 {
-    to = nlohmann::json::array({heartbeat.target, heartbeat.sequence});
+    to = nlohmann::json::array(
+        {heartbeat.target, heartbeat.born, heartbeat.since, heartbeat.sequence});
 }
 inline void from_json(const nlohmann::json &from, TargetHeartbeat &heartbeat)
 {
     from.at(0).get_to(heartbeat.target);
-    from.at(1).get_to(heartbeat.sequence);
+    from.at(1).get_to(heartbeat.born);
+    from.at(2).get_to(heartbeat.since);
+    from.at(3).get_to(heartbeat.sequence);
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnnouncementBatch, number, announcements, heartbeats)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnnouncementAnswer, target, sequence, isAccepted)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnnouncementAnswer, target, born, sequence, isAccepted)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnnouncementAnswers, number, answers, unknown)
 
 // relay_messages.hpp. Lists, because these are sent for each statement.
--- a/tests/unit/announcement_relay.tests.cpp
+++ b/tests/unit/announcement_relay.tests.cpp
@@ -19,11 +19,12 @@
 
     // Empty while the call waits.
     std::optional<FleetCallOutcome> announce(const std::string &name, std::uint64_t sequence,
-                                             TargetPhase phase = TargetPhase::Ready)
+                                             TargetPhase phase = TargetPhase::Ready,
+                                             std::int64_t born = 1)
     {
         this->outcomes[name].reset();
         this->relay.announced(
-            FleetFixture::target(name, false, sequence, phase),
+            FleetFixture::target(name, false, sequence, phase, born),
             [this, name](FleetCallOutcome outcome) { this->outcomes[name] = outcome; }, this->now);
         return this->outcomes[name];
     }
@@ -43,7 +44,7 @@
         AnnouncementAnswers answers;
         answers.number = batch.number;
         for (const RegisteredTarget &target : batch.announcements)
-            answers.answers.push_back({target.target, target.sequence, isAccepted});
+            answers.answers.push_back({target.target, target.born, target.sequence, isAccepted});
         this->relay.answered(answers, this->now);
     }
 
@@ -163,6 +164,20 @@
     cr_assert_eq(*fixture.announce("t", 3), FleetCallOutcome::Unavailable);
 }
 
+Test(announcement_relay, answer_to_a_former_start,
+     .description = "A target that restarted is not told that its new start is known")
+{
+    RelayFixture fixture;
+    fixture.announce("t", 1);
+    fixture.advance(milliseconds(20));
+    fixture.announce("t", 1, TargetPhase::Ready, 2);
+    fixture.answerLast();
+    cr_assert_neq(*fixture.outcomes["t"], FleetCallOutcome::Accepted);
+    fixture.advance(milliseconds(20));
+    fixture.answerLast();
+    cr_assert_eq(*fixture.outcomes["t"], FleetCallOutcome::Accepted);
+}
+
 Test(announcement_relay, unknown_at_the_leader,
      .description = "A target that a restarted leader does not know is announced in full again")
 {
@@ -204,7 +219,7 @@
         ++fleet.sequence;
         std::vector<TargetHeartbeat> heartbeats;
         for (const char *name : {"t1", "t2", "t3"})
-            heartbeats.push_back({TargetId(name), fleet.sequence});
+            heartbeats.push_back({TargetId(name), 1, 1, fleet.sequence});
         fleet.controller.announcementsRelayed(7, batchOf({}, heartbeats), fleet.now);
         cr_assert(lastAnswers(fleet)->unknown.empty());
         fleet.renewBoth();
@@ -213,11 +228,43 @@
     cr_assert_eq(fleet.authority().generation, generation);
     // A new leader has had no announcement.
     fleet.changeLeader();
-    fleet.controller.announcementsRelayed(7, batchOf({}, {{TargetId("t1"), ++fleet.sequence}}),
+    ++fleet.sequence;
+    fleet.controller.announcementsRelayed(7, batchOf({}, {{TargetId("t1"), 1, 1, fleet.sequence}}),
                                           fleet.now);
     cr_assert_eq(lastAnswers(fleet)->unknown.size(), 1);
 }
 
+Test(announcement_relay, heartbeat_of_a_former_start,
+     .description = "A late heartbeat of a former start does not hide the drain of the next start")
+{
+    FleetFixture fleet;
+    fleet.waitForGracePeriod();
+    fleet.announce(FleetFixture::target("t1", false, 50));
+    fleet.announce(FleetFixture::target("t1", false, 1, TargetPhase::Ready, 2));
+    fleet.controller.announcementsRelayed(7, batchOf({}, {{TargetId("t1"), 1, 50, 51}}), fleet.now);
+    fleet.commit();
+    fleet.announce(FleetFixture::target("t1", false, 2, TargetPhase::Draining, 2));
+    cr_assert(fleet.controller.state().find(TargetId("t1"))->phase == TargetPhase::Draining);
+}
+
+Test(
+    announcement_relay, heartbeat_after_a_late_announcement,
+    .description = "A heartbeat does not repeat a state from before the announcement it stands for")
+{
+    FleetFixture fleet;
+    fleet.waitForGracePeriod();
+    fleet.announce(FleetFixture::target("t1", false, 1));
+    fleet.announce(FleetFixture::target("t1", false, 2, TargetPhase::Draining));
+    // Forgets announcements; the address of the leader is the same.
+    fleet.changeLeader();
+    fleet.waitForGracePeriod();
+    fleet.announce(FleetFixture::target("t1", false, 1));
+    fleet.controller.announcementsRelayed(7, batchOf({}, {{TargetId("t1"), 1, 2, 3}}), fleet.now);
+    fleet.commit();
+    cr_assert_eq(lastAnswers(fleet)->unknown.size(), 1);
+    cr_assert(fleet.controller.state().find(TargetId("t1"))->phase == TargetPhase::Draining);
+}
+
 Test(announcement_relay, only_with_many_targets,
      .description = "Small fleets are served as before, and a large one is spread over instances")
 {
