Let calls of the announcement relay be answered from within each other

The answer to an HTTP request starts the next pipelined request on its connection, and that announces a target and advances the relay of an observer. Calls that ended together were then ended through an invalid iterator, and a call that was replaced while its predecessor was answered got no answer. The new test crashes before the change of advance(), and fails before that of announced().

--- a/src/rhubarbweir/coordination/fleet/announcement_relay.cpp
+++ b/src/rhubarbweir/coordination/fleet/announcement_relay.cpp
@@ -43,8 +43,8 @@
     this->next = {};
     this->sendAt = TimePoint::max();
     this->answerDueAt.reset();
-    while (!this->calls.empty())
-        this->finish(this->calls.begin(), FleetCallOutcome::Unavailable);
+    for (const auto &[target, call] : std::exchange(this->calls, {}))
+        call.done(FleetCallOutcome::Unavailable);
 }
 
 void AnnouncementRelay::announced(const RegisteredTarget &target, FleetCallDone done, TimePoint now)
@@ -72,10 +72,10 @@
         done(FleetCallOutcome::Unavailable);
         return;
     }
-    const auto former = this->calls.find(target.target);
-    if (former != this->calls.end())
-        this->finish(former, FleetCallOutcome::Unavailable);
-    this->calls[target.target] = {target, std::move(done), now + CallTimeout};
+    const Call former =
+        std::exchange(this->calls[target.target], {target, std::move(done), now + CallTimeout});
+    if (former.done)
+        former.done(FleetCallOutcome::Unavailable);
 }
 
 void AnnouncementRelay::answered(const AnnouncementAnswers &answers, TimePoint now)
@@ -103,11 +103,17 @@
 {
     if (now >= this->sendAt)
         this->sendBatch(now);
+    std::vector<FleetCallDone> expired;
     for (auto call = this->calls.begin(); call != this->calls.end();) {
-        const auto each = call++;
-        if (now >= each->second.deadline)
-            this->finish(each, FleetCallOutcome::Unavailable);
+        if (now < call->second.deadline) {
+            ++call;
+            continue;
+        }
+        expired.push_back(std::move(call->second.done));
+        call = this->calls.erase(call);
     }
+    for (const FleetCallDone &done : expired)
+        done(FleetCallOutcome::Unavailable);
 }
 
 TimePoint AnnouncementRelay::nextDeadline() const
--- a/src/rhubarbweir/coordination/fleet/announcement_relay.hpp
+++ b/src/rhubarbweir/coordination/fleet/announcement_relay.hpp
@@ -32,6 +32,7 @@
     // unavailable.
     void setLeader(const std::string &address);
     // `done` may be called before the function returns. Unavailable without a leader that answers.
+    // Any function of the relay may be called from within it.
     void announced(const RegisteredTarget &target, FleetCallDone done, TimePoint now);
     void answered(const AnnouncementAnswers &answers, TimePoint now);
     void advance(TimePoint now);
--- a/tests/unit/announcement_relay.tests.cpp
+++ b/tests/unit/announcement_relay.tests.cpp
@@ -178,6 +178,32 @@
     cr_assert_eq(*fixture.outcomes["t"], FleetCallOutcome::Accepted);
 }
 
+// The answer to a call starts the next request on its connection, which may announce a target.
+Test(announcement_relay, calls_within_answers,
+     .description = "Calls that end together or replace each other are each answered once")
+{
+    RelayFixture fixture;
+    int answered = 0;
+    const auto count = [&](FleetCallOutcome) {
+        ++answered;
+    };
+    const auto announceWithin = [&](FleetCallOutcome) {
+        ++answered;
+        fixture.relay.announced(FleetFixture::target("b", false, 9), count, fixture.now);
+        fixture.relay.advance(fixture.now);
+    };
+    fixture.relay.announced(FleetFixture::target("b", false, 1), announceWithin, fixture.now);
+    fixture.relay.announced(FleetFixture::target("b", false, 2), count, fixture.now);
+    fixture.advance(milliseconds(1000));
+    cr_assert_eq(answered, 3);
+    fixture.answerLast();
+    answered = 0;
+    for (const char *name : {"a", "c", "d"})
+        fixture.relay.announced(FleetFixture::target(name, false, 1), announceWithin, fixture.now);
+    fixture.advance(milliseconds(2000));
+    cr_assert_eq(answered, 6);
+}
+
 Test(announcement_relay, unknown_at_the_leader,
      .description = "A target that a restarted leader does not know is announced in full again")
 {
