Confirm announcements only once the last state of the target is stored

An announcement that arrived twice, through two instances or after a lost answer, was confirmed at once although the entry of the first one was not committed or had been refused by the log. An announcement that reverted an uncommitted one equalled the stored state and was not stored after it. Both are now proposed while the last announcement differs from the stored state. The new test fails before the change.

--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -20,11 +20,11 @@
 // Interval of probes of a suspected primary.
 constexpr std::chrono::milliseconds SuspectProbeInterval{300};
 
-// For comparisons: the sequence differs between announcements of the same state.
-RegisteredTarget withoutSequence(RegisteredTarget target)
+// Whether the announcements are of the same state, and differ at most in their sequence.
+bool isRepetition(const RegisteredTarget &target, RegisteredTarget stored)
 {
-    target.sequence = 0;
-    return target;
+    stored.sequence = target.sequence;
+    return target == stored;
 }
 
 FleetEventFields fieldsOf(const PrimaryEvidence &evidence)
@@ -262,11 +262,18 @@
         return;
     }
     const auto known = this->lastAnnouncements.find(target.target);
+    const RegisteredTarget *stored = this->fleet.find(target.target);
+    // The entry of the last announcement may not be committed, or was refused by the log.
+    const bool isPending = known != this->lastAnnouncements.end()
+                           && this->fleet.accepts(known->second)
+                           && !(stored != nullptr && isRepetition(known->second, *stored));
     if (known != this->lastAnnouncements.end() && !isNewer(target, known->second)) {
-        done(FleetCallOutcome::Accepted);
+        if (isPending)
+            this->propose(RecordTarget{known->second}, std::move(done), now);
+        else
+            done(FleetCallOutcome::Accepted);
         return;
     }
-    const RegisteredTarget *stored = this->fleet.find(target.target);
     if ((stored == nullptr || isNewer(target, *stored)) && !this->fleet.accepts(target)) {
         done(FleetCallOutcome::Accepted);
         return;
@@ -274,7 +281,7 @@
     this->lastAnnouncements[target.target] = target;
     this->detector.recordHeartbeat(target.target, now);
     this->deposeFormerPrimary(target);
-    if (stored != nullptr && withoutSequence(target) == withoutSequence(*stored)) {
+    if (!isPending && stored != nullptr && isRepetition(target, *stored)) {
         done(FleetCallOutcome::Accepted);
         return;
     }
@@ -327,6 +334,8 @@
             answers.unknown.push_back(heartbeat.target);
             continue;
         }
+        if (heartbeat.sequence <= known->second.sequence)
+            continue;
         RegisteredTarget repeated = known->second;
         repeated.sequence = heartbeat.sequence;
         this->targetAnnounced(
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -1134,6 +1134,33 @@
     cr_assert_eq(fleet.lastLease("p1")->view.targets.size(), 1);
 }
 
+Test(
+    fleet_controller, announcements_before_a_commit,
+    .description = "A doubled or reverted announcement is not confirmed before its state is stored")
+{
+    FleetFixture fleet;
+    fleet.waitForGracePeriod();
+    fleet.announce(FleetFixture::target("t1", false, 1));
+    fleet.withholdsCommits = true;
+    std::vector<FleetCallOutcome> outcomes;
+    const auto announce = [&](std::uint64_t sequence, TargetPhase phase) {
+        fleet.controller.targetAnnounced(
+            FleetFixture::target("t1", false, sequence, phase),
+            [&outcomes](FleetCallOutcome outcome) { outcomes.push_back(outcome); }, fleet.now);
+    };
+    announce(2, TargetPhase::Draining);
+    announce(2, TargetPhase::Draining);
+    announce(3, TargetPhase::Ready);
+    cr_assert(outcomes.empty());
+    fleet.withholdsCommits = false;
+    fleet.commit();
+    cr_assert_eq(outcomes.size(), 3);
+    cr_assert(fleet.controller.state().find(TargetId("t1"))->phase == TargetPhase::Ready);
+    // A doubled announcement of what is stored costs no entry.
+    announce(3, TargetPhase::Ready);
+    cr_assert_eq(outcomes.size(), 4);
+}
+
 Test(fleet_controller, documents_as_differences,
      .description = "A pooler with the former configuration is not sent the whole next one")
 {
