--- a/tests/unit/platform.tests.cpp
+++ b/tests/unit/platform.tests.cpp
@@ -129,6 +129,24 @@
                       .ok());
 }
 
+Test(platform, escaped_teams,
+     .description = "Poolers get no key of a caller from a document with an escaped field name")
+{
+    std::string document = withTeams(Teams);
+    document.replace(document.find("\"tenants\""), 9, "\"\\u0074enants\"");
+    cr_assert(decodeRouteTable(document)->hasTeams);
+    cr_assert_eq(withoutKeys(document).find("secret"), std::string::npos);
+}
+
+Test(
+    platform, deeply_nested_document,
+    .description = "A stored document cannot exhaust the stack of each control instance that leads")
+{
+    constexpr std::size_t depth = 1 << 20;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    cr_assert_not(decodeRouteTable(withTeams(Teams + std::string(R"("x":)") + nested + ",")).ok());
+}
+
 Test(platform, no_teams,
      .description = "Without a list of teams no key is needed; an empty list admits no key")
 {
