Check the depth of differences and packed views before decoding them

Both are decoded by recursion. A megabyte of nested lists, which is 1 KB compressed, exhausts the stack. The check of messages now has its own header and is used for both. The new test crashes before the change.

--- a/src/rhubarbweir/protocol/codec.cpp
+++ b/src/rhubarbweir/protocol/codec.cpp
@@ -1,6 +1,7 @@
 // See codec.hpp.
 #include "rhubarbweir/protocol/codec.hpp"
 
+#include "rhubarbweir/protocol/internal/depth_check.hpp"
 #include "rhubarbweir/protocol/internal/json_messages.hpp"
 
 #include <absl/status/status.h>
@@ -166,52 +167,6 @@
     return absl::UnimplementedError(absl::StrCat("unknown message type ", name));
 }
 
-// Maximum nesting depth of maps and lists. No message type needs more than half of it.
-constexpr std::size_t MaxDepth = 32;
-// Up to this size, in bytes, a message cannot be nested deeply enough to exhaust a thread's stack.
-constexpr std::size_t MaxUncheckedBytes = 1024;
-
-// SAX handler that builds no values and aborts parsing beyond MaxDepth.
-class DepthChecker : public json::json_sax_t
-{
-public:
-    bool null() override { return true; }
-    bool boolean(bool) override { return true; }
-    bool number_integer(number_integer_t) override { return true; }
-    bool number_unsigned(number_unsigned_t) override { return true; }
-    bool number_float(number_float_t, const string_t &) override { return true; }
-    bool string(string_t &) override { return true; }
-    bool binary(binary_t &) override { return true; }
-    bool key(string_t &) override { return true; }
-    bool start_object(std::size_t) override { return ++this->depth <= MaxDepth; }
-    bool end_object() override { return this->decreaseDepth(); }
-    bool start_array(std::size_t) override { return ++this->depth <= MaxDepth; }
-    bool end_array() override { return this->decreaseDepth(); }
-    bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override
-    {
-        return false;
-    }
-
-private:
-    bool decreaseDepth()
-    {
-        --this->depth;
-        return true;
-    }
-
-    std::size_t depth = 0;
-};
-
-bool isWithinMaxDepth(std::string_view bytes, Encoding encoding)
-{
-    if (bytes.size() <= MaxUncheckedBytes)
-        return true;
-    DepthChecker checker;
-    const auto format =
-        encoding == Encoding::Cbor ? json::input_format_t::cbor : json::input_format_t::json;
-    return json::sax_parse(bytes, &checker, format);
-}
-
 json parse(std::string_view bytes, Encoding encoding)
 {
     return encoding == Encoding::Cbor ? json::from_cbor(bytes) : json::parse(bytes);
--- a/src/rhubarbweir/protocol/document_delta.cpp
+++ b/src/rhubarbweir/protocol/document_delta.cpp
@@ -2,6 +2,7 @@
 #include "rhubarbweir/protocol/document_delta.hpp"
 
 #include "rhubarbweir/protocol/compression.hpp"
+#include "rhubarbweir/protocol/internal/depth_check.hpp"
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -85,6 +86,8 @@
     const auto bytes = decompress(delta.bytes, limit);
     if (!bytes.ok())
         return bytes.status();
+    if (!isWithinMaxDepth(*bytes, Encoding::Cbor))
+        return absl::InvalidArgumentError("malformed or too deeply nested delta");
     const std::vector<std::string_view> known = piecesOf(base);
     std::string document;
     try {
--- a/src/rhubarbweir/protocol/fleet_codec.cpp
+++ b/src/rhubarbweir/protocol/fleet_codec.cpp
@@ -2,6 +2,7 @@
 #include "rhubarbweir/protocol/fleet_codec.hpp"
 
 #include "rhubarbweir/protocol/compression.hpp"
+#include "rhubarbweir/protocol/internal/depth_check.hpp"
 #include "rhubarbweir/protocol/internal/json_messages.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -184,6 +185,8 @@
     const auto bytes = decompress(packed.bytes, MaxUnpackedViewBytes);
     if (!bytes.ok())
         return bytes.status();
+    if (!isWithinMaxDepth(*bytes, Encoding::Cbor))
+        return absl::InvalidArgumentError("malformed or too deeply nested view");
     try {
         return json::from_cbor(*bytes).get<FleetView>();
     } catch (const std::exception &error) {
--- a/tests/unit/codec.tests.cpp
+++ b/tests/unit/codec.tests.cpp
@@ -1,6 +1,7 @@
 // Tests of message encoding and decoding.
 #include "rhubarbweir/protocol/codec.hpp"
 
+#include "rhubarbweir/protocol/compression.hpp"
 #include "rhubarbweir/protocol/document_delta.hpp"
 #include "rhubarbweir/protocol/fleet_codec.hpp"
 
@@ -184,3 +185,11 @@
     cr_assert_not(applyDocumentDelta(documentOf(50, 800), delta, 100).ok());
     cr_assert_not(applyDocumentDelta(documentOf(50, 800), OpaqueBytes("x"), 1 << 20).ok());
 }
+
+Test(document_delta, deeply_nested,
+     .description = "Malformed bytes do not exhaust the stack of a pooler")
+{
+    const OpaqueBytes delta(compress(std::string(1 << 20, '\x81')));
+    cr_assert(absl::IsInvalidArgument(applyDocumentDelta("{}", delta, 4 << 20).status()));
+    cr_assert(absl::IsInvalidArgument(unpackFleetView(delta).status()));
+}
