Send a whole document also while new ones follow each other

A pooler that cannot use a difference is sent the whole document when it has not reported the version after 3 s. Each new version began that time anew and was sent as the difference to the one before, so with a change every second such a pooler never got a document that it could use. A later version no longer postpones the second attempt. The new test fails before the change.

--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -244,22 +244,26 @@
     if (record.reportedVersion >= version)
         return;
     SentDocument &sent = record.document;
-    const bool wasSentHere = sent.connection == lease.connection;
-    if (wasSentHere && sent.version == version && now < sent.resendAt)
+    const bool isAwaited =
+        sent.connection == lease.connection && sent.version > record.reportedVersion;
+    const bool isOverdue = isAwaited && now >= sent.resendAt;
+    if (isAwaited && sent.version == version && !isOverdue)
         return;
     this->encodeNewDocument();
     // What was sent before on the connection arrives first. A second attempt is not a difference,
     // as the first may have been for a document that the pooler does not have.
-    std::uint64_t base =
-        wasSentHere ? std::max(sent.version, record.reportedVersion) : record.reportedVersion;
-    if (base == version)
+    std::uint64_t base = isAwaited ? sent.version : record.reportedVersion;
+    if (isOverdue)
         base = 0;
     const OpaqueBytes &encoded = this->documentSince(base);
     if (!this->documentPace.take(encoded.bytes.size(), now))
         return;
     message.configuration = encoded;
     message.configurationBase = this->encodedDocuments.count(base) != 0 ? base : 0;
-    sent = {lease.connection, version, now + this->settings.documentResendInterval};
+    // A later document does not postpone the second attempt.
+    const bool isContinued = isAwaited && !isOverdue;
+    sent = {lease.connection, version,
+            isContinued ? sent.resendAt : now + this->settings.documentResendInterval};
 }
 
 void ViewSender::encodeNewDocument()
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -1185,3 +1185,26 @@
     fleet.renew("p2", 0);
     cr_assert_eq(fleet.lastLease("p2")->configuration.bytes, "two");
 }
+
+Test(fleet_controller, differences_that_do_not_apply,
+     .description = "A pooler that cannot use a difference gets the whole document among new ones")
+{
+    FleetFixture fleet;
+    fleet.waitForGracePeriod();
+    fleet.renew("p1", 0);
+    std::size_t whole = 0;
+    for (std::uint64_t version = 1; version <= 8; ++version) {
+        fleet.sent.clear();
+        fleet.configure(version, std::to_string(version));
+        fleet.advance(milliseconds(1000));
+        // Reports no document.
+        fleet.renew("p1", 0);
+        for (const auto &[connection, reply] : fleet.sent) {
+            const auto *lease = std::get_if<FleetLease>(&reply);
+            if (lease != nullptr && lease->configuration.bytes == std::to_string(version))
+                ++whole;
+        }
+    }
+    cr_assert_geq(whole, 2);
+    cr_assert_leq(whole, 3);
+}
