--- a/tests/unit/platform.tests.cpp
+++ b/tests/unit/platform.tests.cpp
@@ -147,6 +147,17 @@
     cr_assert_not(decodeRouteTable(withTeams(Teams + std::string(R"("x":)") + nested + ",")).ok());
 }
 
+Test(platform, too_many_keys,
+     .description = "No document is acknowledged that does not fit into a message to a pooler")
+{
+    std::string keys;
+    for (int key = 0; key < 30000; ++key)
+        keys += (key == 0 ? "\"" : ",\"") + std::to_string(key) + "\"";
+    const std::string document =
+        withTeams(R"("tenants":[{"name":"red","api_keys":[)" + keys + "]}],");
+    cr_assert_eq(refusalOf(document), "too large for poolers");
+}
+
 Test(platform, no_teams,
      .description = "Without a list of teams no key is needed; an empty list admits no key")
 {
