Know the stored document before the first change under a new leader

The leader noted a document for differences only when a pooler lacked it. After an election all poolers held the stored one, so the next change went to each of them as a whole. It is now noted with the first message to a pooler. The new test fails before the change.

--- a/src/rhubarbweir/coordination/fleet/view_sender.cpp
+++ b/src/rhubarbweir/coordination/fleet/view_sender.cpp
@@ -240,6 +240,8 @@
 {
     const std::uint64_t version = this->state.configuration().version;
     message.configurationVersion = version;
+    // Also if no pooler needs it: the next document is sent as the difference to it.
+    this->encodeNewDocument();
     PoolerRecord &record = this->records[lease.run];
     if (record.reportedVersion >= version)
         return;
@@ -249,7 +251,6 @@
     const bool isOverdue = isAwaited && now >= sent.resendAt;
     if (isAwaited && sent.version == version && !isOverdue)
         return;
-    this->encodeNewDocument();
     // What was sent before on the connection arrives first. A second attempt is not a difference,
     // as the first may have been for a document that the pooler does not have.
     std::uint64_t base = isAwaited ? sent.version : record.reportedVersion;
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -1208,3 +1208,24 @@
     cr_assert_geq(whole, 2);
     cr_assert_leq(whole, 3);
 }
+
+Test(fleet_controller, differences_of_a_new_leader,
+     .description = "The first change after an election is not sent to all poolers as a whole")
+{
+    FleetFixture former;
+    former.waitForGracePeriod();
+    former.configure(1, "one");
+    former.renew("p1", 0);
+    FleetFixture fleet("c2");
+    fleet.takeOver(former);
+    fleet.waitForGracePeriod();
+    RenewLease renewal;
+    renewal.proxy = InstanceId("p1");
+    renewal.incarnation = 1;
+    renewal.sequence = 100;
+    renewal.configurationVersion = 1;
+    fleet.controller.receiveFromPooler(fleet.connectionOf("p1"), renewal, fleet.now);
+    fleet.configure(2, "two");
+    cr_assert_eq(fleet.lastLease("p1")->configuration.bytes, "one>two");
+    cr_assert_eq(fleet.lastLease("p1")->configurationBase, 1);
+}
