--- a/src/rhubarbweir/coordination/fleet/announcement_relay.cpp
+++ b/src/rhubarbweir/coordination/fleet/announcement_relay.cpp
@@ -43,8 +43,8 @@
     this->next = {};
     this->sendAt = TimePoint::max();
     this->answerDueAt.reset();
-    while (!this->calls.empty())
-        this->finish(this->calls.begin(), FleetCallOutcome::Unavailable);
+    for (const auto &[target, call] : std::exchange(this->calls, {}))
+        call.done(FleetCallOutcome::Unavailable);
 }
 
 void AnnouncementRelay::announced(const RegisteredTarget &target, FleetCallDone done, TimePoint now)
@@ -55,9 +55,10 @@
     }
     const bool isSilentLeader = this->isSilent(now);
     const auto known = this->accepted.find(target.target);
-    if (!isSilentLeader && known != this->accepted.end() && repeats(target, known->second)) {
-        known->second.sequence = target.sequence;
-        this->next.heartbeats.push_back({target.target, target.sequence});
+    if (!isSilentLeader && known != this->accepted.end() && repeats(target, known->second.target)) {
+        known->second.target.sequence = target.sequence;
+        this->next.heartbeats.push_back(
+            {target.target, target.born, known->second.since, target.sequence});
         this->sendAt = std::min(this->sendAt, now + HeartbeatDelay);
         done(FleetCallOutcome::Accepted);
         return;
@@ -71,10 +72,10 @@
         done(FleetCallOutcome::Unavailable);
         return;
     }
-    const auto former = this->calls.find(target.target);
-    if (former != this->calls.end())
-        this->finish(former, FleetCallOutcome::Unavailable);
-    this->calls[target.target] = {target, std::move(done), now + CallTimeout};
+    const Call former =
+        std::exchange(this->calls[target.target], {target, std::move(done), now + CallTimeout});
+    if (former.done)
+        former.done(FleetCallOutcome::Unavailable);
 }
 
 void AnnouncementRelay::answered(const AnnouncementAnswers &answers, TimePoint now)
@@ -86,10 +87,11 @@
     }
     for (const AnnouncementAnswer &answer : answers.answers) {
         const auto call = this->calls.find(answer.target);
-        if (call == this->calls.end() || call->second.target.sequence != answer.sequence)
+        if (call == this->calls.end() || call->second.target.born != answer.born
+            || call->second.target.sequence != answer.sequence)
             continue;
         if (answer.isAccepted && this->accepted.size() < MaxAcceptedTargets)
-            this->accepted[answer.target] = call->second.target;
+            this->accepted[answer.target] = {call->second.target, answer.sequence};
         this->finish(call, answer.isAccepted ? FleetCallOutcome::Accepted
                                              : FleetCallOutcome::Unavailable);
     }
@@ -101,11 +103,17 @@
 {
     if (now >= this->sendAt)
         this->sendBatch(now);
+    std::vector<FleetCallDone> expired;
     for (auto call = this->calls.begin(); call != this->calls.end();) {
-        const auto each = call++;
-        if (now >= each->second.deadline)
-            this->finish(each, FleetCallOutcome::Unavailable);
+        if (now < call->second.deadline) {
+            ++call;
+            continue;
+        }
+        expired.push_back(std::move(call->second.done));
+        call = this->calls.erase(call);
     }
+    for (const FleetCallDone &done : expired)
+        done(FleetCallOutcome::Unavailable);
 }
 
 TimePoint AnnouncementRelay::nextDeadline() const
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -1134,6 +1134,33 @@
     cr_assert_eq(fleet.lastLease("p1")->view.targets.size(), 1);
 }
 
+Test(
+    fleet_controller, announcements_before_a_commit,
+    .description = "A doubled or reverted announcement is not confirmed before its state is stored")
+{
+    FleetFixture fleet;
+    fleet.waitForGracePeriod();
+    fleet.announce(FleetFixture::target("t1", false, 1));
+    fleet.withholdsCommits = true;
+    std::vector<FleetCallOutcome> outcomes;
+    const auto announce = [&](std::uint64_t sequence, TargetPhase phase) {
+        fleet.controller.targetAnnounced(
+            FleetFixture::target("t1", false, sequence, phase),
+            [&outcomes](FleetCallOutcome outcome) { outcomes.push_back(outcome); }, fleet.now);
+    };
+    announce(2, TargetPhase::Draining);
+    announce(2, TargetPhase::Draining);
+    announce(3, TargetPhase::Ready);
+    cr_assert(outcomes.empty());
+    fleet.withholdsCommits = false;
+    fleet.commit();
+    cr_assert_eq(outcomes.size(), 3);
+    cr_assert(fleet.controller.state().find(TargetId("t1"))->phase == TargetPhase::Ready);
+    // A doubled announcement of what is stored costs no entry.
+    announce(3, TargetPhase::Ready);
+    cr_assert_eq(outcomes.size(), 4);
+}
+
 Test(fleet_controller, documents_as_differences,
      .description = "A pooler with the former configuration is not sent the whole next one")
 {
@@ -1158,3 +1185,47 @@
     fleet.renew("p2", 0);
     cr_assert_eq(fleet.lastLease("p2")->configuration.bytes, "two");
 }
+
+Test(fleet_controller, differences_that_do_not_apply,
+     .description = "A pooler that cannot use a difference gets the whole document among new ones")
+{
+    FleetFixture fleet;
+    fleet.waitForGracePeriod();
+    fleet.renew("p1", 0);
+    std::size_t whole = 0;
+    for (std::uint64_t version = 1; version <= 8; ++version) {
+        fleet.sent.clear();
+        fleet.configure(version, std::to_string(version));
+        fleet.advance(milliseconds(1000));
+        // Reports no document.
+        fleet.renew("p1", 0);
+        for (const auto &[connection, reply] : fleet.sent) {
+            const auto *lease = std::get_if<FleetLease>(&reply);
+            if (lease != nullptr && lease->configuration.bytes == std::to_string(version))
+                ++whole;
+        }
+    }
+    cr_assert_geq(whole, 2);
+    cr_assert_leq(whole, 3);
+}
+
+Test(fleet_controller, differences_of_a_new_leader,
+     .description = "The first change after an election is not sent to all poolers as a whole")
+{
+    FleetFixture former;
+    former.waitForGracePeriod();
+    former.configure(1, "one");
+    former.renew("p1", 0);
+    FleetFixture fleet("c2");
+    fleet.takeOver(former);
+    fleet.waitForGracePeriod();
+    RenewLease renewal;
+    renewal.proxy = InstanceId("p1");
+    renewal.incarnation = 1;
+    renewal.sequence = 100;
+    renewal.configurationVersion = 1;
+    fleet.controller.receiveFromPooler(fleet.connectionOf("p1"), renewal, fleet.now);
+    fleet.configure(2, "two");
+    cr_assert_eq(fleet.lastLease("p1")->configuration.bytes, "one>two");
+    cr_assert_eq(fleet.lastLease("p1")->configurationBase, 1);
+}
