Limit the values of differences and packed views

The check before decoding now counts values, and a difference with too many parts is replaced by the whole text. The new test of memory fails before the change.

--- a/src/rhubarbweir/protocol/document_delta.cpp
+++ b/src/rhubarbweir/protocol/document_delta.cpp
@@ -20,6 +20,10 @@
 
 using nlohmann::json;
 
+// With more parts, a difference holds the whole document. A part has at most three values.
+constexpr std::size_t MaxParts = 1 << 14;
+constexpr std::size_t MaxDeltaValues = 4 * MaxParts;
+
 // Pieces of the text, each up to and including the end of an object.
 std::vector<std::string_view> piecesOf(std::string_view text)
 {
@@ -73,6 +77,8 @@
     }
     endRange();
     endText();
+    if (parts.size() > MaxParts)
+        parts = json::array({json::binary({document.begin(), document.end()})});
     const json delta = {{"check", XXH3_64bits(document.data(), document.size())},
                         {"parts", std::move(parts)}};
     std::string bytes;
@@ -86,8 +92,8 @@
     const auto bytes = decompress(delta.bytes, limit);
     if (!bytes.ok())
         return bytes.status();
-    if (!isWithinMaxDepth(*bytes, Encoding::Cbor))
-        return absl::InvalidArgumentError("malformed or too deeply nested delta");
+    if (!isWithinMaxDepth(*bytes, Encoding::Cbor, MaxDeltaValues))
+        return absl::InvalidArgumentError("malformed or too complex delta");
     const std::vector<std::string_view> known = piecesOf(base);
     std::string document;
     try {
--- a/src/rhubarbweir/protocol/fleet_codec.cpp
+++ b/src/rhubarbweir/protocol/fleet_codec.cpp
@@ -173,6 +173,9 @@
     return encodeEnvelope(json(snapshot), std::variant_size_v<FleetCommand>);
 }
 
+// A view of 16,000 targets in groups of three has a fifth of them.
+static constexpr std::size_t MaxViewValues = 1 << 20;
+
 OpaqueBytes packFleetView(const FleetView &view)
 {
     std::string bytes;
@@ -185,8 +188,8 @@
     const auto bytes = decompress(packed.bytes, MaxUnpackedViewBytes);
     if (!bytes.ok())
         return bytes.status();
-    if (!isWithinMaxDepth(*bytes, Encoding::Cbor))
-        return absl::InvalidArgumentError("malformed or too deeply nested view");
+    if (!isWithinMaxDepth(*bytes, Encoding::Cbor, MaxViewValues))
+        return absl::InvalidArgumentError("malformed or too complex view");
     try {
         return json::from_cbor(*bytes).get<FleetView>();
     } catch (const std::exception &error) {
--- a/src/rhubarbweir/protocol/internal/depth_check.hpp
+++ b/src/rhubarbweir/protocol/internal/depth_check.hpp
@@ -1,4 +1,5 @@
-// Checks how deeply encoded bytes are nested, because they are decoded by recursion.
+// Checks how deeply encoded bytes are nested, because they are decoded by recursion, and how many
+// values they hold, because a decoded value takes many times the memory of an encoded one.
 #pragma once
 
 #include "rhubarbweir/protocol/codec.hpp"
@@ -6,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -17,21 +19,32 @@
 // Up to this size, in bytes, a message cannot be nested deeply enough to exhaust a thread's stack.
 inline constexpr std::size_t MaxUncheckedBytes = 1024;
 
-// SAX handler that builds no values and aborts parsing beyond MaxDepth.
+// SAX handler that builds no values and aborts parsing beyond MaxDepth or `maxValues`.
 class DepthChecker : public nlohmann::json::json_sax_t
 {
 public:
-    bool null() override { return true; }
-    bool boolean(bool) override { return true; }
-    bool number_integer(number_integer_t) override { return true; }
-    bool number_unsigned(number_unsigned_t) override { return true; }
-    bool number_float(number_float_t, const string_t &) override { return true; }
-    bool string(string_t &) override { return true; }
-    bool binary(binary_t &) override { return true; }
+    explicit DepthChecker(std::size_t maxValues)
+        : valuesLeft(maxValues)
+    {
+    }
+
+    bool null() override { return this->countValue(); }
+    bool boolean(bool) override { return this->countValue(); }
+    bool number_integer(number_integer_t) override { return this->countValue(); }
+    bool number_unsigned(number_unsigned_t) override { return this->countValue(); }
+    bool number_float(number_float_t, const string_t &) override { return this->countValue(); }
+    bool string(string_t &) override { return this->countValue(); }
+    bool binary(binary_t &) override { return this->countValue(); }
     bool key(string_t &) override { return true; }
-    bool start_object(std::size_t) override { return ++this->depth <= MaxDepth; }
+    bool start_object(std::size_t) override
+    {
+        return this->countValue() && ++this->depth <= MaxDepth;
+    }
     bool end_object() override { return this->decreaseDepth(); }
-    bool start_array(std::size_t) override { return ++this->depth <= MaxDepth; }
+    bool start_array(std::size_t) override
+    {
+        return this->countValue() && ++this->depth <= MaxDepth;
+    }
     bool end_array() override { return this->decreaseDepth(); }
     bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override
     {
@@ -45,15 +58,25 @@
         return true;
     }
 
+    bool countValue()
+    {
+        if (this->valuesLeft == 0)
+            return false;
+        --this->valuesLeft;
+        return true;
+    }
+
+    std::size_t valuesLeft;
     std::size_t depth = 0;
 };
 
 // False also for malformed bytes, unless they are few.
-inline bool isWithinMaxDepth(std::string_view bytes, Encoding encoding)
+inline bool isWithinMaxDepth(std::string_view bytes, Encoding encoding,
+                             std::size_t maxValues = std::numeric_limits<std::size_t>::max())
 {
     if (bytes.size() <= MaxUncheckedBytes)
         return true;
-    DepthChecker checker;
+    DepthChecker checker(maxValues);
     const auto format = encoding == Encoding::Cbor ? nlohmann::json::input_format_t::cbor
                                                    : nlohmann::json::input_format_t::json;
     return nlohmann::json::sax_parse(bytes, &checker, format);
--- a/tests/unit/codec.tests.cpp
+++ b/tests/unit/codec.tests.cpp
@@ -7,6 +7,8 @@
 
 #include <criterion/criterion.h>
 
+#include <sys/resource.h>
+
 using namespace rhubarbweir;
 
 Test(codec, round_trip, .description = "a request keeps its fields when encoded as CBOR or JSON")
@@ -193,3 +195,33 @@
     cr_assert(absl::IsInvalidArgument(applyDocumentDelta("{}", delta, 4 << 20).status()));
     cr_assert(absl::IsInvalidArgument(unpackFleetView(delta).status()));
 }
+
+Test(document_delta, many_values,
+     .description = "Malformed bytes do not exhaust the memory of a pooler")
+{
+    const auto peakKilobytes = [] {
+        rusage usage{};
+        getrusage(RUSAGE_SELF, &usage);
+        return usage.ru_maxrss;
+    };
+    // A list of numbers, without its length.
+    const OpaqueBytes delta(compress("\x9f" + std::string(4'000'000, '\0') + "\xff"));
+    const long before = peakKilobytes();
+    cr_assert(absl::IsInvalidArgument(applyDocumentDelta("{}", delta, 4 << 20).status()));
+    cr_assert(absl::IsInvalidArgument(unpackFleetView(delta).status()));
+    cr_assert_lt(peakKilobytes() - before, 48 << 10);
+}
+
+Test(document_delta, many_changes,
+     .description = "A document with changes everywhere reaches poolers too")
+{
+    std::string base;
+    std::string document;
+    for (int index = 0; index < 100000; ++index) {
+        base += "{" + std::to_string(index) + "}";
+        document += "{" + std::to_string(index % 2 == 0 ? index : -index) + "}";
+    }
+    const auto applied = applyDocumentDelta(base, encodeDocumentDelta(base, document), 4 << 20);
+    cr_assert(applied.ok());
+    cr_assert_eq(*applied, document);
+}
