Ignore configuration documents that are not newer than the one held

A delayed document replaced the newer one that differences are applied to, though its routes were ignored, so the next difference could not be applied. Found by review; not seen.

--- a/src/programs/pooler/pooler_program.cpp
+++ b/src/programs/pooler/pooler_program.cpp
@@ -313,6 +313,9 @@
 // Errors: those of decompress() and applyDocumentDelta(), InvalidArgument for an invalid document.
 absl::Status PoolerProgram::configurationReceived(const FleetLease &lease, TimePoint now)
 {
+    // A delayed or repeated one.
+    if (lease.configurationVersion <= this->document.version)
+        return absl::OkStatus();
     const bool isWhole = lease.configurationBase == 0;
     if (!isWhole && lease.configurationBase != this->document.version)
         return absl::DataLossError("the delta is for another document");
