--- a/src/programs/fleet/observer_program.hpp
+++ b/src/programs/fleet/observer_program.hpp
@@ -1,5 +1,6 @@
 // The process of a control instance without a disk. It keeps no state and has no vote: it sends
-// poolers, targets and operators on to the leader, which it asks for its address twice a second.
+// poolers, targets and operators on to the leader, which it asks for its address twice a second. In
+// a fleet with many targets it takes their announcements for the leader.
 #pragma once
 
 #include "platform/fleet_calls.hpp"
