Let repeated announcements wait for the entry that is on its way

Under load a target repeats itself before its first entry is committed, so the control log grew by an entry for each repetition and the commits took longer still. Such a call now waits for the entry with the same state. The new test fails before the change (10 entries instead of 1).

--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -91,6 +91,7 @@
     this->relievedAt.clear();
     this->replicaRoleSince.clear();
     this->lastAnnouncements.clear();
+    this->proposedTargets.clear();
     this->registrations.clear();
     this->answerRegistrationsAt = TimePoint::max();
     this->views.beginLeadership(now);
@@ -149,6 +150,11 @@
     const auto *chosen = std::get_if<ChooseCandidate>(&command);
     if (changed && chosen != nullptr && chosen->chooser != this->settings.lease.instance)
         this->promoteFrom = now + this->settings.promotionTurn;
+    if (const auto *recorded = std::get_if<RecordTarget>(&command)) {
+        const auto proposed = this->proposedTargets.find(recorded->target.target);
+        if (proposed != this->proposedTargets.end() && proposed->second.index <= index)
+            this->proposedTargets.erase(proposed);
+    }
     if (const auto *registered = std::get_if<RegisterPooler>(&command))
         this->poolerRegistered({registered->pooler, registered->incarnation}, now);
     if (const auto *forgotten = std::get_if<ForgetPooler>(&command))
@@ -188,7 +194,8 @@
 
 // Calls that wait for a commit.
 
-void FleetController::propose(const FleetCommand &command, FleetCallDone done, TimePoint now)
+std::optional<std::uint64_t> FleetController::propose(const FleetCommand &command,
+                                                      FleetCallDone done, TimePoint now)
 {
     const auto index = this->hooks.propose(command);
     if (!index.ok()) {
@@ -197,10 +204,16 @@
         const bool isTooLarge = absl::IsInvalidArgument(index.status());
         if (done)
             done(isTooLarge ? FleetCallOutcome::TooLarge : FleetCallOutcome::Unavailable);
-        return;
+        return std::nullopt;
     }
     if (done)
-        this->calls[*index].push_back({std::move(done), now + this->settings.lease.editTimeout});
+        this->waitForCommit(*index, std::move(done), now);
+    return *index;
+}
+
+void FleetController::waitForCommit(std::uint64_t index, FleetCallDone done, TimePoint now)
+{
+    this->calls[index].push_back({std::move(done), now + this->settings.lease.editTimeout});
 }
 
 void FleetController::finishCalls(std::uint64_t index, FleetCallOutcome outcome)
@@ -269,7 +282,7 @@
                            && !(stored != nullptr && isRepetition(known->second, *stored));
     if (known != this->lastAnnouncements.end() && !isNewer(target, known->second)) {
         if (isPending)
-            this->propose(RecordTarget{known->second}, std::move(done), now);
+            this->recordTarget(known->second, std::move(done), now);
         else
             done(FleetCallOutcome::Accepted);
         return;
@@ -285,12 +298,28 @@
         done(FleetCallOutcome::Accepted);
         return;
     }
+    this->recordTarget(target, std::move(done), now);
+}
+
+// Proposes the state of the target, or waits for the entry that was proposed last if it has the
+// same state. Targets repeat announcements that are not answered in time; a proposal for each would
+// delay the commits further.
+void FleetController::recordTarget(const RegisteredTarget &target, FleetCallDone done,
+                                   TimePoint now)
+{
+    const auto known = this->proposedTargets.find(target.target);
+    if (known != this->proposedTargets.end() && isRepetition(target, known->second.target)) {
+        this->waitForCommit(known->second.index, std::move(done), now);
+        return;
+    }
     this->hooks.event("target_recorded", {{"target", target.target.value},
                                           {"group", target.group.value},
                                           {"phase", std::string(nameOf(target.phase))},
                                           {"primary", target.reportsPrimary ? "yes" : "no"},
                                           {"sequence", absl::StrCat(target.sequence)}});
-    this->propose(RecordTarget{target}, std::move(done), now);
+    this->proposedTargets.erase(target.target);
+    if (const auto index = this->propose(RecordTarget{target}, std::move(done), now))
+        this->proposedTargets[target.target] = {target, *index};
 }
 
 bool FleetController::relaysAnnouncements() const
@@ -391,6 +420,8 @@
         left.sequence = std::max(left.sequence, known->second.sequence);
     ++left.sequence;
     this->hooks.event("target_left", {{"target", target.value}, {"group", left.group.value}});
+    // What is proposed for the target after this must be stored after it.
+    this->proposedTargets.erase(target);
     this->propose(RecordTarget{left}, std::move(done), now);
 }
 
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -83,6 +83,12 @@
         TimePoint deadline;
     };
 
+    struct ProposedTarget
+    {
+        RegisteredTarget target;
+        std::uint64_t index = 0;
+    };
+
     // The answer that a start has to confirm before it is registered.
     struct Question
     {
@@ -91,7 +97,11 @@
     };
 
     bool canDecide(TimePoint now) const;
-    void propose(const FleetCommand &command, FleetCallDone done, TimePoint now);
+    // The log index of the proposal; empty if the log refused it.
+    std::optional<std::uint64_t> propose(const FleetCommand &command, FleetCallDone done,
+                                         TimePoint now);
+    void waitForCommit(std::uint64_t index, FleetCallDone done, TimePoint now);
+    void recordTarget(const RegisteredTarget &target, FleetCallDone done, TimePoint now);
     void finishCalls(std::uint64_t index, FleetCallOutcome outcome);
     void failAllCalls();
     void expireCalls(TimePoint now);
@@ -144,6 +154,8 @@
     TimePoint evictAt;
     // Latest announcement of each target, also if it changed nothing.
     std::map<TargetId, RegisteredTarget> lastAnnouncements;
+    // The last state of each target that this leader proposed and that is not applied yet.
+    std::map<TargetId, ProposedTarget> proposedTargets;
     std::map<std::uint64_t, std::vector<PendingCall>> calls;
     // By connection of the instance that took the announcements.
     std::map<ConnectionId, AnnouncementAnswers> announcementAnswers;
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -1229,3 +1229,36 @@
     cr_assert_eq(fleet.lastLease("p1")->configuration.bytes, "one>two");
     cr_assert_eq(fleet.lastLease("p1")->configurationBase, 1);
 }
+
+Test(fleet_controller, repeated_before_a_commit,
+     .description = "Targets that repeat unanswered announcements do not fill the control log")
+{
+    FleetFixture fleet;
+    fleet.waitForGracePeriod();
+    fleet.withholdsCommits = true;
+    std::vector<FleetCallOutcome> outcomes;
+    const auto announce = [&](std::uint64_t sequence, TargetPhase phase) {
+        fleet.controller.targetAnnounced(
+            FleetFixture::target("t1", false, sequence, phase),
+            [&outcomes](FleetCallOutcome outcome) { outcomes.push_back(outcome); }, fleet.now);
+    };
+    for (std::uint64_t sequence = 1; sequence <= 10; ++sequence)
+        announce(sequence, TargetPhase::Ready);
+    cr_assert_eq(fleet.log.size(), 1);
+    // After another state, the same one needs an entry of its own.
+    announce(11, TargetPhase::Draining);
+    announce(12, TargetPhase::Ready);
+    cr_assert_eq(fleet.log.size(), 3);
+    cr_assert(outcomes.empty());
+    fleet.withholdsCommits = false;
+    fleet.commit();
+    cr_assert_eq(outcomes.size(), 12);
+    cr_assert(fleet.controller.state().find(TargetId("t1"))->phase == TargetPhase::Ready);
+    // An entry that was lost with the leadership is proposed again.
+    fleet.withholdsCommits = true;
+    announce(13, TargetPhase::Draining);
+    fleet.log.clear();
+    fleet.changeLeader();
+    announce(14, TargetPhase::Draining);
+    cr_assert_eq(fleet.log.size(), 1);
+}
