Count an attempt that may have run when a session moves to another team

The token of the former team was returned as unused although an attempt as that team may have run, for example a read on a connection that was lost. Found by reading.

--- a/src/rhubarbweir/coordination/sessions/internal/session_tokens.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_tokens.cpp
@@ -22,8 +22,9 @@
 bool SessionPooler::mayProceed(Session &session, TimePoint now)
 {
     PendingStatement &pending = *session.pending;
+    // An earlier attempt may have run as an operation of the former team.
     if (pending.token && pending.tokenTeam != session.team)
-        this->settleToken(pending, false, now);
+        this->settleToken(pending, pending.attempts > 0, now);
     if (session.pinned != 0 || pending.token || this->limitOf(session.team) == nullptr)
         return true;
     // Those that wait are not overtaken.
