--- a/src/rhubarbweir/coordination/fleet/budget_allocator.cpp
+++ b/src/rhubarbweir/coordination/fleet/budget_allocator.cpp
@@ -20,8 +20,8 @@
 // Every pooler may hold this many tokens: one in use and one for the next operation.
 constexpr std::uint32_t MinLargestHolding = 2;
 // Tokens for operations that are only expected are granted from what exceeds this part of the
-// capacity. The rest is for operations that wait. With a quarter, teams at usual use hold too few
-// tokens to outlast a change of the leader; with 0.15, no more are refused at usual use.
+// capacity. The rest is for operations that wait. A larger part leaves teams at usual use too few
+// tokens to outlast a change of the leader.
 constexpr double ReservedPart = 0.15;
 constexpr std::chrono::milliseconds SweepInterval{250};
 // A run without tokens is forgotten after this.
--- a/src/rhubarbweir/coordination/sessions/holder_placement.cpp
+++ b/src/rhubarbweir/coordination/sessions/holder_placement.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-// Load of a pooler, in percent of the mean, that keys of different weights may reach. With 100, the
-// loss of one of 28 or 38 poolers moved up to 28 % of the other keys, with 120 up to 21 %.
+// Load of a pooler, in percent of the mean, that keys of different weights may reach. Without room
+// above the mean, the loss of one pooler moves more than a quarter of the keys of the others.
 constexpr std::uint64_t SpreadPercent = 120;
 
 } // namespace
--- a/src/rhubarbweir/coordination/sessions/leader_monitor.cpp
+++ b/src/rhubarbweir/coordination/sessions/leader_monitor.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 
-// An election takes 200 to 350 ms from the loss, which comes before the report. At 300 poolers, 350
-// ms refused a tenth more operations.
+// An election takes 200 to 350 ms from the loss, which comes before the report.
 constexpr std::chrono::milliseconds MinLimit{300};
 // As for a connection on which nothing is received.
 constexpr std::chrono::milliseconds MaxLimit{1200};
@@ -18,8 +17,7 @@
 constexpr int UsualTimes = 8;
 // The alarms of a fleet spread over this much for each pooler, so that a leader that has stalled
 // for a moment still answers most of them: with 300 poolers, 150 ms beside the 500 ms over which
-// their renewals spread. At 300 poolers and with a limit of 250 ms, 1 ms refused 0.87 % of the
-// operations instead of 0.58 %.
+// their renewals spread.
 constexpr std::chrono::microseconds SpreadPerPooler{500};
 // The weight of one answer in the smoothed time is one part in this many.
 constexpr int Smoothing = 8;
--- a/src/rhubarbweir/coordination/sessions/statement_queue.cpp
+++ b/src/rhubarbweir/coordination/sessions/statement_queue.cpp
@@ -24,9 +24,8 @@
 constexpr unsigned OldestShare = 8;
 // A late answer has value where the deadline is at least this many objectives after the arrival.
 constexpr int LateValueFactor = 2;
-// Without teams, a late statement waits here where the timeout is at least this many objectives. In
-// simulations of a return after 3 s, shorter timeouts end for a tenth of the backlog or more while
-// it waits behind new statements.
+// Without teams, a late statement waits here where the timeout is at least this many objectives.
+// Shorter timeouts end for much of a backlog while it waits behind new statements.
 constexpr int LateWaitFactor = 8;
 // While statements have been waiting for longer than the objective of a new one, that one is to be
 // sent within its objective divided by this. A longer queue would not serve more, and some callers
--- a/src/rhubarbweir/coordination/sessions/team_budget.cpp
+++ b/src/rhubarbweir/coordination/sessions/team_budget.cpp
@@ -25,12 +25,11 @@
 constexpr int WorkTimes = 2;
 // Where the work is not known, or long, an operation waits for this part of its objective.
 constexpr int ObjectiveDivisor = 3;
-// Time constant of the smoothed rates. With 1.5 s, a change of the leader refused 2.0 % instead of
-// 1.7 % of the operations at 300 poolers, of which most get about one operation per second.
+// Time constant of the smoothed rates. A few operations long at poolers that get about one per
+// second.
 constexpr double RateSeconds = 3;
 // Tokens for expected operations last this long: one renewal, and most of a change of the leader.
-// With 0.8 s, a change refused about three times as many operations of a large team at 100 poolers;
-// more than 1.2 s did not help further, as the tokens at poolers then keep the bucket from filling.
+// More tokens at poolers would keep the bucket from filling.
 constexpr double ExpectedSeconds = 1.2;
 // A team of which no operation arrived for this long keeps no token for its next operation.
 constexpr std::chrono::seconds KeepTime{10};
