--- a/review/common-2/writes.hpp
+++ b/review/common-2/writes.hpp
@@ -14,9 +14,10 @@
         , group(ofGroup)
         , front(pooler)
     {
-        this->group.onPromoted = [this](Database &chosen) {
-            this->check(chosen);
-        };
+        if (this->group.syncReplicas > 0)
+            this->group.onPromoted = [this](Database &chosen) {
+                this->check(chosen);
+            };
         this->writer = std::thread([this] { this->run(); });
     }
     ~WriteLoad()
@@ -61,6 +62,13 @@
         return this->missing > 0 ? 1 : 0;
     }
 
+    // Items whose write was acknowledged.
+    std::set<std::string> acknowledgedItems()
+    {
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        return this->acknowledged;
+    }
+
 private:
     void check(Database &chosen)
     {
