--- a/review/common-2/standins.hpp
+++ b/review/common-2/standins.hpp
@@ -1105,22 +1105,26 @@
         ::waitpid(this->id, &this->status, 0);
         this->id = 0;
     }
-    // Resident memory.
-    long memoryKb() const
-    {
-        std::ifstream file("/proc/" + std::to_string(this->id) + "/status");
-        for (std::string line; std::getline(file, line);) {
-            if (line.rfind("VmRSS:", 0) == 0)
-                return std::atol(line.c_str() + 6);
-        }
-        return 0;
-    }
+    // Resident memory, and the most that it was.
+    long memoryKb() const { return this->statusKb("VmRSS:"); }
+    long peakMemoryKb() const { return this->statusKb("VmHWM:"); }
 
     const std::string path;
     const std::string settings;
     const std::string log;
     pid_t id = 0;
     int status = 0;
+
+private:
+    long statusKb(const std::string &field) const
+    {
+        std::ifstream file("/proc/" + std::to_string(this->id) + "/status");
+        for (std::string line; std::getline(file, line);) {
+            if (line.rfind(field, 0) == 0)
+                return std::atol(line.c_str() + field.size());
+        }
+        return 0;
+    }
 };
 
 // A small deployment: control instances with disks, poolers, one service and the platform.
@@ -1134,7 +1138,9 @@
         unsigned databases = 3;
         unsigned syncReplicas = 0;
         unsigned maxConnections = 44;
+        // Of a machine without a disk, and of one with a disk.
         unsigned memoryMb = 182;
+        unsigned controlMemoryMb = 260;
     };
 
     Deployment(Record &runRecord, std::string temporaryFolder, Shape deploymentShape)
@@ -1289,7 +1295,7 @@
                  << this->base + 5 << "," << this->base + 20 << "],\"seed_nodes\":[" << seeds
                  << "],\"bootstrap\":true,\"in_tolerance\":" << (isControl ? "true" : "false")
                  << ",\"limits\":{\"cpu_share\":0.17,\"cpu_cores\":1,\"memory_mb\":"
-                 << this->shape.memoryMb
+                 << (isControl ? this->shape.controlMemoryMb : this->shape.memoryMb)
                  << ",\"file_descriptors\":2940,\"link_mbps\":700.0,\"disk_mb\":"
                  << (isControl ? 64 : 0) << "},"
                  << (isControl ? "\"data_directory\":\"" + own + "/data\"," : "")
