--- a/review/common-2/standins.hpp
+++ b/review/common-2/standins.hpp
@@ -1227,6 +1227,30 @@
             addresses.push_back({this->controlHost(number), this->base});
         return addresses;
     }
+    // After the first start of the whole system.
+    void endBootstrap()
+    {
+        for (unsigned number = 0; number < this->controls.size(); ++number)
+            this->writeSettings("rhubarb-fleet", this->controlHost(number), number, true, false);
+        for (unsigned number = 0; number < this->poolers.size(); ++number)
+            this->writeSettings("rhubarb-pooler", this->poolerHost(number), number, false, false);
+    }
+
+    // Another control instance with an empty disk, at a new address. It is not among the seeds.
+    Process &addControl()
+    {
+        const auto number = static_cast<unsigned>(this->controls.size());
+        this->addProcess("rhubarb-fleet", this->controlHost(number), number, true);
+        this->writeSettings("rhubarb-fleet", this->controlHost(number), number, true, false);
+        return *this->controls.back();
+    }
+
+    // The folder with the data of a control instance.
+    std::string dataFolder(unsigned control) const
+    {
+        return this->folderOf("rhubarb-fleet", control) + "/data";
+    }
+
     Address front(unsigned pooler) const { return {this->poolerHost(pooler), this->base + 1}; }
     std::string controlHost(unsigned number) const
     {
@@ -1276,8 +1300,23 @@
     void addProcess(const std::string &program, const std::string &host, unsigned number,
                     bool isControl)
     {
-        const std::string own = this->folder + "/" + program + "-" + std::to_string(number);
+        const std::string own = this->folderOf(program, number);
         ::mkdir(own.c_str(), 0755);
+        this->writeSettings(program, host, number, isControl, true);
+        auto process = std::make_unique<Process>("target/" + program, own + "/node.json",
+                                                 own + "/log");
+        (isControl ? this->controls : this->poolers).push_back(std::move(process));
+    }
+
+    std::string folderOf(const std::string &program, unsigned number) const
+    {
+        return this->folder + "/" + program + "-" + std::to_string(number);
+    }
+
+    void writeSettings(const std::string &program, const std::string &host, unsigned number,
+                       bool isControl, bool bootstrap)
+    {
+        const std::string own = this->folderOf(program, number);
         std::string seeds;
         for (unsigned seed = 0; seed < this->shape.controls; ++seed)
             seeds += (seed == 0 ? "\"" : ",\"") + this->controlHost(seed) + ":"
@@ -1293,7 +1332,8 @@
                  << at << this->base + 1 << "\",\"ready\":" << at << this->base + 2
                  << "\",\"control\":" << at << this->base << "\"},\"internal_port_range\":["
                  << this->base + 5 << "," << this->base + 20 << "],\"seed_nodes\":[" << seeds
-                 << "],\"bootstrap\":true,\"in_tolerance\":" << (isControl ? "true" : "false")
+                 << "],\"bootstrap\":" << (bootstrap ? "true" : "false")
+                 << ",\"in_tolerance\":" << (isControl ? "true" : "false")
                  << ",\"limits\":{\"cpu_share\":0.17,\"cpu_cores\":1,\"memory_mb\":"
                  << (isControl ? this->shape.controlMemoryMb : this->shape.memoryMb)
                  << ",\"file_descriptors\":2940,\"link_mbps\":700.0,\"disk_mb\":"
@@ -1310,10 +1350,6 @@
                     "\""
                  << this->network << "200:" << this->base + 3
                  << "\",\"rate_per_s\":50.0,\"duties\":[\"promotion\"],\"duty_per_s\":50.0}}\n";
-        settings.close();
-        auto process = std::make_unique<Process>("target/" + program, own + "/node.json",
-                                                 own + "/log");
-        (isControl ? this->controls : this->poolers).push_back(std::move(process));
     }
 };
 
