--- a/review/common-2/standins.hpp
+++ b/review/common-2/standins.hpp
@@ -234,10 +234,10 @@
 }
 
 inline std::string httpRequest(const std::string &method, const std::string &path,
-                               const Address &to, const std::string &body)
+                               const Address &to, const std::string &body, bool keepAlive = false)
 {
     return method + " " + path + " HTTP/1.1\r\nHost: " + to.text()
-           + "\r\nConnection: close\r\nContent-Type: application/json\r\nContent-Length: "
+           + (keepAlive ? "" : "\r\nConnection: close") + "\r\nContent-Type: application/json\r\nContent-Length: "
            + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
@@ -267,6 +267,40 @@
     return reply;
 }
 
+// A connection that stays open between calls.
+class KeptConnection
+{
+public:
+    explicit KeptConnection(Address address)
+        : to(std::move(address))
+        , socket(connectTo(this->to, milliseconds(1000)))
+        , lines(this->socket)
+    {
+    }
+    ~KeptConnection() { ::close(this->socket); }
+    KeptConnection(const KeptConnection &) = delete;
+    KeptConnection &operator=(const KeptConnection &) = delete;
+
+    // The status of the answer; 0 for none.
+    int call(const std::string &method, const std::string &path, const std::string &body)
+    {
+        if (!sendAll(this->socket, httpRequest(method, path, this->to, body, true)))
+            return 0;
+        const auto head = readHead(this->lines);
+        if (!head || head->first.size() <= 12)
+            return 0;
+        const auto length = head->fields.find("content-length");
+        if (length != head->fields.end())
+            (void)this->lines.exactly(std::stoul(length->second));
+        return std::atoi(head->first.c_str() + 9);
+    }
+
+private:
+    const Address to;
+    int socket;
+    Lines lines;
+};
+
 // Follows a 307 twice.
 inline Reply call(Address to, const std::string &method, const std::string &path,
                   const std::string &body, milliseconds timeout = milliseconds(1000))
@@ -465,6 +499,8 @@
     bool isPrimary = false;
     // Receives nothing from the primary.
     bool isDeaf = false;
+    // Its calls reach no control instance.
+    bool isCutFromControl = false;
     // When an old primary that reaches the new one follows it.
     std::optional<Clock::time_point> demoteAt;
     unsigned long term = 1;
@@ -706,6 +742,7 @@
     std::optional<Address> preferred;
     while (true) {
         bool wasPrimary = false;
+        bool isCut = false;
         std::string wasState;
         {
             const std::lock_guard<std::mutex> lock(this->group.mutex);
@@ -713,6 +750,13 @@
                 return;
             wasPrimary = this->isPrimary;
             wasState = this->state;
+            isCut = this->isCutFromControl;
+        }
+        if (isCut) {
+            // One call after the other gets no answer within a second.
+            pause(milliseconds(500));
+            preferred.reset();
+            continue;
         }
         const std::string body = this->announcement();
         for (std::size_t tries = 0; tries < this->group.controls.size(); ++tries) {
