--- a/tests/unit/platform.tests.cpp
+++ b/tests/unit/platform.tests.cpp
@@ -248,8 +248,13 @@
           replaced(HeartbeatBody, "\"replica\"", "\"king\""),
           replaced(HeartbeatBody, "\"sequence\":4", "\"sequence\":\"4\""),
           replaced(HeartbeatBody, "\"born\":17", "\"born\":1.5"),
-          replaced(HeartbeatBody, "\"service\":\"s\",", ""), std::string("\xff\xfe"),
-          std::string()})
+          replaced(HeartbeatBody, "\"service\":\"s\",", ""),
+          replaced(HeartbeatBody, "\"version\":\"v1\",", ""),
+          replaced(HeartbeatBody, "\"version\":\"v1\"", "\"version\":1"),
+          replaced(HeartbeatBody, "\"cold_remaining_ms\":0,", ""),
+          replaced(HeartbeatBody, "\"cold_remaining_ms\":0", "\"cold_remaining_ms\":\"0\""),
+          replaced(HeartbeatBody, "\"cold_remaining_ms\":0", "\"cold_remaining_ms\":-1"),
+          std::string("\xff\xfe"), std::string()})
         cr_assert(std::holds_alternative<InvalidCall>(decodeHeartbeat(faulty)), "%s",
                   faulty.c_str());
 }
