Register targets only in groups that the configuration names

Cause: a registration takes the place of an earlier start at its address, whatever group it names. An entry of a group that no configuration names shut out the database at its address, or under its name, for good. Change: the leader acknowledges such announcements and changes nothing; the first one after the version that names the group counts, relayed ones too. Registrations that stand in the way from before the first configuration, or from an earlier version, are displaced by a log entry that names them. A start stays in the group in which it registered first. Dropped groups keep their registrations. Why it works: what is not named has no registration that another one could be compared with, and the log entry makes every instance remove the same.

--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -247,14 +247,14 @@
             this->metrics.count("pooler_backlogged");
         return isBacklogged;
     };
-    hooks.syncReplicas = [](const OpaqueBytes &document) {
-        std::map<GroupId, std::uint32_t> replicas;
+    hooks.groups = [](const OpaqueBytes &document) {
+        std::map<GroupId, std::uint32_t> groups;
         const auto table = platform::decodeRouteTable(document.bytes);
         if (!table.ok())
-            return replicas;
+            return groups;
         for (const auto &[group, limits] : table->groups)
-            replicas[group] = limits.syncReplicas;
-        return replicas;
+            groups[group] = limits.syncReplicas;
+        return groups;
     };
     hooks.teamLimits = [](const OpaqueBytes &document) {
         std::map<TeamId, TeamLimit> limits;
@@ -485,7 +485,7 @@
         platform::encodeAnnounced(elsewhere.empty() ? own : withPortOf(elsewhere, own));
     const auto done = [this, respond, path, accepted, isRelayed](FleetCallOutcome outcome) {
         if (isRelayed)
-            this->metrics.count(outcome == FleetCallOutcome::Accepted ? "announcement_relayed"
+            this->metrics.count(outcome != FleetCallOutcome::Unavailable ? "announcement_relayed"
                                                                       : "announcement_unanswered");
         respond(this->outcomeOf(outcome, path, accepted));
     };
@@ -519,7 +519,7 @@
 HttpResponse FleetProgram::outcomeOf(FleetCallOutcome outcome, const std::string &target,
                                      const HttpResponse &accepted) const
 {
-    if (outcome == FleetCallOutcome::Accepted)
+    if (outcome == FleetCallOutcome::Accepted || outcome == FleetCallOutcome::Ignored)
         return accepted;
     if (outcome == FleetCallOutcome::TooLarge)
         return platform::encodeTooLarge();
--- a/src/rhubarbweir/coordination/fleet/announcement_relay.cpp
+++ b/src/rhubarbweir/coordination/fleet/announcement_relay.cpp
@@ -90,7 +90,7 @@
         if (call == this->calls.end() || call->second.target.born != answer.born
             || call->second.target.sequence != answer.sequence)
             continue;
-        if (answer.isAccepted && this->accepted.size() < MaxAcceptedTargets)
+        if (answer.isAccepted && answer.isRegistered && this->accepted.size() < MaxAcceptedTargets)
             this->accepted[answer.target] = {call->second.target, answer.sequence};
         this->finish(call, answer.isAccepted ? FleetCallOutcome::Accepted
                                              : FleetCallOutcome::Unavailable);
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -274,21 +274,38 @@
         done(FleetCallOutcome::NotLeader);
         return;
     }
-    const auto known = this->lastAnnouncements.find(target.target);
+    if (!this->mayRegister(target)) {
+        this->ignoreAnnouncement(target, "unknown_group", done);
+        return;
+    }
+    const std::vector<RegisteredTarget> displaced = this->displacedBy(target);
     const RegisteredTarget *stored = this->fleet.find(target.target);
+    const bool isDisplaced =
+        stored != nullptr
+        && std::find(displaced.begin(), displaced.end(), *stored) != displaced.end();
+    if (isDisplaced) {
+        this->lastAnnouncements.erase(target.target);
+        stored = nullptr;
+    }
+    if (stored != nullptr && stored->born == target.born && stored->group != target.group) {
+        this->ignoreAnnouncement(target, "other_group", done);
+        return;
+    }
+    const auto known = this->lastAnnouncements.find(target.target);
     // The entry of the last announcement may not be committed, or was refused by the log.
     const bool isPending = known != this->lastAnnouncements.end()
-                           && this->fleet.accepts(known->second)
+                           && this->fleet.accepts({known->second, displaced})
                            && !(stored != nullptr && isRepetition(known->second, *stored));
     if (known != this->lastAnnouncements.end() && !isNewer(target, known->second)) {
         if (isPending)
-            this->recordTarget(known->second, std::move(done), now);
+            this->recordTarget({known->second, displaced}, std::move(done), now);
         else
             done(FleetCallOutcome::Accepted);
         return;
     }
-    if ((stored == nullptr || isNewer(target, *stored)) && !this->fleet.accepts(target)) {
-        done(FleetCallOutcome::Accepted);
+    if ((stored == nullptr || isNewer(target, *stored))
+        && !this->fleet.accepts({target, displaced})) {
+        this->ignoreAnnouncement(target, "superseded", done);
         return;
     }
     this->lastAnnouncements[target.target] = target;
@@ -298,15 +315,73 @@
         done(FleetCallOutcome::Accepted);
         return;
     }
-    this->recordTarget(target, std::move(done), now);
+    this->recordTarget({target, displaced}, std::move(done), now);
+}
+
+const std::map<GroupId, std::uint32_t> &FleetController::namedGroups()
+{
+    const ConfigurationDocument &configuration = this->fleet.configuration();
+    if (configuration.version != this->groupsVersion) {
+        this->groupsVersion = configuration.version;
+        this->groups = this->hooks.groups(configuration.document);
+    }
+    return this->groups;
+}
+
+// Before the first configuration every group may turn out to be named.
+bool FleetController::isNamed(const GroupId &group)
+{
+    return this->fleet.configuration().version == 0 || this->namedGroups().count(group) != 0;
+}
+
+// A target of a group that the configuration does not name is not registered, as a registration
+// takes the place of others at the same address. One that was registered before its group was
+// dropped keeps its place, so that it can still leave or serve again.
+bool FleetController::mayRegister(const RegisteredTarget &target)
+{
+    const RegisteredTarget *stored = this->fleet.find(target.target);
+    return this->isNamed(target.group)
+           || (stored != nullptr && stored->group == target.group
+               && stored->address == target.address);
+}
+
+// Registrations in groups that the configuration does not name, at the address or under the name of
+// a target whose group it names. They were made before the first configuration, before their group
+// was dropped, or by earlier versions, which did not compare groups.
+std::vector<RegisteredTarget> FleetController::displacedBy(const RegisteredTarget &target)
+{
+    std::vector<RegisteredTarget> displaced;
+    const RegisteredTarget *stored = this->fleet.find(target.target);
+    // Nothing else is registered at the address of a target that keeps it.
+    const bool keepsPlace = stored != nullptr && stored->born == target.born
+                            && stored->address == target.address && this->isNamed(stored->group);
+    if (keepsPlace || !this->isNamed(target.group))
+        return displaced;
+    for (const auto &[id, other] : this->fleet.targets()) {
+        if ((id == target.target || other.address == target.address) && !this->isNamed(other.group))
+            displaced.push_back(other);
+    }
+    return displaced;
+}
+
+void FleetController::ignoreAnnouncement(const RegisteredTarget &target, const std::string &cause,
+                                         const FleetCallDone &done)
+{
+    this->hooks.event("announcement_ignored", {{"target", target.target.value},
+                                               {"group", target.group.value},
+                                               {"address", target.address},
+                                               {"born", absl::StrCat(target.born)},
+                                               {"sequence", absl::StrCat(target.sequence)},
+                                               {"cause", cause}});
+    done(FleetCallOutcome::Ignored);
 }
 
 // Proposes the state of the target, or waits for the entry that was proposed last if it has the
 // same state. Targets repeat announcements that are not answered in time; a proposal for each would
 // delay the commits further.
-void FleetController::recordTarget(const RegisteredTarget &target, FleetCallDone done,
-                                   TimePoint now)
+void FleetController::recordTarget(const RecordTarget &report, FleetCallDone done, TimePoint now)
 {
+    const RegisteredTarget &target = report.target;
     const auto known = this->proposedTargets.find(target.target);
     if (known != this->proposedTargets.end() && isRepetition(target, known->second.target)) {
         this->waitForCommit(known->second.index, std::move(done), now);
@@ -316,9 +391,10 @@
                                           {"group", target.group.value},
                                           {"phase", std::string(nameOf(target.phase))},
                                           {"primary", target.reportsPrimary ? "yes" : "no"},
-                                          {"sequence", absl::StrCat(target.sequence)}});
+                                          {"sequence", absl::StrCat(target.sequence)},
+                                          {"displaced", absl::StrCat(report.displaced.size())}});
     this->proposedTargets.erase(target.target);
-    if (const auto index = this->propose(RecordTarget{target}, std::move(done), now))
+    if (const auto index = this->propose(report, std::move(done), now))
         this->proposedTargets[target.target] = {target, *index};
 }
 
@@ -348,7 +424,7 @@
     answers.number = batch.number;
     if (!this->canDecide(now)) {
         for (const RegisteredTarget &target : batch.announcements)
-            answers.answers.push_back({target.target, target.born, target.sequence, false});
+            answers.answers.push_back({target.target, target.born, target.sequence, false, false});
         for (const TargetHeartbeat &heartbeat : batch.heartbeats)
             answers.unknown.push_back(heartbeat.target);
         this->hooks.sendToPooler(connection, answers);
@@ -375,7 +451,9 @@
         const auto done = [this, connection, id = target.target, born = target.born,
                            sequence = target.sequence](FleetCallOutcome outcome) {
             this->announcementAnswers[connection].answers.push_back(
-                {id, born, sequence, outcome == FleetCallOutcome::Accepted});
+                {id, born, sequence,
+                 outcome == FleetCallOutcome::Accepted || outcome == FleetCallOutcome::Ignored,
+                 outcome == FleetCallOutcome::Accepted});
         };
         this->targetAnnounced(target, done, now);
     }
@@ -422,7 +500,7 @@
     this->hooks.event("target_left", {{"target", target.value}, {"group", left.group.value}});
     // What is proposed for the target after this must be stored after it.
     this->proposedTargets.erase(target);
-    this->propose(RecordTarget{left}, std::move(done), now);
+    this->propose(RecordTarget{left, {}}, std::move(done), now);
 }
 
 // Poolers.
@@ -642,7 +720,7 @@
 {
     for (const auto &[id, target] : this->fleet.targets()) {
         if (!target.reportsPrimary || target.phase != TargetPhase::Ready
-            || this->fleet.authority(target.group) != nullptr)
+            || this->fleet.authority(target.group) != nullptr || !this->isNamed(target.group))
             continue;
         TimePoint &until = this->proposedUntil[target.group];
         if (now < until)
@@ -826,13 +904,9 @@
 
 std::uint32_t FleetController::syncReplicasOf(const GroupId &group)
 {
-    const ConfigurationDocument &configuration = this->fleet.configuration();
-    if (configuration.version != this->syncReplicasVersion) {
-        this->syncReplicasVersion = configuration.version;
-        this->syncReplicas = this->hooks.syncReplicas(configuration.document);
-    }
-    const auto found = this->syncReplicas.find(group);
-    return found == this->syncReplicas.end() ? 0 : found->second;
+    const auto &named = this->namedGroups();
+    const auto found = named.find(group);
+    return found == named.end() ? 0 : found->second;
 }
 
 void FleetController::probed(const RegisteredTarget &target,
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -101,7 +101,7 @@
     std::optional<std::uint64_t> propose(const FleetCommand &command, FleetCallDone done,
                                          TimePoint now);
     void waitForCommit(std::uint64_t index, FleetCallDone done, TimePoint now);
-    void recordTarget(const RegisteredTarget &target, FleetCallDone done, TimePoint now);
+    void recordTarget(const RecordTarget &report, FleetCallDone done, TimePoint now);
     void finishCalls(std::uint64_t index, FleetCallOutcome outcome);
     void failAllCalls();
     void expireCalls(TimePoint now);
@@ -129,6 +129,12 @@
     answerTokens(const ProxyRun &run, const std::optional<TokenReport> &report, TimePoint now);
     void prepareTokens(TimePoint now);
     void countPoolers(TimePoint now);
+    const std::map<GroupId, std::uint32_t> &namedGroups();
+    bool isNamed(const GroupId &group);
+    bool mayRegister(const RegisteredTarget &target);
+    std::vector<RegisteredTarget> displacedBy(const RegisteredTarget &target);
+    void ignoreAnnouncement(const RegisteredTarget &target, const std::string &cause,
+                            const FleetCallDone &done);
     std::uint32_t syncReplicasOf(const GroupId &group);
     void probeSuspected(const RegisteredTarget &target, TimePoint now);
 
@@ -177,9 +183,9 @@
     // replica could follow it.
     std::map<TargetId, TimePoint> drainingSince;
     std::map<TargetId, TimePoint> keptAt;
-    // What FleetHooks::syncReplicas told of the configuration of this version.
-    std::uint64_t syncReplicasVersion = 0;
-    std::map<GroupId, std::uint32_t> syncReplicas;
+    // What FleetHooks::groups told of the configuration of this version.
+    std::uint64_t groupsVersion = 0;
+    std::map<GroupId, std::uint32_t> groups;
     // Empty if teams are not limited.
     std::optional<BudgetAllocator> budgets;
     // Version of the configuration whose limits the allocator applies.
--- a/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_messages.hpp
@@ -161,6 +161,8 @@
     std::uint64_t sequence = 0;
     // False if the target has to announce itself again.
     bool isAccepted = false;
+    // False if a repetition of the announcement has to be sent in full too.
+    bool isRegistered = false;
 };
 
 struct AnnouncementAnswers
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -129,6 +129,9 @@
 // Outcome of a call of a target or an operator.
 enum class FleetCallOutcome {
     Accepted,
+    // The announcement changes nothing. Acknowledged like an accepted one, so that the target does
+    // not call every instance in turn.
+    Ignored,
     // Another instance leads; the caller is redirected to it if its address is known.
     NotLeader,
     Unavailable,
@@ -139,8 +142,8 @@
 template<>
 struct EnumNames<FleetCallOutcome>
 {
-    static constexpr std::string_view Names[] = {"accepted", "not_leader", "unavailable",
-                                                 "too_large"};
+    static constexpr std::string_view Names[] = {"accepted", "ignored", "not_leader",
+                                                 "unavailable", "too_large"};
 };
 
 using FleetReply = std::variant<FleetLease, FleetRedirect, TokenAnswer, AnnouncementAnswers>;
@@ -173,9 +176,9 @@
     std::function<bool(ConnectionId)> isBacklogged;
     // Tells the observer at the internal address that this instance leads. Best effort.
     std::function<void(const std::string &address)> callObserver;
-    // How many replicas hold a commit before it is confirmed, by group; groups without such a rule
-    // may be absent.
-    std::function<std::map<GroupId, std::uint32_t>(const OpaqueBytes &document)> syncReplicas;
+    // The groups that the document names, with how many replicas hold a commit of each before it is
+    // confirmed.
+    std::function<std::map<GroupId, std::uint32_t>(const OpaqueBytes &document)> groups;
     // Limits of the teams that have one. Only called with FleetSettings::teamLimits.
     std::function<std::map<TeamId, TeamLimit>(const OpaqueBytes &document)> teamLimits;
     // Answered through FleetController::probed().
--- a/src/rhubarbweir/protocol/fleet_codec.cpp
+++ b/src/rhubarbweir/protocol/fleet_codec.cpp
@@ -63,7 +63,6 @@
     decodeDocument(from, command);
 }
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RecordTarget, target)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RevokeAuthority, group, generation)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ChooseCandidate, group, generation, candidate, chooser)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PoolerRun, pooler, incarnation, hasEnded)
@@ -72,6 +71,20 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegisterObserver, address)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ForgetObserver, address)
 
+static void to_json(nlohmann::json &to, const RecordTarget &command)
+{
+    to = {{"target", command.target}};
+    if (!command.displaced.empty())
+        to["displaced"] = command.displaced;
+}
+
+static void from_json(const nlohmann::json &from, RecordTarget &command)
+{
+    from.at("target").get_to(command.target);
+    // Absent from commands of versions that displaced nothing.
+    command.displaced = from.value("displaced", std::vector<RegisteredTarget>());
+}
+
 static void to_json(nlohmann::json &to, const GrantAuthority &command)
 {
     to = {{"group", command.group},
--- a/src/rhubarbweir/protocol/internal/json_messages.hpp
+++ b/src/rhubarbweir/protocol/internal/json_messages.hpp
@@ -316,7 +316,23 @@
     from.at(3).get_to(heartbeat.sequence);
 }
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnnouncementBatch, number, announcements, heartbeats)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnnouncementAnswer, target, born, sequence, isAccepted)
+inline void to_json(nlohmann::json &to, const AnnouncementAnswer &answer)
+{
+    to = {{"target", answer.target},
+          {"born", answer.born},
+          {"sequence", answer.sequence},
+          {"isAccepted", answer.isAccepted},
+          {"isRegistered", answer.isRegistered}};
+}
+inline void from_json(const nlohmann::json &from, AnnouncementAnswer &answer)
+{
+    from.at("target").get_to(answer.target);
+    from.at("born").get_to(answer.born);
+    from.at("sequence").get_to(answer.sequence);
+    from.at("isAccepted").get_to(answer.isAccepted);
+    // Absent from answers of versions that registered every accepted target.
+    answer.isRegistered = from.value("isRegistered", answer.isAccepted);
+}
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AnnouncementAnswers, number, answers, unknown)
 
 // relay_messages.hpp. Lists, because these are sent for each statement.
--- a/src/rhubarbweir/state/fleet_state.cpp
+++ b/src/rhubarbweir/state/fleet_state.cpp
@@ -60,16 +60,21 @@
     return found == this->authorityByGroup.end() ? nullptr : &found->second;
 }
 
-bool FleetState::accepts(const RegisteredTarget &target) const
+bool FleetState::accepts(const RecordTarget &report) const
 {
+    const RegisteredTarget &target = report.target;
+    const auto isDisplaced = [&report](const RegisteredTarget &other) {
+        return std::find(report.displaced.begin(), report.displaced.end(), other)
+               != report.displaced.end();
+    };
     const RegisteredTarget *known = this->find(target.target);
-    if (known != nullptr) {
+    if (known != nullptr && !isDisplaced(*known)) {
         const bool isFromLeftStart =
             known->phase == TargetPhase::Left && target.born <= known->born;
         return !isFromLeftStart && isNewer(target, *known);
     }
     for (const auto &[id, other] : this->registeredTargets) {
-        if (other.address == target.address && other.born > target.born)
+        if (other.address == target.address && other.born > target.born && !isDisplaced(other))
             return false;
     }
     return true;
@@ -86,8 +91,15 @@
 
 bool FleetState::applyCommand(std::uint64_t index, const RecordTarget &command)
 {
-    if (!this->accepts(command.target))
+    if (!this->accepts(command))
         return false;
+    for (const RegisteredTarget &other : command.displaced) {
+        const RegisteredTarget *known = this->find(other.target);
+        if (known == nullptr || *known != other)
+            continue;
+        this->recordViewChange(index, other.target, {});
+        this->registeredTargets.erase(other.target);
+    }
     this->removeSupersededTargets(index, command.target);
     this->registeredTargets[command.target.target] = command.target;
     this->recordViewChange(index, command.target.target, {});
--- a/src/rhubarbweir/state/fleet_state.hpp
+++ b/src/rhubarbweir/state/fleet_state.hpp
@@ -110,6 +110,8 @@
 struct RecordTarget
 {
     RegisteredTarget target;
+    // Registrations that do not count against this one, removed if they are still the same.
+    std::vector<RegisteredTarget> displaced;
 };
 
 // Grants the authority to `primary`. Has no effect if the current generation differs.
@@ -213,9 +215,10 @@
     }
     // Null for an unknown target.
     const RegisteredTarget *find(const TargetId &target) const;
-    // Whether a report from `target` is current. False if it comes from an earlier start, from a
-    // target that has left, or from one whose address has been taken over by a later start.
-    bool accepts(const RegisteredTarget &target) const;
+    // Whether a report is current. False if it comes from an earlier start, from a target that has
+    // left, or from one whose address has been taken over by a later start. Displaced registrations
+    // are not compared.
+    bool accepts(const RecordTarget &report) const;
     const PrimaryAuthority *authority(const GroupId &group) const;
     // Keyed by pooler and incarnation.
     const PoolerRuns &poolers() const { return this->poolerRuns; }
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -231,6 +231,8 @@
     std::map<TeamId, TeamLimit> teamLimits;
     std::size_t limitsDecoded = 0;
     std::uint32_t syncReplicas = 0;
+    // Groups that the configuration names besides `Group`.
+    std::map<GroupId, std::uint32_t> otherGroups;
     std::uint64_t sequence = 0;
     std::uint64_t lastIndex = 0;
     std::uint64_t term = 1;
@@ -301,8 +303,10 @@
         hooks.isBacklogged = [this](ConnectionId connection) {
             return this->backlogged.count(connection) != 0;
         };
-        hooks.syncReplicas = [this](const OpaqueBytes &) {
-            return std::map<GroupId, std::uint32_t>{{Group, this->syncReplicas}};
+        hooks.groups = [this](const OpaqueBytes &) {
+            std::map<GroupId, std::uint32_t> groups = this->otherGroups;
+            groups[Group] = this->syncReplicas;
+            return groups;
         };
         hooks.teamLimits = [this](const OpaqueBytes &) {
             ++this->limitsDecoded;
--- a/tests/unit/announcement_relay.tests.cpp
+++ b/tests/unit/announcement_relay.tests.cpp
@@ -44,7 +44,8 @@
         AnnouncementAnswers answers;
         answers.number = batch.number;
         for (const RegisteredTarget &target : batch.announcements)
-            answers.answers.push_back({target.target, target.born, target.sequence, isAccepted});
+            answers.answers.push_back(
+                {target.target, target.born, target.sequence, isAccepted, isAccepted});
         this->relay.answered(answers, this->now);
     }
 
@@ -291,6 +292,39 @@
     cr_assert(fleet.controller.state().find(TargetId("t1"))->phase == TargetPhase::Draining);
 }
 
+Test(announcement_relay, group_named_later,
+     .description = "A relayed announcement registers its target as soon as its group is named")
+{
+    FleetFixture fleet;
+    fleet.waitForGracePeriod();
+    fleet.configure(1, "one");
+    RegisteredTarget target = FleetFixture::target("n1", false, 1);
+    target.group = GroupId("next");
+    fleet.controller.announcementsRelayed(7, batchOf({target}), fleet.now);
+    fleet.controller.sendAnnouncementAnswers();
+    const AnnouncementAnswer answer = lastAnswers(fleet)->answers.front();
+    cr_assert(answer.isAccepted);
+    cr_assert_not(answer.isRegistered);
+    // The relay sends the next one in full.
+    RelayFixture fixture;
+    std::optional<FleetCallOutcome> outcome;
+    const auto done = [&outcome](FleetCallOutcome result) {
+        outcome = result;
+    };
+    fixture.relay.announced(target, done, fixture.now);
+    fixture.relay.answered({0, {answer}, {}}, fixture.now);
+    cr_assert_eq(*outcome, FleetCallOutcome::Accepted);
+    outcome.reset();
+    ++target.sequence;
+    fixture.relay.announced(target, done, fixture.now);
+    cr_assert_not(outcome);
+    fleet.otherGroups[GroupId("next")] = 0;
+    fleet.configure(2, "two");
+    fleet.controller.announcementsRelayed(7, batchOf({target}), fleet.now);
+    fleet.commit();
+    cr_assert_not_null(fleet.controller.state().find(target.target));
+}
+
 Test(announcement_relay, only_with_many_targets,
      .description = "Small fleets are served as before, and a large one is spread over instances")
 {
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -136,6 +136,138 @@
     cr_assert_null(fleet.controller.state().find(TargetId("t1")));
 }
 
+namespace {
+
+// An entry of another writer: of a group that no configuration names, at the address of `target`.
+RegisteredTarget foreignAt(const std::string &target, std::int64_t born)
+{
+    RegisteredTarget entry = FleetFixture::target("foreign", true, 1, TargetPhase::Ready, born);
+    entry.address = target + ":1";
+    entry.group = GroupId("unnamed");
+    return entry;
+}
+
+RegisteredTarget inGroup(RegisteredTarget target, const std::string &group)
+{
+    target.group = GroupId(group);
+    return target;
+}
+
+const RegisteredTarget *find(const FleetFixture &fleet, const std::string &target)
+{
+    return fleet.controller.state().find(TargetId(target));
+}
+
+} // namespace
+
+// Guards against an entry of another writer that shuts out the target at its address.
+Test(fleet_controller, unnamed_group,
+     .description = "An announcement of a group that the configuration does not name is "
+                    "acknowledged and changes nothing")
+{
+    FleetFixture fleet;
+    fleet.waitForGracePeriod();
+    fleet.configure(1, "one");
+    fleet.startGroup();
+    const std::uint64_t revision = fleet.revision();
+    cr_assert_eq(fleet.announce(foreignAt("t2", 1000)), FleetCallOutcome::Ignored);
+    cr_assert_eq(fleet.announce(inGroup(FleetFixture::target("t2", false, 1000), "unnamed")),
+                 FleetCallOutcome::Ignored);
+    cr_assert_eq(fleet.announce(inGroup(
+                     FleetFixture::target("t3", false, 1, TargetPhase::Draining, 1000), "unnamed")),
+                 FleetCallOutcome::Ignored);
+    fleet.advance(milliseconds(200));
+    cr_assert_eq(fleet.revision(), revision);
+    cr_assert_null(fleet.controller.state().authority(GroupId("unnamed")));
+    fleet.announce(FleetFixture::target("t2", false, ++fleet.sequence, TargetPhase::Draining));
+    cr_assert_eq(find(fleet, "t2")->phase, TargetPhase::Draining);
+}
+
+// Guards against a target that another writer moves to a group that the configuration names.
+Test(fleet_controller, moved_target,
+     .description = "A start of a target belongs to the group in which it registered first")
+{
+    FleetFixture fleet;
+    fleet.otherGroups[GroupId("other")] = 0;
+    fleet.configure(1, "one");
+    fleet.announce(FleetFixture::target("t2", false, 5));
+    cr_assert_eq(fleet.announce(inGroup(FleetFixture::target("t2", false, 1000), "other")),
+                 FleetCallOutcome::Ignored);
+    fleet.announce(FleetFixture::target("t2", false, 6, TargetPhase::Draining));
+    cr_assert_eq(find(fleet, "t2")->group, FleetFixture::Group);
+    cr_assert_eq(find(fleet, "t2")->phase, TargetPhase::Draining);
+}
+
+Test(fleet_controller, group_named_later,
+     .description = "The first announcement after a configuration names the group registers it")
+{
+    FleetFixture fleet;
+    fleet.configure(1, "one");
+    const RegisteredTarget early = inGroup(FleetFixture::target("n1", true, 1), "next");
+    cr_assert_eq(fleet.announce(early), FleetCallOutcome::Ignored);
+    cr_assert_null(find(fleet, "n1"));
+    fleet.otherGroups[GroupId("next")] = 0;
+    fleet.configure(2, "two");
+    RegisteredTarget second = early;
+    ++second.sequence;
+    cr_assert_eq(fleet.announce(second), FleetCallOutcome::Accepted);
+    cr_assert_not_null(find(fleet, "n1"));
+    fleet.advance(milliseconds(200));
+    cr_assert_eq(fleet.controller.state().authority(GroupId("next"))->primary, TargetId("n1"));
+}
+
+Test(fleet_controller, dropped_group,
+     .description = "Targets of a group that a configuration drops keep their registrations")
+{
+    FleetFixture fleet;
+    fleet.otherGroups[GroupId("late")] = 0;
+    fleet.configure(1, "one");
+    fleet.announce(inGroup(FleetFixture::target("n1", true, 1), "late"));
+    fleet.announce(inGroup(FleetFixture::target("n2", false, 1), "late"));
+    fleet.otherGroups.clear();
+    fleet.configure(2, "two");
+    fleet.announce(inGroup(FleetFixture::target("n1", true, 2, TargetPhase::Draining), "late"));
+    cr_assert_eq(find(fleet, "n1")->phase, TargetPhase::Draining);
+    fleet.announce(inGroup(FleetFixture::target("n2", false, 1, TargetPhase::Ready, 2), "late"));
+    cr_assert_eq(find(fleet, "n2")->born, 2);
+    // A new target of the group waits until it is named again.
+    fleet.announce(inGroup(FleetFixture::target("n3", false, 1), "late"));
+    cr_assert_null(find(fleet, "n3"));
+    fleet.otherGroups[GroupId("late")] = 0;
+    fleet.configure(3, "three");
+    fleet.announce(inGroup(FleetFixture::target("n3", false, 2), "late"));
+    cr_assert_not_null(find(fleet, "n3"));
+}
+
+// Guards against a state from before groups were compared, in which a target is shut out for good.
+Test(fleet_controller, foreign_entries_in_a_snapshot,
+     .description = "A target displaces a registration of an unnamed group under its name or "
+                    "address")
+{
+    FleetFixture former;
+    former.configure(1, "one");
+    FleetState::Snapshot snapshot = former.controller.state().snapshot();
+    snapshot.targets = {FleetFixture::target("t1", true, 5), foreignAt("t2", 1000),
+                        inGroup(FleetFixture::target("t3", false, 1000), "unnamed")};
+    FleetFixture fleet;
+    fleet.waitForGracePeriod();
+    fleet.controller.restored(snapshot, fleet.now);
+    fleet.lastIndex = 10;
+    fleet.renew("p1", fleet.revision());
+    // What the other writer repeats does not come first again.
+    fleet.announce(inGroup(FleetFixture::target("t3", false, 1001), "unnamed"));
+    cr_assert_eq(fleet.announce(FleetFixture::target("t2", false, 6)), FleetCallOutcome::Accepted);
+    cr_assert_eq(fleet.announce(FleetFixture::target("t3", false, 7)), FleetCallOutcome::Accepted);
+    fleet.announce(foreignAt("t2", 2000));
+    fleet.announce(inGroup(FleetFixture::target("t3", false, 2000), "unnamed"));
+    cr_assert_not_null(find(fleet, "t2"));
+    cr_assert_eq(find(fleet, "t3")->group, FleetFixture::Group);
+    cr_assert_null(find(fleet, "foreign"));
+    const auto changes = fleet.controller.state().viewChangesAfter(10);
+    cr_assert(changes);
+    cr_assert_eq(changes->targets.count(TargetId("foreign")), 1);
+}
+
 Test(fleet_controller, left_target,
      .description = "A late announcement does not bring back a target that left")
 {
--- a/tests/unit/fleet_partitions.tests.cpp
+++ b/tests/unit/fleet_partitions.tests.cpp
@@ -141,6 +141,24 @@
         }
         if (this->chance(1))
             this->fleet.changeLeader();
+        if (this->chance(3))
+            this->announceForeign();
+    }
+
+    // An entry of another writer, which names no database: of an unnamed group, under the name or
+    // at the address of a target, of any start and sequence.
+    void announceForeign()
+    {
+        auto database = this->group.databases.begin();
+        std::advance(database, this->random() % this->group.databases.size());
+        const bool takesName = this->chance(50);
+        RegisteredTarget entry = FleetFixture::target(
+            takesName ? database->first.value : "foreign", this->chance(50), this->random() % 10000,
+            this->chance(50) ? TargetPhase::Ready : TargetPhase::Draining,
+            static_cast<std::int64_t>(this->random() % 1000));
+        entry.address = database->first.value + ":1";
+        entry.group = GroupId("unnamed");
+        this->fleet.announce(entry);
     }
 
     unsigned seed;
