Count a learner as up to date while entries are on their way to it

Cause: a learner was ready only when it held every committed entry. Under a steady load its answer to the newest one is always on its way, so the learner never took a vote, in place of a lost voter neither. Change: replication to each member goes in rounds, as in section 4.2.1 of Ongaro's dissertation on Raft; a learner is ready if it held, less than an election timeout ago, all that the leader's log held. Evidence: quorum_replacement successor_under_load fails without the change and passes with it.

--- a/src/rhubarbweir/coordination/quorum/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.hpp
@@ -222,6 +222,7 @@
     bool redirectJoin(const InstanceId &joining, const QuorumHeader &received);
     void maintainMembership();
     bool answeredRecently(const MemberProgress &progress) const;
+    bool isUpToDate(const MemberProgress &progress) const;
     bool isReachable(const QuorumMember &member) const;
     bool isMajorityReachable(const std::vector<QuorumMember> &voters) const;
     bool majorityWithout(const QuorumMember &lost) const;
--- a/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
@@ -65,6 +65,8 @@
             progress = found->second;
         else {
             progress.nextIndex = this->lastIndex() + 1;
+            progress.roundEnd = this->lastIndex();
+            progress.roundStartedAt = this->currentTime;
             progress.lastAnswerAt = this->currentTime;
             progress.heartbeatAt = this->currentTime;
         }
@@ -236,6 +238,14 @@
            && this->currentTime < *progress.lastAnswerAt + this->settings.electionTimeoutMax;
 }
 
+// Whether the member lags by less than an election takes. Under a steady load it never holds all
+// that is committed, as its answers are on their way.
+bool QuorumLog::isUpToDate(const MemberProgress &progress) const
+{
+    return !progress.probing && progress.currentAsOf
+           && this->currentTime < *progress.currentAsOf + this->settings.electionTimeoutMax;
+}
+
 bool QuorumLog::isReachable(const QuorumMember &member) const
 {
     const auto found = this->progressByMember.find(keyOf(member));
@@ -318,8 +328,7 @@
             continue;
         const auto found = this->progressByMember.find(keyOf(learner));
         if (found == this->progressByMember.end() || !this->answeredRecently(found->second)
-            || found->second.probing || found->second.matchIndex < this->committed
-            || found->second.leaveAskedAt)
+            || !this->isUpToDate(found->second) || found->second.leaveAskedAt)
             continue;
         if (!domainTaken(learner.peer.failureDomain))
             return &found->second;
--- a/src/rhubarbweir/coordination/quorum/quorum_progress.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_progress.hpp
@@ -22,6 +22,11 @@
     bool probing = true;
     // Last index of each unacknowledged append that has entries; at most maxInflightAppends.
     std::deque<std::uint64_t> inflight;
+    // Each round ends once the member holds what the leader's log held at its start. Everything up
+    // to the start of the last one that ended is at the member; empty before the first.
+    std::uint64_t roundEnd = 0;
+    TimePoint roundStartedAt;
+    std::optional<TimePoint> currentAsOf;
     // When the newest answered message was sent; the basis of the leader's lease.
     std::optional<TimePoint> newestAnsweredSentAt;
     // When the last answer arrived; initially, when tracking of the member began.
--- a/src/rhubarbweir/coordination/quorum/quorum_replication.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_replication.cpp
@@ -242,6 +242,11 @@
         progress.matchIndex = matched;
         progress.resendAt = this->currentTime + 2 * this->settings.heartbeat;
     }
+    if (progress.matchIndex >= progress.roundEnd) {
+        progress.currentAsOf = progress.roundStartedAt;
+        progress.roundEnd = this->lastIndex();
+        progress.roundStartedAt = this->currentTime;
+    }
     while (!progress.inflight.empty() && progress.inflight.front() <= progress.matchIndex)
         progress.inflight.pop_front();
     if (progress.snapshotIndex != 0 && progress.matchIndex >= progress.snapshotIndex) {
--- a/tests/unit/quorum_replacement.tests.cpp
+++ b/tests/unit/quorum_replacement.tests.cpp
@@ -141,6 +141,33 @@
     });
 }
 
+// Guards against a successor that answers a little later than others and never counts as ready.
+Test(
+    quorum_replacement, successor_under_load,
+    .description = "a learner takes the vote of a lost voter while entries are always on their way")
+{
+    QuorumCluster cluster(5, 3, 1);
+    cluster.startAll();
+    cr_assert(cluster.commitOne());
+    cluster.crash((*cluster.leader() + 1) % 3);
+    cluster.nodes[3].distance = milliseconds(30);
+    const std::function<void()> propose = [&cluster, &propose] {
+        for (std::size_t number = 0; number < cluster.nodes.size(); ++number)
+            (void)cluster.propose(number);
+        cluster.schedule(milliseconds(5), propose);
+    };
+    propose();
+    cr_assert(cluster.runUntil(seconds(5), [&cluster] {
+        const auto leading = cluster.leader();
+        if (!leading)
+            return false;
+        const auto &voters = cluster.nodes[*leading].log->membership().voters;
+        return std::any_of(voters.begin(), voters.end(), [&cluster](const QuorumMember &voter) {
+            return voter.incarnation == cluster.nodes[3].lastIncarnation;
+        });
+    }));
+}
+
 // Guards against a vote that nobody hands over when its voter stops for good.
 Test(quorum_replacement, folder_lost_after_a_planned_stop,
      .description = "a folder lost after a voter was replaced as planned ends no cluster")
--- a/tests/unit/support/quorum_cluster.hpp
+++ b/tests/unit/support/quorum_cluster.hpp
@@ -321,7 +321,9 @@
             const int copies = this->random() % 100 < this->duplicatePercent ? 2 : 1;
             for (int copy = 0; copy < copies; ++copy) {
                 const auto span = static_cast<std::uint64_t>(this->maxDelay.count());
-                const Duration delay(500 + static_cast<std::int64_t>(this->random() % span));
+                const Duration delay =
+                    Duration(500 + static_cast<std::int64_t>(this->random() % span))
+                    + this->nodes[number].distance;
                 this->schedule(delay, [this, from, number, message] {
                     QuorumNode &node = this->nodes[number];
                     if (!node.log)
--- a/tests/unit/support/quorum_node.hpp
+++ b/tests/unit/support/quorum_node.hpp
@@ -20,6 +20,8 @@
 {
     QuorumPeer peer;
     bool spare = false;
+    // Added to the delay of all messages to the instance.
+    Duration distance{};
     // If set, all that the instance's settings name, without the permission to bootstrap.
     std::optional<std::vector<QuorumPeer>> seeds;
     std::shared_ptr<FakeFolder> folder = std::make_shared<FakeFolder>();
