Keep control when a disk is lost beside a removed instance

Cause: of three voters one was gone and one superseded; the learner that held the whole log had no vote, and no time-out is short enough to give it one first. Change: a learner that is up to date votes at once, so that a spare voter makes the set even; an even set of n does with n / 2 voters once one is superseded; such elections use a random term; a change of the voters is committed by majorities of both sets.

--- a/src/rhubarbweir/coordination/quorum/quorum_election.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_election.cpp
@@ -14,6 +14,13 @@
 
 namespace rhubarbweir {
 
+namespace {
+
+// See quorum_lost_folders.cpp. Two elections choose the same term with a probability of 2^-32.
+constexpr std::uint64_t AssistedTermRange = std::uint64_t{1} << 32U;
+
+} // namespace
+
 Duration QuorumLog::leaseDuration() const
 {
     const Duration minimum = this->settings.electionTimeoutMin;
@@ -75,6 +82,7 @@
     this->currentRole = QuorumRole::PreCandidate;
     this->knownLeader.reset();
     this->resetElectionTimer();
+    this->isAssistedElection = this->toleratesSuperseded(this->membership().voters);
     this->votes = {this->selfKey()};
     this->requestVotes(VotePhase::PreVote, this->term() + 1, false);
     this->countVotes();
@@ -84,15 +92,19 @@
 {
     this->currentRole = QuorumRole::Candidate;
     this->knownLeader.reset();
+    this->isAssistedElection = !handover && this->isAssistedMajority();
     this->votes.clear();
     ++this->hardState.term;
+    if (this->isAssistedElection)
+        this->hardState.term += this->random() % AssistedTermRange;
     this->hardState.votedFor = this->settings.self.instance;
     this->hardState.votedForIncarnation = this->hardState.incarnation;
     this->saveHardState();
     this->resetElectionTimer();
     this->emitEvent("quorum_election_started",
                     {{"term", absl::StrCat(this->term())},
-                     {"cause", handover ? "leader_handed_over" : "no_leader_heard"}});
+                     {"cause", handover ? "leader_handed_over" : "no_leader_heard"},
+                     {"assisted", this->isAssistedElection ? "yes" : "no"}});
     // The instance counts its own vote and requests others only once that vote is durable.
     this->persistence.afterSync([this, electionTerm = this->term(), handover] {
         if (this->currentRole != QuorumRole::Candidate || this->term() != electionTerm)
@@ -105,29 +117,44 @@
 
 void QuorumLog::requestVotes(VotePhase phase, std::uint64_t electionTerm, bool handover)
 {
+    QuorumVoteRequest request;
+    request.header.term = electionTerm;
+    request.phase = phase;
+    request.lastIndex = this->lastIndex();
+    request.lastTerm = this->entries.lastTerm();
+    request.handover = handover;
     for (const QuorumMember &voter : this->membership().voters) {
-        if (keyOf(voter) == this->selfKey())
-            continue;
-        QuorumVoteRequest request;
-        request.header = this->header(voter.incarnation);
-        request.header.term = electionTerm;
-        request.phase = phase;
-        request.lastIndex = this->lastIndex();
-        request.lastTerm = this->entries.lastTerm();
-        request.handover = handover;
-        this->hooks.send(voter.peer.instance, request);
+        if (keyOf(voter) != this->selfKey())
+            this->requestVote(voter, request);
     }
+    if (!this->isAssistedElection)
+        return;
+    for (const QuorumMember &returned : this->returnedVoters())
+        this->requestVote(returned, request);
+}
+
+void QuorumLog::requestVote(const QuorumMember &voter, QuorumVoteRequest request)
+{
+    const std::uint64_t electionTerm = request.header.term;
+    request.header = this->header(voter.incarnation);
+    request.header.term = electionTerm;
+    this->hooks.send(voter.peer.instance, request);
 }
 
 // Counts only voters of the latest membership, each under its current incarnation.
-bool QuorumLog::hasMajorityOfVotes() const
+std::size_t QuorumLog::countVotersInFavour() const
 {
     const std::vector<QuorumMember> &voters = this->membership().voters;
-    const auto granted =
+    return static_cast<std::size_t>(
         std::count_if(voters.begin(), voters.end(), [this](const QuorumMember &voter) {
             return this->votes.count(keyOf(voter)) != 0;
-        });
-    return static_cast<std::size_t>(granted) > voters.size() / 2;
+        }));
+}
+
+bool QuorumLog::hasMajorityOfVotes() const
+{
+    return this->countVotersInFavour() > this->membership().voters.size() / 2
+           || this->isAssistedMajority();
 }
 
 void QuorumLog::countVotes()
@@ -244,13 +271,13 @@
         const auto found = this->progressByMember.find(keyOf(voter));
         if (keyOf(voter) == this->selfKey())
             times.emplace_back(own);
-        else if (found != this->progressByMember.end())
+        else if (found != this->progressByMember.end() && !found->second.superseded)
             times.push_back(found->second.*time);
         else
             times.emplace_back();
     }
     std::sort(times.begin(), times.end(), std::greater<>());
-    return times.empty() ? std::nullopt : times[times.size() / 2];
+    return times.empty() ? std::nullopt : times[this->requiredOf(this->membership().voters) - 1];
 }
 
 void QuorumLog::checkQuorum()
--- a/src/rhubarbweir/coordination/quorum/quorum_leaving.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_leaving.cpp
@@ -87,6 +87,11 @@
     const QuorumMember member = progress.member;
     QuorumMembership next = this->membership();
     const auto learner = std::find(next.learners.begin(), next.learners.end(), member);
+    const bool isVoting =
+        std::find(next.voters.begin(), next.voters.end(), member) != next.voters.end();
+    // Its removal is not committed yet.
+    if (!isVoting && learner == next.learners.end())
+        return;
     if (learner == next.learners.end()) {
         const bool isReplaced = next.voters.size() > next.voterTarget;
         if (!isReplaced && !this->hasLearnerFor(from))
--- a/src/rhubarbweir/coordination/quorum/quorum_log.hpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_log.hpp
@@ -161,6 +161,8 @@
     void startPreVote();
     void startElection(bool handover);
     void requestVotes(VotePhase phase, std::uint64_t electionTerm, bool handover);
+    void requestVote(const QuorumMember &voter, QuorumVoteRequest request);
+    std::size_t countVotersInFavour() const;
     bool hasMajorityOfVotes() const;
     void countVotes();
     void becomeLeader();
@@ -182,6 +184,7 @@
                                 const QuorumMembership &change);
     void replicate();
     void advanceLeader();
+    std::uint64_t replicatedBy(const std::vector<QuorumMember> &voters) const;
     void sendHeartbeat(MemberProgress &progress);
     void sendEntries(MemberProgress &progress);
     void sendAppend(MemberProgress &progress, std::uint64_t previousIndex,
@@ -227,11 +230,22 @@
     bool isMajorityReachable(const std::vector<QuorumMember> &voters) const;
     bool majorityWithout(const QuorumMember &lost) const;
     bool majorityWith(const QuorumMember &learner) const;
+    std::size_t maxVoters() const;
     const MemberProgress *leastAdvancedVoter() const;
     const MemberProgress *findLostVoter() const;
     const MemberProgress *bestReplacement(const InstanceId &vacating) const;
     void dropVoter(const QuorumMember &lost, const std::string &cause);
     void promoteLearner(const QuorumMember &learner, const std::string &cause);
+    void admitLearner(const QuorumMember &member, const std::string &cause);
+
+    // quorum_lost_folders.cpp
+    const std::vector<QuorumMember> &formerVoters() const;
+    void confirmVoters();
+    void recordReturn(const QuorumJoin &join);
+    std::vector<QuorumMember> returnedVoters() const;
+    bool toleratesSuperseded(const std::vector<QuorumMember> &voters) const;
+    std::size_t requiredOf(const std::vector<QuorumMember> &voters) const;
+    bool isAssistedMajority() const;
 
     // quorum_leaving.cpp
     void advanceLeaving();
@@ -293,6 +307,10 @@
 
     // Candidate: members that granted their vote in the current phase.
     std::set<MemberKey> votes;
+    // Candidate: whether a returned voter may complete the majority in the current phase.
+    bool isAssistedElection = false;
+    // Latest incarnation under which the instance of a voter asked to join.
+    std::map<InstanceId, std::uint64_t> joiningIncarnations;
 
     // Leader: replication progress of all other members.
     std::map<MemberKey, MemberProgress> progressByMember;
--- a/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_membership.cpp
@@ -4,7 +4,7 @@
 // promotion is committed, as in section 4 of Ongaro's dissertation on Raft. Each step changes the
 // set of voters by one member, so any two majorities have a voter in common. Removing the voter
 // first would leave a set in which each further loss is fatal, for as long as the learner is not
-// promoted.
+// promoted. A step is committed once majorities of both sets hold it.
 #include "rhubarbweir/coordination/quorum/quorum_log.hpp"
 
 #include <absl/strings/str_cat.h>
@@ -76,6 +76,10 @@
     const QuorumMembership &current = this->membership();
     std::for_each(current.voters.begin(), current.voters.end(), keep);
     std::for_each(current.learners.begin(), current.learners.end(), keep);
+    const std::vector<QuorumMember> returned = this->returnedVoters();
+    std::for_each(returned.begin(), returned.end(), keep);
+    const std::vector<QuorumMember> &former = this->formerVoters();
+    std::for_each(former.begin(), former.end(), keep);
     this->progressByMember = std::move(rebuilt);
 }
 
@@ -127,6 +131,7 @@
 
 void QuorumLog::handle(const InstanceId &from, const QuorumJoin &join)
 {
+    this->recordReturn(join);
     this->answerNonMember(from, join.header);
     const absl::Status allowed = this->checkJoin(from, join);
     if (absl::IsAlreadyExists(allowed))
@@ -140,14 +145,18 @@
                          {"leader", this->knownLeader ? this->knownLeader->instance.value : ""}});
         return;
     }
-    const QuorumMember member{join.peer, join.header.fromIncarnation};
+    this->admitLearner({join.peer, join.header.fromIncarnation}, "asked_to_join");
+}
+
+void QuorumLog::admitLearner(const QuorumMember &member, const std::string &cause)
+{
     QuorumMembership next = this->membership();
-    removeInstance(next.learners, from);
+    removeInstance(next.learners, member.peer.instance);
     next.learners.push_back(member);
     this->proposeMembership(next, "quorum_learner_added",
-                            {{"instance", from.value},
+                            {{"instance", member.peer.instance.value},
                              {"incarnation", absl::StrCat(member.incarnation)},
-                             {"cause", "asked_to_join"}});
+                             {"cause", cause}});
 }
 
 // Returns false if this instance leads or knows no other leader.
@@ -207,9 +216,20 @@
     if (!this->checkChangeAllowed().ok())
         return;
     const QuorumMembership &current = this->membership();
+    for (const QuorumMember &returned : this->returnedVoters()) {
+        // It hears the leader, so it does not ask again.
+        const bool isLearner = std::find(current.learners.begin(), current.learners.end(), returned)
+                               != current.learners.end();
+        if (!isLearner && this->isReachable(returned)) {
+            this->admitLearner(returned, "folder_lost");
+            return;
+        }
+    }
     const MemberProgress *lost = this->findLostVoter();
     const bool isLeaving = this->leaveStep != LeaveStep::Member;
-    if (current.voters.size() > current.voterTarget) {
+    const std::size_t size = current.voters.size();
+    const bool isLostSpare = size > current.voterTarget && lost != nullptr;
+    if (isLostSpare || size > this->maxVoters()) {
         // A leader that leaves is removed by its successor, after it has asked it.
         const bool mayLeaverAsk =
             isLeaving
@@ -221,15 +241,32 @@
             this->dropVoter(surplus->member, lost != nullptr ? lossOf(*lost) : "surplus");
         return;
     }
-    const bool isShort = current.voters.size() < current.voterTarget;
-    if (!isShort && lost == nullptr && !isLeaving)
-        return;
     const MemberProgress *learner =
-        this->bestReplacement(lost != nullptr ? lost->member.peer.instance : InstanceId());
-    if (learner == nullptr || !this->majorityWith(learner->member))
+        size == this->maxVoters()
+            ? nullptr
+            : this->bestReplacement(lost != nullptr ? lost->member.peer.instance : InstanceId());
+    if (learner == nullptr || !this->majorityWith(learner->member)) {
+        this->confirmVoters();
         return;
-    const std::string cause = lost != nullptr ? lossOf(*lost) : "leaving";
-    this->promoteLearner(learner->member, isShort ? "voter_missing" : cause);
+    }
+    std::string cause = "spare";
+    if (size < current.voterTarget)
+        cause = "voter_missing";
+    else if (lost != nullptr)
+        cause = lossOf(*lost);
+    else if (isLeaving)
+        cause = "leaving";
+    this->promoteLearner(learner->member, cause);
+}
+
+// A learner that is up to date votes at once, as one more voter than the target, so that each entry
+// is on one more disk. See quorum_lost_folders.cpp for what an even set tolerates.
+std::size_t QuorumLog::maxVoters() const
+{
+    const std::size_t target = this->membership().voterTarget;
+    const bool isOdd = target % 2 != 0;
+    // Two voters tolerate less than one.
+    return isOdd && target > 1 ? target + 1 : target;
 }
 
 bool QuorumLog::answeredRecently(const MemberProgress &progress) const
@@ -261,12 +298,16 @@
     return static_cast<std::size_t>(reachable) > voters.size() / 2;
 }
 
-// Whether enough voters other than `lost` are reachable to commit its removal.
+// Whether enough voters other than `lost` are reachable to commit its removal, which takes a
+// majority of the present set.
 bool QuorumLog::majorityWithout(const QuorumMember &lost) const
 {
-    std::vector<QuorumMember> voters = this->membership().voters;
-    removeMember(voters, lost);
-    return this->isMajorityReachable(voters);
+    const std::vector<QuorumMember> &voters = this->membership().voters;
+    const auto reachable =
+        std::count_if(voters.begin(), voters.end(), [this, &lost](const QuorumMember &voter) {
+            return !(voter == lost) && this->isReachable(voter);
+        });
+    return static_cast<std::size_t>(reachable) >= this->requiredOf(voters);
 }
 
 // Whether enough voters are reachable to commit the promotion of `learner`.
--- a/src/rhubarbweir/coordination/quorum/quorum_replication.cpp
+++ b/src/rhubarbweir/coordination/quorum/quorum_replication.cpp
@@ -268,24 +268,42 @@
     this->sendHeartbeat(progress);
 }
 
-void QuorumLog::advanceCommit()
+// The last index that a majority of `voters` holds durably.
+std::uint64_t QuorumLog::replicatedBy(const std::vector<QuorumMember> &voters) const
 {
-    if (!this->isLeader())
-        return;
     std::vector<std::uint64_t> matches;
-    for (const QuorumMember &voter : this->membership().voters) {
+    for (const QuorumMember &voter : voters) {
         const auto found = this->progressByMember.find(keyOf(voter));
         if (keyOf(voter) == this->selfKey())
             matches.push_back(this->durable);
+        else if (found != this->progressByMember.end() && !found->second.superseded)
+            matches.push_back(found->second.matchIndex);
         else
-            matches.push_back(found == this->progressByMember.end() ? 0 : found->second.matchIndex);
+            matches.push_back(0);
     }
     std::sort(matches.begin(), matches.end(), std::greater<>());
-    const std::uint64_t reached = matches.empty() ? 0 : matches[matches.size() / 2];
+    return matches.empty() ? 0 : matches[this->requiredOf(voters) - 1];
+}
+
+void QuorumLog::advanceCommit()
+{
+    if (!this->isLeader())
+        return;
+    const std::vector<QuorumMember> &voters = this->membership().voters;
+    const std::vector<QuorumMember> &former = this->formerVoters();
+    std::uint64_t reached = this->replicatedBy(voters);
+    // So that each majority of the former set has a member that knows the new one.
+    if (!former.empty() && voters != former)
+        reached = std::min(reached, this->replicatedBy(former));
     // Raft commits entries of older terms only along with an entry of the current term.
     if (reached <= this->committed || this->entries.termAt(reached) != this->term())
         return;
+    const bool isNewMembership =
+        this->entries.membershipIndexAt(this->lastIndex()) > this->committed;
     this->commitUpTo(reached);
+    // Former voters are not sent anything any more.
+    if (isNewMembership)
+        this->rebuildProgress();
     this->maintainMembership();
 }
 
