--- a/bench/fleet_control.cpp
+++ b/bench/fleet_control.cpp
@@ -267,8 +267,11 @@
         hooks.packView = packFleetView;
         hooks.callObserver = [](const std::string &) {
         };
-        hooks.syncReplicas = [](const OpaqueBytes &) {
-            return std::map<GroupId, std::uint32_t>();
+        hooks.groups = [this](const OpaqueBytes &) {
+            std::map<GroupId, std::uint32_t> groups;
+            for (const RegisteredTarget &target : this->targets)
+                groups[target.group] = 0;
+            return groups;
         };
         hooks.probe = [this](const RegisteredTarget &target) {
             this->probes.push_back(target);
