Ignore a Leave of a start that is not registered any more

Cause: `born` in the body of a Leave was not read. A Leave that a cut had held up ended whatever start was registered, for good. Change: a Leave of an earlier start is acknowledged and ignored; one without `born` counts as before.

--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -460,7 +460,8 @@
     } else if (const auto *announced = std::get_if<platform::AnnounceTarget>(&call)) {
         this->announced(announced->target, request.target, respond);
     } else if (const auto *left = std::get_if<platform::TargetLeft>(&call)) {
-        this->controller.targetLeft(left->target, finish(platform::encodeAccepted()), now);
+        this->controller.targetLeft(left->target, left->born, finish(platform::encodeAccepted()),
+                                    now);
     } else if (std::holds_alternative<platform::ReadConfiguration>(call)) {
         const auto held = this->controller.configuration(now);
         respond(held ? platform::encodeConfiguration(held->document.bytes)
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.cpp
@@ -480,7 +480,8 @@
     this->hooks.stepDown(target, authority->term);
 }
 
-void FleetController::targetLeft(const TargetId &target, FleetCallDone done, TimePoint now)
+void FleetController::targetLeft(const TargetId &target, const std::optional<std::int64_t> &born,
+                                 FleetCallDone done, TimePoint now)
 {
     if (!this->canDecide(now)) {
         done(FleetCallOutcome::NotLeader);
@@ -491,13 +492,28 @@
         done(FleetCallOutcome::Accepted);
         return;
     }
+    const auto known = this->lastAnnouncements.find(target);
+    const bool isAnnounced = known != this->lastAnnouncements.end();
+    // The call of a former start may arrive after the next one has announced itself.
+    const std::int64_t newest =
+        isAnnounced ? std::max(stored->born, known->second.born) : stored->born;
+    if (born && *born < newest) {
+        this->hooks.event("leave_ignored", {{"target", target.value},
+                                            {"group", stored->group.value},
+                                            {"born", absl::StrCat(*born)},
+                                            {"registered_born", absl::StrCat(newest)}});
+        done(FleetCallOutcome::Ignored);
+        return;
+    }
     RegisteredTarget left = *stored;
     left.phase = TargetPhase::Left;
-    const auto known = this->lastAnnouncements.find(target);
-    if (known != this->lastAnnouncements.end())
+    left.born = std::max(newest, born.value_or(newest));
+    if (isAnnounced)
         left.sequence = std::max(left.sequence, known->second.sequence);
     ++left.sequence;
-    this->hooks.event("target_left", {{"target", target.value}, {"group", left.group.value}});
+    this->hooks.event(
+        "target_left",
+        {{"target", target.value}, {"group", left.group.value}, {"born", absl::StrCat(left.born)}});
     // What is proposed for the target after this must be stored after it.
     this->proposedTargets.erase(target);
     this->propose(RecordTarget{left, {}}, std::move(done), now);
--- a/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_controller.hpp
@@ -48,7 +48,9 @@
 
     // A target announced itself. `done` may be called before the function returns.
     void targetAnnounced(const RegisteredTarget &target, FleetCallDone done, TimePoint now);
-    void targetLeft(const TargetId &target, FleetCallDone done, TimePoint now);
+    // `born` tells which start of the target leaves; empty if that is not known.
+    void targetLeft(const TargetId &target, const std::optional<std::int64_t> &born,
+                    FleetCallDone done, TimePoint now);
     // Another control instance took announcements.
     void announcementsRelayed(ConnectionId connection, const AnnouncementBatch &batch,
                               TimePoint now);
--- a/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
+++ b/src/rhubarbweir/coordination/fleet/fleet_settings.hpp
@@ -142,8 +142,8 @@
 template<>
 struct EnumNames<FleetCallOutcome>
 {
-    static constexpr std::string_view Names[] = {"accepted", "ignored", "not_leader",
-                                                 "unavailable", "too_large"};
+    static constexpr std::string_view Names[] = {"accepted", "ignored", "not_leader", "unavailable",
+                                                 "too_large"};
 };
 
 using FleetReply = std::variant<FleetLease, FleetRedirect, TokenAnswer, AnnouncementAnswers>;
--- a/tests/fakes/fleet_fixture.hpp
+++ b/tests/fakes/fleet_fixture.hpp
@@ -68,6 +68,16 @@
         return result.value_or(FleetCallOutcome::Unavailable);
     }
 
+    FleetCallOutcome leave(const std::string &name, const std::optional<std::int64_t> &born = {})
+    {
+        std::optional<FleetCallOutcome> result;
+        this->controller.targetLeft(
+            TargetId(name), born, [&result](FleetCallOutcome outcome) { result = outcome; },
+            this->now);
+        this->commit();
+        return result.value_or(FleetCallOutcome::Unavailable);
+    }
+
     FleetCallOutcome configure(std::uint64_t version, const std::string &document)
     {
         std::optional<FleetCallOutcome> result;
--- a/tests/unit/fleet_controller.tests.cpp
+++ b/tests/unit/fleet_controller.tests.cpp
@@ -273,13 +273,45 @@
 {
     FleetFixture fleet;
     fleet.announce(FleetFixture::target("t2", false, 5));
-    fleet.controller.targetLeft(
-        TargetId("t2"), [](FleetCallOutcome) {}, fleet.now);
-    fleet.commit();
+    fleet.leave("t2");
     fleet.announce(FleetFixture::target("t2", false, 50));
     cr_assert_eq(fleet.controller.state().find(TargetId("t2"))->phase, TargetPhase::Left);
 }
 
+// Guards against a Leave that a cut held up and that shuts out the next start of its sender.
+Test(fleet_controller, late_leave,
+     .description = "A late Leave of a former start does not end the start that runs")
+{
+    FleetFixture fleet;
+    fleet.announce(FleetFixture::target("t2", false, 5, TargetPhase::Draining, 10));
+    fleet.announce(FleetFixture::target("t2", false, 1, TargetPhase::Ready, 20));
+    cr_assert_eq(fleet.leave("t2", 10), FleetCallOutcome::Ignored);
+    cr_assert_eq(find(fleet, "t2")->phase, TargetPhase::Ready);
+    // Nor while the next start is known to the leader only.
+    fleet.withholdsCommits = true;
+    fleet.announce(FleetFixture::target("t2", false, 1, TargetPhase::Ready, 30));
+    cr_assert_eq(fleet.leave("t2", 20), FleetCallOutcome::Ignored);
+    fleet.withholdsCommits = false;
+    fleet.commit();
+    cr_assert_eq(find(fleet, "t2")->phase, TargetPhase::Ready);
+    cr_assert_eq(fleet.leave("t2", 30), FleetCallOutcome::Accepted);
+    cr_assert_eq(find(fleet, "t2")->phase, TargetPhase::Left);
+    fleet.announce(FleetFixture::target("t2", false, 2, TargetPhase::Ready, 30));
+    cr_assert_eq(find(fleet, "t2")->phase, TargetPhase::Left);
+    fleet.announce(FleetFixture::target("t2", false, 1, TargetPhase::Ready, 40));
+    cr_assert_eq(find(fleet, "t2")->phase, TargetPhase::Ready);
+}
+
+Test(fleet_controller, leave_of_an_unheard_start,
+     .description = "A Leave of a start that did not announce itself ends that one too")
+{
+    FleetFixture fleet;
+    fleet.announce(FleetFixture::target("t2", false, 5, TargetPhase::Ready, 10));
+    cr_assert_eq(fleet.leave("t2", 20), FleetCallOutcome::Accepted);
+    fleet.announce(FleetFixture::target("t2", false, 1, TargetPhase::Ready, 20));
+    cr_assert_eq(find(fleet, "t2")->phase, TargetPhase::Left);
+}
+
 Test(fleet_controller, single_complaint,
      .description = "The complaint of a single pooler does not replace the primary")
 {
@@ -988,9 +1020,7 @@
 Test(fleet_controller, view_removals, .description = "A target that left is named as removed")
 {
     RunningFleet fleet;
-    fleet.controller.targetLeft(
-        TargetId("t3"), [](FleetCallOutcome) {}, fleet.now);
-    fleet.commit();
+    fleet.leave("t3");
     fleet.advance(milliseconds(50));
     cr_assert_eq(fleet.lastLease("p1")->view.removedTargets.size(), 1);
     cr_assert_eq(fleet.lastLease("p1")->view.removedTargets.front(), TargetId("t3"));
--- a/tests/unit/platform.tests.cpp
+++ b/tests/unit/platform.tests.cpp
@@ -326,6 +326,19 @@
     cr_assert(std::holds_alternative<AskReadiness>(decodeCall({"GET", "/api/readiness", ""})));
     const FleetCall left = decodeCall(post("/api/Instances.Leave/i-7", ""));
     cr_assert_eq(std::get<TargetLeft>(left).target, TargetId("i-7"));
+    cr_assert_not(std::get<TargetLeft>(left).born);
+}
+
+Test(platform, leaves, .description = "A Leave tells which start of a target ends")
+{
+    const std::string path = "/api/Instances.Leave/i-7";
+    const FleetCall left = decodeCall(post(path, "{\"born\":17}"));
+    cr_assert_eq(*std::get<TargetLeft>(left).born, 17);
+    cr_assert_not(std::get<TargetLeft>(decodeCall(post(path, "{}"))).born);
+    for (const char *faulty : {"{\"born\":\"17\"}", "{\"born\":1.5}", "{\"born\":-1}",
+                               "{\"born\":4102444800000}", "{\"born\":17", "[]", "\xff\xfe"})
+        cr_assert(std::holds_alternative<InvalidCall>(decodeCall(post(path, faulty))), "%s",
+                  faulty);
 }
 
 Test(platform, promotion,
