Bound the prepared statements of poolers and of their connections

Cause: names of shapes, and the names prepared on each connection, were kept for the life of the process. Change: names are forgotten together at 4 MiB and never given twice; a connection with 512 statements is cleared before its next transaction.

--- a/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
+++ b/src/rhubarbweir/coordination/sessions/internal/session_dispatch.cpp
@@ -451,6 +451,11 @@
 
 void SessionPooler::sendBegin(Session &session, PooledConnection &connection, TimePoint now)
 {
+    std::vector<TargetCommand> commands;
+    if (this->holdsTooManyStatements(connection))
+        this->clearState(connection, commands);
+    for (const TargetCommand &command : commands)
+        this->targetTracker.commandSent(connection, {command.kind, session.number, now, 0});
     TargetCommand command;
     command.kind =
         session.readOnlyTransaction ? TargetCommandKind::BeginReadOnly : TargetCommandKind::Begin;
@@ -461,7 +466,25 @@
     connection.inTransaction = true;
     this->targetTracker.commandSent(connection,
                                     {command.kind, session.number, now, 0, command.minimum});
-    this->hooks.sendToTarget(connection.id, {command});
+    commands.push_back(std::move(command));
+    this->hooks.sendToTarget(connection.id, commands);
+}
+
+bool SessionPooler::holdsTooManyStatements(const PooledConnection &connection) const
+{
+    return !connection.inTransaction
+           && connection.prepared.size() >= this->settings.preparedPerConnection;
+}
+
+// Clears the values and prepared statements at the target.
+void SessionPooler::clearState(PooledConnection &connection,
+                               std::vector<TargetCommand> &commands) const
+{
+    TargetCommand discard;
+    discard.kind = TargetCommandKind::Discard;
+    commands.push_back(std::move(discard));
+    connection.values.clear();
+    connection.prepared.clear();
 }
 
 // Commands that bring the connection to the session's state before the statement.
@@ -473,13 +496,8 @@
     const bool hasForeignValues = std::any_of(
         connection.values.begin(), connection.values.end(),
         [&session](const auto &value) { return session.values.count(value.first) == 0; });
-    if (hasForeignValues) {
-        TargetCommand discard;
-        discard.kind = TargetCommandKind::Discard;
-        commands.push_back(discard);
-        connection.values.clear();
-        connection.prepared.clear();
-    }
+    if (hasForeignValues || this->holdsTooManyStatements(connection))
+        this->clearState(connection, commands);
     for (const auto &[name, value] : session.values) {
         const auto held = connection.values.find(name);
         if (held != connection.values.end() && held->second == value)
@@ -513,7 +531,17 @@
     const auto found = this->preparedNames.find(key);
     if (found != this->preparedNames.end())
         return found->second;
-    return this->preparedNames.emplace(key, absl::StrCat("p", this->preparedNames.size()))
+    const std::size_t size = StateEntryBytes + prepared.shape.size();
+    if (this->preparedNamesSize + size > this->settings.preparedNamesLimit) {
+        this->hooks.event("prepared_names_forgotten",
+                          {{"shapes", absl::StrCat(this->preparedNames.size())},
+                           {"bytes", absl::StrCat(this->preparedNamesSize)}},
+                          false);
+        this->preparedNames.clear();
+        this->preparedNamesSize = 0;
+    }
+    this->preparedNamesSize += size;
+    return this->preparedNames.emplace(key, absl::StrCat("p", this->lastPreparedName++))
         .first->second;
 }
 
--- a/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
+++ b/src/rhubarbweir/coordination/sessions/pooler_settings.hpp
@@ -102,6 +102,12 @@
     // Limit on the values and prepared statements of a session, in bytes. They are sent to a target
     // together with a statement.
     std::size_t sessionStateLimit = std::size_t{2} << 20U;
+    // The pooler remembers the names that it gave to prepared statements up to this size, in bytes
+    // of their shapes, and then gives new ones. A few hundred shapes are common.
+    std::size_t preparedNamesLimit = std::size_t{4} << 20U;
+    // A target's connection with this many prepared statements is cleared before its next
+    // transaction.
+    std::size_t preparedPerConnection = 512;
 };
 
 using PoolerEventFields = std::vector<std::pair<std::string, std::string>>;
--- a/src/rhubarbweir/coordination/sessions/session.hpp
+++ b/src/rhubarbweir/coordination/sessions/session.hpp
@@ -67,6 +67,9 @@
     StatementFault lastFault = StatementFault::Busy;
 };
 
+// Memory of a session value or prepared statement besides its text, approximately.
+inline constexpr std::size_t StateEntryBytes = 128;
+
 struct Session
 {
     SessionNumber number = 0;
--- a/src/rhubarbweir/coordination/sessions/session_pooler.cpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.cpp
@@ -15,8 +15,6 @@
 constexpr double RetryShare = 0.5;
 // Interval of the checks of connections and silent targets.
 constexpr std::chrono::milliseconds CheckInterval{100};
-// Memory of an entry of a session's state besides its text, approximately.
-constexpr std::size_t StateEntryBytes = 128;
 
 // Why a session may not run statements; see SessionPooler::updateTeam.
 const char *causeOf(StatementFault fault)
--- a/src/rhubarbweir/coordination/sessions/session_pooler.hpp
+++ b/src/rhubarbweir/coordination/sessions/session_pooler.hpp
@@ -159,6 +159,8 @@
     std::vector<TargetCommand> stateCommands(Session &session, PooledConnection &connection,
                                              const TextStatement &statement);
     std::string preparedName(const PreparedStatement &prepared);
+    void clearState(PooledConnection &connection, std::vector<TargetCommand> &commands) const;
+    bool holdsTooManyStatements(const PooledConnection &connection) const;
     void release(PooledConnection &connection, TimePoint now);
     void dropConnection(ConnectionId connection);
     void unpin(Session &session, bool reusable, TimePoint now);
@@ -242,8 +244,11 @@
     // Failure domains of other regions, as logged last.
     std::set<FailureDomainId> loggedDistant;
     // Names of prepared statements on targets' connections, by access mode (read-only or not) and
-    // shape.
+    // shape; forgotten together once their shapes take `preparedNamesSize` bytes. No name is given
+    // twice, so what connections still hold of forgotten ones does no harm.
     std::map<std::pair<bool, std::string>, std::string> preparedNames;
+    std::size_t preparedNamesSize = 0;
+    std::uint64_t lastPreparedName = 0;
     bool dispatchingQueue = false;
     bool closingWhenAnswered = false;
     TimePoint nextCheck;
--- a/tests/fakes/pooler_fixture.hpp
+++ b/tests/fakes/pooler_fixture.hpp
@@ -37,8 +37,9 @@
     static inline const TargetId ReplicaB{"t3"};
 
     explicit PoolerFixture(std::optional<Duration> revokeWithin = std::nullopt,
-                           bool limitsTeams = false)
-        : pooler(makeSettings(revokeWithin, limitsTeams), this->makeHooks())
+                           bool limitsTeams = false,
+                           const std::function<void(PoolerSettings &)> &adjust = {})
+        : pooler(makeSettings(revokeWithin, limitsTeams, adjust), this->makeHooks())
     {
         this->view.revision = 1;
         for (const TargetId &id : {Primary, ReplicaA, ReplicaB}) {
@@ -239,12 +240,15 @@
     SessionPooler pooler;
 
 private:
-    static PoolerSettings makeSettings(std::optional<Duration> revokeWithin, bool limitsTeams)
+    static PoolerSettings makeSettings(std::optional<Duration> revokeWithin, bool limitsTeams,
+                                       const std::function<void(PoolerSettings &)> &adjust)
     {
         PoolerSettings settings;
         settings.limitsTeams = limitsTeams;
         settings.revokeWithin = revokeWithin;
         settings.failureDomain = FailureDomainId("d-t2");
+        if (adjust)
+            adjust(settings);
         return settings;
     }
 
--- a/tests/unit/session_pooler.tests.cpp
+++ b/tests/unit/session_pooler.tests.cpp
@@ -327,6 +327,53 @@
     }
 }
 
+// Guards against memory that grows with each shape that any session has ever prepared.
+Test(session_pooler, bounded_prepared_statements,
+     .description = "Names and connections hold a limited number of prepared statements")
+{
+    constexpr std::size_t limit = 8;
+    PoolerFixture fixture(std::nullopt, false, [](PoolerSettings &settings) {
+        settings.preparedNamesLimit = 4096;
+        settings.preparedPerConnection = limit;
+    });
+    fixture.warmUp();
+    std::map<ConnectionId, std::map<std::string, std::string>> held;
+    std::map<std::string, std::string> shapesByName;
+    std::size_t most = 0;
+    fixture.onSent = [&](const SentCommand &each) {
+        auto &shapes = held[each.connection];
+        if (each.command.kind == TargetCommandKind::Discard)
+            shapes.clear();
+        if (each.command.kind != TargetCommandKind::Prepare)
+            return;
+        shapes[each.command.name] = each.command.argument;
+        most = std::max(most, shapes.size());
+        const std::string &first =
+            shapesByName.emplace(each.command.name, each.command.argument).first->second;
+        cr_assert_eq(first, each.command.argument, "a name is given to two shapes");
+    };
+    const SessionNumber session = fixture.open("latest");
+    fixture.submit(session, Kind::SetValue, "v", "colour", "red");
+    for (int round = 0; round < 200; ++round) {
+        // Some come again, before and after their names are forgotten.
+        const std::string shape = "shape-" + std::to_string(round % 3 == 0 ? round / 30 : round);
+        const bool inTransaction = round % 5 == 0;
+        fixture.submit(session, Kind::Prepare, "p", "s", shape, true);
+        if (inTransaction)
+            fixture.submit(session, Kind::Begin, "b", "", "", true);
+        fixture.submit(session, Kind::Execute, "e", "s", "item");
+        fixture.answerAll();
+        const SentCommand run = fixture.statements().back();
+        cr_assert_eq(held[run.connection].at(run.command.name), shape);
+        if (inTransaction) {
+            fixture.submit(session, Kind::Commit, "c");
+            fixture.answerAll();
+        }
+    }
+    cr_assert_leq(most, limit + 1);
+    cr_assert_gt(shapesByName.size(), 3 * limit);
+}
+
 Test(session_pooler, session_values,
      .description = "A reused connection is set to exactly the values of its new session")
 {
--- a/tests/unit/session_pooler_properties.tests.cpp
+++ b/tests/unit/session_pooler_properties.tests.cpp
@@ -352,7 +352,11 @@
     }
 
     std::mt19937_64 random;
-    PoolerFixture fixture;
+    // Names are forgotten and connections cleared all the time.
+    PoolerFixture fixture{std::nullopt, false, [](PoolerSettings &settings) {
+                              settings.preparedNamesLimit = 600;
+                              settings.preparedPerConnection = 3;
+                          }};
     RouteTable table = PoolerFixture::routes(1);
     std::vector<Caller> callers;
     std::map<ConnectionId, Backend> backends;
