Try several control instances beside each other

Cause: a pooler waits up to 2 s for one instance and 1.2 s before the next; an attempt from before the end of the cut and one at an instance that is gone take 5 s. Change: after 250 to 500 ms the next instance is tried beside the first, whose attempt goes on.

--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -24,6 +24,10 @@
 // Mean delay of a new attempt; doubles with each failure.
 constexpr std::chrono::milliseconds ReconnectDelay{100};
 constexpr std::chrono::milliseconds MaxReconnectDelay{800};
+// An attempt that takes longer is joined by one at another instance: the first may be at an
+// instance that is gone, or have begun in a partition that has ended since. Doubles with each
+// failure. Two attempts in a row and a handshake take less than a change of configuration may.
+constexpr std::chrono::milliseconds MaxAttemptInterval{500};
 
 Duration doubled(Duration initial, unsigned times, Duration most)
 {
@@ -127,25 +131,56 @@
     if (this->failures == 0 && controls.size() > 1
         && controls[this->nextControl % controls.size()] == this->lostControl)
         ++this->nextControl;
-    this->connect(controls[this->nextControl++ % controls.size()]);
+    for (std::size_t tried = 0; tried < controls.size(); ++tried) {
+        const std::string &next = controls[this->nextControl++ % controls.size()];
+        if (this->attempts.count(next) == 0) {
+            this->connect(next);
+            return;
+        }
+    }
+    this->planAttempt(this->attemptInterval());
 }
 
 void FleetLink::connect(const std::string &target)
 {
-    if (this->isConnecting)
+    if (!this->attempts.insert(target).second)
         return;
-    this->isConnecting = true;
     const Duration initial =
         std::max<Duration>(ConnectTimeout, this->poolers * ConnectTimePerPooler);
     const Duration timeout = doubled(initial, this->failures, MaxConnectTimeout);
     this->client.connect(target, Subprotocol::Control, EventLoop::now() + timeout,
                          [this, target](absl::StatusOr<ConnectionPtr> result) {
-                             this->isConnecting = false;
-                             if (result.ok())
-                                 this->connected(*result, target);
-                             else
+                             this->attempts.erase(target);
+                             if (!result.ok())
                                  this->retryLater();
+                             else if (this->connection)
+                                 (*result)->close(CloseReason::Normal);
+                             else
+                                 this->connected(*result, target);
                          });
+    this->planAttempt(this->attemptInterval());
+}
+
+Duration FleetLink::attemptInterval() const
+{
+    const Duration handshake = this->poolers * ConnectTimePerPooler;
+    return std::max(doubled(ConnectTimeout, this->failures, MaxAttemptInterval), handshake);
+}
+
+// Begins another attempt after `delay`, or when an earlier one was planned.
+void FleetLink::planAttempt(Duration delay)
+{
+    const TimePoint at = EventLoop::now() + delay;
+    if (at >= this->nextAttemptAt)
+        return;
+    this->nextAttemptAt = at;
+    this->loop.schedule(at, [this, at] {
+        if (at != this->nextAttemptAt)
+            return;
+        this->nextAttemptAt = TimePoint::max();
+        if (!this->connection)
+            this->connectNext();
+    });
 }
 
 // Connects to another instance after a random delay, so that poolers that lost the same instance
@@ -155,15 +190,12 @@
     const Duration mean = doubled(ReconnectDelay, this->failures, MaxReconnectDelay);
     ++this->failures;
     std::uniform_int_distribution<Duration::rep> jitter(mean.count() / 2, mean.count() * 3 / 2);
-    this->loop.schedule(EventLoop::now() + Duration(jitter(this->random)), [this] {
-        if (!this->connection)
-            this->connectNext();
-    });
+    this->planAttempt(Duration(jitter(this->random)));
 }
 
 void FleetLink::follow(const std::string &leader)
 {
-    if (leader == this->leader() || this->isConnecting)
+    if (leader == this->leader() || !this->attempts.empty())
         return;
     if (const ConnectionPtr former = std::exchange(this->connection, nullptr))
         former->close(CloseReason::Normal);
@@ -174,6 +206,7 @@
 void FleetLink::connected(const ConnectionPtr &opened, const std::string &target)
 {
     this->connection = opened;
+    this->nextAttemptAt = TimePoint::max();
     this->address = target;
     this->isAnswered = false;
     this->answered = 0;
--- a/src/programs/pooler/fleet_link.hpp
+++ b/src/programs/pooler/fleet_link.hpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,7 @@
     void renewOrReconnect();
     void connectNext();
     void connect(const std::string &address);
+    void planAttempt(Duration delay);
     void connected(const ConnectionPtr &connection, const std::string &address);
     void receive(const Message &message);
     void receivePacked(const FleetLease &lease);
@@ -76,6 +78,7 @@
     void redirect(const std::string &leader);
     void drop(const std::string &cause);
     void retryLater();
+    Duration attemptInterval() const;
     std::vector<std::string> knownControls() const;
 
     EventLoop &loop;
@@ -89,7 +92,10 @@
     // Left for its silence, until a leader has answered; empty otherwise. The next attempt passes
     // over it, and redirections to it are followed only after a few polls.
     std::string lostControl;
-    bool isConnecting = false;
+    // Addresses to which connections are being opened.
+    std::set<std::string> attempts;
+    // When the next attempt begins unless one has succeeded by then; max() if none is planned.
+    TimePoint nextAttemptAt = TimePoint::max();
     // Whether the connected instance has answered a renewal.
     bool isAnswered = false;
     // Consecutive attempts without an answer of a leader.
