--- a/tests/unit/fleet_link.tests.cpp
+++ b/tests/unit/fleet_link.tests.cpp
@@ -20,11 +20,16 @@
     constexpr milliseconds limit{2500};
     constexpr int rounds = 6;
     constexpr int port = 7431;
+    // Apart from other runs of this test.
+    const std::string network = "127.43." + std::to_string(::getpid() % 250) + ".";
+    const std::vector<std::string> hosts = {network + "1", network + "2", network + "3"};
+    const auto addressOf = [](const std::string &host) {
+        return host + ":" + std::to_string(port);
+    };
     // Their queues take connections that nobody accepts.
-    cr_assert_geq(test::LoopbackSocket::listenAt("127.43.9.1", port), 0);
-    cr_assert_geq(test::LoopbackSocket::listenAt("127.43.9.2", port), 0);
-    const std::vector<std::string> dead = {"127.43.9.1:7431", "127.43.9.2:7431"};
-    const std::string address = "127.43.9.3:7431";
+    cr_assert_geq(test::LoopbackSocket::listenAt(hosts[0], port), 0);
+    cr_assert_geq(test::LoopbackSocket::listenAt(hosts[1], port), 0);
+    const std::string address = addressOf(hosts[2]);
     for (int round = 0; round < rounds; ++round) {
         EventLoop loop;
         bool isReached = false;
@@ -34,7 +39,7 @@
         };
         hooks.received = [](const FleetLease &, std::optional<TimePoint>) {
         };
-        FleetLink link(loop, {dead.front(), dead.back(), address}, hooks);
+        FleetLink link(loop, {addressOf(hosts[0]), addressOf(hosts[1]), address}, hooks);
         ConnectionPtr accepted;
         ServerHooks serverHooks;
         serverHooks.accepted = [&](const ConnectionPtr &connection, Subprotocol) {
