--- a/src/programs/fleet/fleet_program.cpp
+++ b/src/programs/fleet/fleet_program.cpp
@@ -486,7 +486,7 @@
         platform::encodeAnnounced(elsewhere.empty() ? own : withPortOf(elsewhere, own));
     const auto done = [this, respond, path, accepted, isRelayed](FleetCallOutcome outcome) {
         if (isRelayed)
-            this->metrics.count(outcome != FleetCallOutcome::Unavailable ? "announcement_relayed"
+            this->metrics.count(outcome == FleetCallOutcome::Accepted ? "announcement_relayed"
                                                                       : "announcement_unanswered");
         respond(this->outcomeOf(outcome, path, accepted));
     };
--- a/src/programs/pooler/fleet_link.cpp
+++ b/src/programs/pooler/fleet_link.cpp
@@ -195,7 +195,8 @@
 
 void FleetLink::follow(const std::string &leader)
 {
-    if (leader == this->leader() || !this->attempts.empty())
+    const bool isConnecting = !this->connection && !this->attempts.empty();
+    if (leader == this->leader() || isConnecting)
         return;
     if (const ConnectionPtr former = std::exchange(this->connection, nullptr))
         former->close(CloseReason::Normal);
