Send entries of other writers in the process soak

Each fourth heartbeat of a stand-in database is joined by one that names no database: of a service that is not named, at its address or under its name, without fields or with others, unreadable, or a Leave of a former start.

--- a/tests/unit/support/platform/standin_group.hpp
+++ b/tests/unit/support/platform/standin_group.hpp
@@ -28,6 +28,8 @@
 
     static constexpr int TargetPort = 8080;
     static constexpr milliseconds HeartbeatInterval{1200};
+    // Each so many heartbeats another writer sends an entry as well.
+    static constexpr unsigned OddEntryInterval = 4;
     static constexpr milliseconds CallTimeout{1000};
     static constexpr milliseconds PromotionDelay{300};
     // How long a former primary leads on once it reaches the new one.
@@ -245,10 +247,45 @@
         return newest;
     }
 
+    // An entry of another writer, or a Leave of a former start. None of them names a target.
+    void sendOddEntry(const std::string &id, nlohmann::json body, unsigned kind,
+                      const std::string &control) const
+    {
+        std::string path = "/api/Instances.Heartbeat/" + id;
+        body["born"] = body["born"].get<std::int64_t>() + 1000;
+        switch (kind % 6) {
+        case 0:
+            path += "-other";
+            body["service"] = "unnamed";
+            break;
+        case 1:
+            body["service"] = "unnamed";
+            body["sequence"] = 1000000;
+            break;
+        case 2:
+            path += "-other";
+            body.erase("version");
+            break;
+        case 3:
+            body["cold_remaining_ms"] = "0";
+            body["sequence"] = 1000000;
+            break;
+        case 4:
+            path = "/api/Instances.Leave/" + id;
+            body["born"] = body["born"].get<std::int64_t>() - 1001;
+            break;
+        default:
+            HttpCall("POST", path, "{\"service\":").send(control, this->controlPort, CallTimeout);
+            return;
+        }
+        HttpCall("POST", path, body.dump()).send(control, this->controlPort, CallTimeout);
+    }
+
     void beat(StandinTarget &target)
     {
         std::string preferred;
         std::size_t next = 0;
+        unsigned beatCount = 0;
         while (!this->isStopping) {
             nlohmann::json body;
             bool isSilent = false;
@@ -268,6 +305,9 @@
                         {"sequence", ++target.sequence},
                         {"born", target.born}};
             }
+            if (++beatCount % OddEntryInterval == 0)
+                this->sendOddEntry(target.id, body, beatCount / OddEntryInterval,
+                                   this->controls[next]);
             for (std::size_t tries = 0; !isSilent && tries < this->controls.size(); ++tries) {
                 HttpCall call("POST", "/api/Instances.Heartbeat/" + target.id, body.dump());
                 const std::string &host = preferred.empty() ? this->controls[next] : preferred;
