--- a/review/common-3/world.hpp
+++ b/review/common-3/world.hpp
@@ -1074,6 +1074,8 @@
     std::string zone;
     std::string ip;
     bool isCore = false;
+    // Serves control without a disk.
+    bool isObserver = false;
     pid_t fleet = -1;
     pid_t pooler = -1;
 };
@@ -1086,6 +1088,10 @@
     std::string net;
     std::vector<std::string> zones = {"be-central-a", "be-central-b", "be-central-c"};
     std::vector<Machine> machines;
+    // Machines that the settings name as seeds; empty for the first three of the core.
+    std::vector<std::size_t> seeds;
+    // Whether the second machine of each zone serves control, as the deploy file has it.
+    bool hasObservers = false;
     std::string platform;
     double heartbeatInterval = 1.2;
 
@@ -1102,10 +1108,12 @@
             machine.name = "front-" + machine.zone + "-" + std::to_string(index / this->zones.size() + 1);
             machine.ip = this->net + std::to_string(10 + index);
             machine.isCore = index < this->zones.size();
+            machine.isObserver = this->hasObservers && !machine.isCore
+                                 && index < 2 * this->zones.size();
             this->machines.push_back(machine);
         }
         for (const Machine &machine : this->machines) {
-            if (machine.isCore)
+            if (machine.isCore || machine.isObserver)
                 this->writeSettings(machine, "fleet", true);
             this->writeSettings(machine, "pooler", true);
         }
@@ -1120,12 +1128,22 @@
     {
         std::vector<std::string> all;
         for (const Machine &machine : this->machines) {
-            if (machine.isCore)
+            if (machine.isCore || machine.isObserver)
                 all.push_back(machine.ip + ":8782");
         }
         return all;
     }
 
+    std::vector<std::string> seedAddresses() const
+    {
+        if (this->seeds.empty())
+            return this->controls();
+        std::vector<std::string> named;
+        for (const std::size_t index : this->seeds)
+            named.push_back(this->machines[index].ip + ":8782");
+        return named;
+    }
+
     void writeSettings(const Machine &machine, const std::string &role, bool isFirstStart) const
     {
         std::ostringstream text;
@@ -1142,14 +1160,14 @@
         else
             text << "\"front\":\"" << machine.ip << ":8784\",\"ready\":\"" << machine.ip << ":8785\"";
         text << "},\"internal_port_range\":[7440,7455],\"seed_nodes\":[";
-        const auto seeds = this->controls();
-        for (std::size_t seed = 0; seed < seeds.size() && seed < 3; ++seed)
-            text << (seed == 0 ? "" : ",") << '"' << seeds[seed] << '"';
+        const auto named = this->seedAddresses();
+        for (std::size_t seed = 0; seed < named.size() && seed < 3; ++seed)
+            text << (seed == 0 ? "" : ",") << '"' << named[seed] << '"';
         text << "],\"bootstrap\":" << (isFirstStart ? "true" : "false")
              << ",\"in_tolerance\":" << (machine.isCore ? "true" : "false")
              << ",\"limits\":{\"cpu_share\":0.45,\"cpu_cores\":1,\"memory_mb\":260,"
                 "\"file_descriptors\":4200,\"link_mbps\":1000.0,\"disk_mb\":64}";
-        if (isFleet)
+        if (isFleet && !machine.isObserver)
             text << ",\"data_directory\":\"" << this->folder << "/" << machine.name << "-data\"";
         text << ",\"discovery\":\"registry\",\"entry\":\"virtual_ip\",\"heartbeat_interval_ms\":"
              << static_cast<int>(this->heartbeatInterval * 1000)
@@ -1192,7 +1210,7 @@
     void startAll()
     {
         for (Machine &machine : this->machines) {
-            if (machine.isCore)
+            if (machine.isCore || machine.isObserver)
                 machine.fleet = this->launch(machine, "fleet");
             machine.pooler = this->launch(machine, "pooler");
         }
