--- a/review/common-3/world.hpp
+++ b/review/common-3/world.hpp
@@ -525,7 +525,7 @@
             sleepFor(1);
             const std::lock_guard<std::mutex> lock(self->mutex);
             Database *database = self->find(old);
-            if (database->isPrimary && database->term < term)
+            if (database->isUp && database->isPrimary && database->term < term)
                 self->stepDown(*database, "reached the new primary");
         }).detach();
     }
