--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -1,21 +1,58 @@
-// Case 13: at the first start the seeds name a control instance without a disk. See claim.txt.
+// Case 13: two machines of the core go, one shortly after the other, each with a successor that is
+// ready. See claim.txt.
 #include "../common-3/world.hpp"
 
-#include <cinttypes>
-
 using namespace world;
 
 namespace {
 
-// The operator sends its first order again until it is accepted. Traffic starts 10 s after the
-// machines do; the script waits six times as long.
-constexpr double Watched = 60;
+// How long both successors run before the first machine goes; catch_up_s is 4.
+constexpr double CaughtUp = 8;
+// From the first removal to the second one.
+constexpr double Between = 1;
+constexpr double BetweenWithoutTrouble = 12;
+// From the last removal to the end of the day; recovery_s is 12.
+constexpr double Recovery = 15;
+// How long the configuration is then read back; contact_ms is 4,000.
+constexpr double ReadBack = 20;
+
+Machine &addMachine(Deployment &deployment, std::size_t zone)
+{
+    Machine machine;
+    machine.zone = deployment.zones[zone];
+    machine.name = "front-" + machine.zone + "-9";
+    machine.ip = deployment.net + std::to_string(60 + zone);
+    machine.isCore = true;
+    deployment.writeSettings(machine, "fleet", false);
+    deployment.writeSettings(machine, "pooler", false);
+    machine.fleet = deployment.launch(machine, "fleet");
+    machine.pooler = deployment.launch(machine, "pooler");
+    record("%s is added at %s with an empty disk", machine.name.c_str(), machine.ip.c_str());
+    deployment.machines.push_back(machine);
+    return deployment.machines.back();
+}
+
+// For good, without SIGTERM.
+void removeMachine(Deployment &deployment, const std::string &name)
+{
+    for (Machine &machine : deployment.machines) {
+        if (machine.name != name)
+            continue;
+        deployment.signalMachine(machine, SIGKILL);
+        waitpid(machine.fleet, nullptr, 0);
+        waitpid(machine.pooler, nullptr, 0);
+        machine.fleet = machine.pooler = -1;
+        machine.isCore = false;
+        record("%s is removed", name.c_str());
+    }
+}
 
 } // namespace
 
 int main(int, char **arguments)
 {
     signal(SIGPIPE, SIG_IGN);
+    const bool isTroubled = hasTrouble();
     recordFile() = std::fopen("record.txt", "w");
     Deployment deployment;
     deployment.root = arguments[1];
@@ -24,44 +61,60 @@
     group->service = "huvo11a";
     Platform platform(group, deployment.net + "160");
     deployment.platform = platform.address();
-    deployment.hasObservers = true;
-    // Machines 0 to 2 are the first of their zones and have a disk, 3 to 5 are the second ones.
-    deployment.seeds = hasTrouble() ? std::vector<std::size_t>{0, 3, 1} : std::vector<std::size_t>{0, 1, 2};
-    deployment.prepare(9);
+    deployment.prepare(6);
     group->controls = deployment.controls();
     Database &first = group->add("i-7f3a91c2", deployment.net + "101", deployment.zones[0]);
-    Database &second = group->add("i-51b0e7d4", deployment.net + "102", deployment.zones[1]);
     group->firstPrimary(first);
     platform.start();
-    for (const std::string &seed : deployment.seedAddresses())
-        record("seed %s", seed.c_str());
     deployment.startAll();
     first.start();
-    second.start();
-    const std::string order =
-        configuration(7, group->service, {{"bookings", "primary", 800, 150, 0}}, 112, 0);
-    const bool isAcked = sendOrder(group->controls, order, Watched);
-    record("the first order is %s", isAcked ? "acknowledged" : "not acknowledged by any instance");
-    std::uint64_t served = 0;
-    const double until = now() + 10;
-    ClientSession session;
-    while (now() < until) {
-        const Machine &machine = deployment.machines[served % deployment.machines.size()];
-        if (!session.isOpen() && !session.open(machine.ip, "bookings")) {
-            sleepFor(0.2);
-            continue;
+    const auto order = [&](int version) {
+        return configuration(version, group->service, {{"bookings", "primary", 800, 150, 0}}, 112, 0);
+    };
+    if (!sendOrder(group->controls, order(7), 20)) {
+        record("the first configuration was not acknowledged");
+        return 2;
+    }
+    sleepFor(3);
+    addMachine(deployment, 0);
+    addMachine(deployment, 1);
+    sleepFor(CaughtUp);
+    const std::string newest = order(9);
+    if (!sendOrder(deployment.controls(), newest, 10)) {
+        record("version 9 was not acknowledged");
+        return 2;
+    }
+    record("version 9 is acknowledged");
+    sleepFor(1);
+    const Machine *leading = deployment.leader();
+    record("%s leads", leading == nullptr ? "nobody" : leading->name.c_str());
+    removeMachine(deployment, "front-be-central-a-1");
+    sleepFor(isTroubled ? Between : BetweenWithoutTrouble);
+    removeMachine(deployment, "front-be-central-b-1");
+    sleepFor(Recovery);
+    record("the configuration is read back");
+    const double until = now() + ReadBack;
+    std::string read;
+    while (now() < until && read.empty()) {
+        for (const std::string &control : deployment.controls()) {
+            const HttpAnswer answer = call(control, "GET", "/api/Configuration.Get", "");
+            note("read at %s: %d", control.c_str(), answer.status);
+            if (answer.status == 200)
+                read = answer.body;
         }
-        const std::string id = newId();
-        if (session.query(id, "WRITE item d" + id).outcome == "ok")
-            ++served;
-        sleepFor(0.05);
+        sleepFor(0.3);
+    }
+    const bool isBack = read == newest;
+    record(isBack ? "version 9 is read back"
+                  : "CONFIG: version 9 was acknowledged and doesn't come in %.0f s", ReadBack);
+    const bool isAcked = sendOrder(deployment.controls(), order(11), isBack ? 10 : 5);
+    record("a further change is %s", isAcked ? "acknowledged" : "not acknowledged");
+    for (const Machine &machine : deployment.machines) {
+        if (machine.fleet > 0)
+            record("runs: rhubarb-fleet on %s", machine.name.c_str());
     }
-    const bool isBroken = !isAcked && served == 0;
-    record("%" PRIu64 " operations served", served);
-    if (isBroken)
-        record("Fault: no request is served");
     group->isOver = true;
     deployment.stopAll();
     std::fflush(nullptr);
-    _exit(isBroken ? 1 : 0);
+    _exit(isBack ? 0 : 1);
 }
--- a/review/14/case.cpp
+++ b/review/14/case.cpp
@@ -1,34 +1,21 @@
-// Case 14: heartbeats of another writer whose bytes can't be read. See claim.txt.
+// Case 14: at the first start the seeds name a control instance without a disk. See claim.txt.
 #include "../common-3/world.hpp"
 
-#include <fstream>
+#include <cinttypes>
 
 using namespace world;
 
 namespace {
 
-// The project takes bodies of up to 4 MiB.
-constexpr std::size_t BodyBytes = 4000000;
-constexpr long MemoryLimitKb = 260 * 1024;
-constexpr int Beats = 16;
-
-long residentKb(pid_t process)
-{
-    std::ifstream status("/proc/" + std::to_string(process) + "/status");
-    std::string line;
-    while (std::getline(status, line)) {
-        if (line.rfind("VmRSS", 0) == 0)
-            return std::atol(line.c_str() + 6);
-    }
-    return 0;
-}
+// The operator sends its first order again until it is accepted. Traffic starts 10 s after the
+// machines do; the script waits six times as long.
+constexpr double Watched = 60;
 
 } // namespace
 
 int main(int, char **arguments)
 {
     signal(SIGPIPE, SIG_IGN);
-    const bool isUnreadable = hasTrouble();
     recordFile() = std::fopen("record.txt", "w");
     Deployment deployment;
     deployment.root = arguments[1];
@@ -37,66 +24,42 @@
     group->service = "huvo11a";
     Platform platform(group, deployment.net + "160");
     deployment.platform = platform.address();
-    deployment.prepare(3);
+    deployment.hasObservers = true;
+    // Machines 0 to 2 are the first of their zones and have a disk, 3 to 5 are the second ones.
+    deployment.seeds = hasTrouble() ? std::vector<std::size_t>{0, 3, 1} : std::vector<std::size_t>{0, 1, 2};
+    deployment.prepare(9);
     group->controls = deployment.controls();
     Database &first = group->add("i-7f3a91c2", deployment.net + "101", deployment.zones[0]);
+    Database &second = group->add("i-51b0e7d4", deployment.net + "102", deployment.zones[1]);
     group->firstPrimary(first);
     platform.start();
+    for (const std::string &seed : deployment.seedAddresses())
+        record("seed %s", seed.c_str());
     deployment.startAll();
     first.start();
-    if (!sendOrder(group->controls,
-                   configuration(7, group->service, {{"bookings", "primary", 800, 150, 0}}, 112, 0),
-                   20)) {
-        record("the configuration was not acknowledged");
-        return 2;
-    }
-    sleepFor(3);
-    // The other writer beats at the usual interval, and at the next node without an acknowledgement.
-    std::atomic<bool> isOver{false};
-    std::thread writer([&] {
-        const std::string body = isUnreadable ? std::string(BodyBytes, '[') : "[[[";
-        for (int beat = 0; beat < Beats; ++beat) {
-            const std::string &address =
-                group->controls[static_cast<std::size_t>(beat) % group->controls.size()];
-            const HttpAnswer answer =
-                callOnce(address, "POST", "/api/Instances.Heartbeat/i-0000", body, 1);
-            record("heartbeat %d of %zu bytes to %s: %d", beat + 1, body.size(), address.c_str(),
-                   answer.status);
-            sleepFor(1.2);
-        }
-        isOver = true;
-    });
-    // The platform: kills what uses more than memory_mb, and starts it again.
-    std::map<std::string, int> kills;
-    std::map<std::string, long> peaks;
-    while (!isOver) {
-        for (Machine &machine : deployment.machines) {
-            const long used = residentKb(machine.fleet);
-            long &peak = peaks[machine.name];
-            peak = std::max(peak, used);
-            if (used <= MemoryLimitKb)
-                continue;
-            kill(machine.fleet, SIGKILL);
-            waitpid(machine.fleet, nullptr, 0);
-            ++kills[machine.name];
-            record("platform: rhubarb-fleet on %s uses %ld kB of %ld: killed", machine.name.c_str(),
-                   used, MemoryLimitKb);
-            deployment.writeSettings(machine, "fleet", false);
-            machine.fleet = deployment.launch(machine, "fleet");
+    second.start();
+    const std::string order =
+        configuration(7, group->service, {{"bookings", "primary", 800, 150, 0}}, 112, 0);
+    const bool isAcked = sendOrder(group->controls, order, Watched);
+    record("the first order is %s", isAcked ? "acknowledged" : "not acknowledged by any instance");
+    std::uint64_t served = 0;
+    const double until = now() + 10;
+    ClientSession session;
+    while (now() < until) {
+        const Machine &machine = deployment.machines[served % deployment.machines.size()];
+        if (!session.isOpen() && !session.open(machine.ip, "bookings")) {
+            sleepFor(0.2);
+            continue;
         }
-        sleepFor(0.002);
-    }
-    writer.join();
-    int often = 0;
-    for (const Machine &machine : deployment.machines) {
-        record("%s: peak %ld kB, killed %d times", machine.name.c_str(), peaks[machine.name],
-               kills[machine.name]);
-        often += kills[machine.name] >= 3 ? 1 : 0;
+        const std::string id = newId();
+        if (session.query(id, "WRITE item d" + id).outcome == "ok")
+            ++served;
+        sleepFor(0.05);
     }
-    const bool isBroken = often >= 2;
-    record(isBroken ? "Fault: on %d machines of the core processes ended three times"
-                    : "on %d machines of the core processes ended three times",
-           often);
+    const bool isBroken = !isAcked && served == 0;
+    record("%" PRIu64 " operations served", served);
+    if (isBroken)
+        record("Fault: no request is served");
     group->isOver = true;
     deployment.stopAll();
     std::fflush(nullptr);
